--- /dev/null
+++ b/crates/coordination/claims/src/lib.rs
@@ -0,0 +1,1 @@
+//! At most one run for each non-idempotent request.
--- /dev/null
+++ b/crates/coordination/configuration/src/lib.rs
@@ -0,0 +1,1 @@
+//! Versions of the configuration and their spread.
--- /dev/null
+++ b/crates/coordination/lease/src/lib.rs
@@ -0,0 +1,1 @@
+//! Leases in the platform and their fencing tokens.
--- /dev/null
+++ b/crates/coordination/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Live instances and the duties they hold.
--- /dev/null
+++ b/crates/coordination/sheet/src/lib.rs
@@ -0,0 +1,1 @@
+//! The planners' morning sheet.
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! One instance: it joins decisions to transports.
--- /dev/null
+++ b/crates/hemlockwind/benches/decisions.rs
@@ -0,0 +1,3 @@
+//! Measurements.
+
+fn main() {}
--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,10 @@
+//! Wire types and their conversion to the domain.
+//!
+//! Wire types carry serde and hold no logic. `TryFrom` leads in and refuses
+//! whatever does not fit; `From` leads out.
+
+pub mod document;
+pub mod engine;
+pub mod peer;
+pub mod platform;
+pub mod problem;
--- /dev/null
+++ b/crates/protocol/src/peer.rs
@@ -0,0 +1,95 @@
+//! Messages between instances, as bincode in h2 streams.
+//!
+//! One h2 stream carries one [`Request`] and its [`Reply`]. A connection must
+//! first prove that it knows the shared key; see the peer crate.
+
+use std::net::SocketAddr;
+
+use async_trait::async_trait;
+use serde::Deserialize;
+use serde::Serialize;
+
+use hemlockwind_core::Error;
+use hemlockwind_core::Result;
+
+pub mod claims;
+pub mod configuration;
+pub mod membership;
+pub mod queueing;
+
+/// The version of these messages; instances of another version are refused.
+pub const VERSION: u16 = 1;
+
+/// The size of one message at most, in bytes.
+pub const FRAME_LIMIT: usize = 4 << 20;
+
+/// `Request` is what one instance asks of another.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub enum Request {
+    /// Are you there, and what do you know of others?
+    Probe(membership::Probe),
+    /// Tickets for the home of a pool.
+    Tickets(queueing::Tickets),
+    /// Grants from the home of a pool to a driver.
+    Grants(queueing::Grants),
+    /// Which configuration do you have, and here is mine.
+    Configuration(configuration::Exchange),
+    /// A non-idempotent request for the owner of its key's slot.
+    Dispatch(claims::Dispatch),
+}
+
+/// `Reply` is what the other answers.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub enum Reply {
+    /// The message was taken.
+    Done,
+    /// The answer to a probe.
+    Probe(membership::Probe),
+    /// The answer to an exchange.
+    Configuration(configuration::Exchange),
+    /// The answer to a dispatch.
+    Dispatch(claims::Dispatched),
+    /// The message was refused, with the code's number and a sentence.
+    Refused(u16, String),
+}
+
+/// `Peer` reaches other instances.
+#[async_trait]
+pub trait Peer: Send + Sync {
+    /// Sends `req` to the instance at `to` and waits for its reply.
+    async fn call(&self, to: SocketAddr, req: Request) -> Result<Reply>;
+}
+
+/// `Handler` answers the requests of peers.
+#[async_trait]
+pub trait Handler: Send + Sync {
+    /// Answers one request of the instance named `from`.
+    async fn handle(&self, from: &str, req: Request) -> Reply;
+}
+
+/// Writes a message.
+///
+/// # Errors
+///
+/// `Error::PeerFrame` when it is larger than [`FRAME_LIMIT`].
+pub fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>> {
+    let config = bincode::config::standard().with_limit::<FRAME_LIMIT>();
+    bincode::serde::encode_to_vec(message, config).map_err(|e| Error::peer_frame(e.to_string()))
+}
+
+/// Reads a message that must fill `frame` whole.
+///
+/// # Errors
+///
+/// `Error::PeerFrame` when it does not.
+pub fn decode<T: for<'de> Deserialize<'de>>(frame: &[u8]) -> Result<T> {
+    let config = bincode::config::standard().with_limit::<FRAME_LIMIT>();
+    let (message, len) = bincode::serde::decode_from_slice(frame, config)
+        .map_err(|e| Error::peer_frame(e.to_string()))?;
+    if len != frame.len() {
+        return Err(Error::peer_frame("bytes after the message"));
+    }
+    Ok(message)
+}
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings of a process, read from JSON with comments.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small fakes of the platform, engines and services, with switches for failure.
--- /dev/null
+++ b/crates/state/limits/src/lib.rs
@@ -0,0 +1,1 @@
+//! Concurrency limits, ejection and retry budgets.
--- /dev/null
+++ b/crates/state/queueing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Tickets, ranks and shares in the queue of a pool.
--- /dev/null
+++ b/crates/state/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of a path of backend servers over layer ranges.
--- /dev/null
+++ b/crates/state/stream/src/lib.rs
@@ -0,0 +1,1 @@
+//! Steps, incarnations and recovery of one stream.
--- /dev/null
+++ b/crates/transport/backend/src/lib.rs
@@ -0,0 +1,1 @@
+//! Clients of the platform, engines and services.
--- /dev/null
+++ b/crates/transport/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! h2 streams with bincode between instances.
--- /dev/null
+++ b/crates/transport/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Logs, metrics and histograms.
--- /dev/null
+++ b/programs/src/bin/hemlockwind-standin.rs
@@ -0,0 +1,3 @@
+//! Program.
+
+fn main() {}
