--- a/crates/state/queueing/src/fair.rs
+++ b/crates/state/queueing/src/fair.rs
@@ -95,7 +95,6 @@
         });
         if flow.queue.is_empty() {
             self.idle.remove(&(flow.tag, ticket.organisation));
-            flow.tag = flow.tag.max(now);
             flow.share = share;
             self.share += share;
             self.backlogged.insert((flow.tag, ticket.organisation));
--- a/crates/state/queueing/src/home.rs
+++ b/crates/state/queueing/src/home.rs
@@ -279,7 +279,10 @@
             self.drop_ticket(from, request);
         }
         self.take_credits(from, &report);
-        for &ticket in &report.tickets {
+        // What runs on credits first, as its slots are no longer held for them.
+        let running = report.tickets.iter().filter(|t| t.running);
+        let waiting = report.tickets.iter().filter(|t| !t.running);
+        for &ticket in running.chain(waiting) {
             self.take_ticket(now, from, ticket, report.whole);
         }
         self.compare(now, from, &report);
--- a/crates/state/queueing/tests/home.rs
+++ b/crates/state/queueing/tests/home.rs
@@ -45,7 +45,8 @@
 
 fn op() -> impl Strategy<Value = Op> {
     let submit = (
-        0..ORGANISATIONS,
+        // Two ask often, so that the others come late into a busy period.
+        prop_oneof![12 => 0..2usize, 1 => 2..ORGANISATIONS],
         0..3u8,
         1..=COST_MAX,
         prop_oneof![1 => 1..500u64, 6 => Just(1_000_000)],
@@ -238,8 +239,9 @@
             .iter()
             .any(|t| t.organisation == ticket.organisation && t.rank == ticket.rank);
         assert!(!earlier, "one organisation's tickets in order of arrival");
-        if first != Some(rank) {
-            // Served before a more urgent one: only to keep the floor.
+        let free = CAPACITY - self.running.len() as u32;
+        if first != Some(rank) || free <= self.headroom(ticket.rank) {
+            // Before a more urgent one, or from the headroom: only to keep the floor.
             let others = self.served[rank].iter().sum::<f64>() - self.served[rank][rank];
             let due = FLOORS[rank] / (1.0 - FLOORS[rank]) * others;
             let overtook = self.overtook[rank];
