--- a/crates/state/queueing/tests/pool.rs
+++ b/crates/state/queueing/tests/pool.rs
@@ -23,6 +23,7 @@
 use hemlockwind_queueing::message::Finished;
 use hemlockwind_queueing::message::Grants;
 use hemlockwind_queueing::message::Report;
+use hemlockwind_queueing::message::Stamp;
 
 const CAPACITY: u32 = 16;
 const DRIVERS: usize = 3;
@@ -55,8 +56,8 @@
         5 => any::<usize>().prop_map(Op::Finish),
         1 => any::<usize>().prop_map(Op::Withdraw),
         14 => any::<usize>().prop_map(Op::Deliver),
-        1 => any::<usize>().prop_map(Op::Lose),
-        1 => any::<usize>().prop_map(Op::Repeat),
+        2 => any::<usize>().prop_map(Op::Lose),
+        3 => any::<usize>().prop_map(Op::Repeat),
         2 => (1..700u64).prop_map(Op::Advance),
     ]
 }
@@ -345,11 +346,13 @@
         for round in 0..QUIET_ROUNDS {
             self.deliver_all();
             self.check_drivers();
+            if round == QUIET_ROUNDS / 2 {
+                (0..2 * CAPACITY).for_each(|_| self.submit(0, 0, false));
+                self.deliver_all();
+            }
             if round > 20 && self.count(Fate::Waiting) > 0 {
-                assert!(
-                    self.taken() >= CAPACITY,
-                    "a slot is free while a ticket waits"
-                );
+                let running = self.count(Fate::Running);
+                assert!(running >= CAPACITY, "a slot is free while a ticket waits");
             }
             self.finish(round);
             self.advance(Duration::from_millis(300));
@@ -437,3 +440,36 @@
         world.taken()
     );
 }
+
+#[test]
+fn credits_overtaken_or_repeated() {
+    let mut world = World::new(PATIENT, 0);
+    let home = world.homes[0].0;
+    let grants = |number, credits| {
+        let stamp = Stamp { session: 9, number };
+        let grants = Grants {
+            stamp,
+            credits,
+            ..Grants::default()
+        };
+        driver::Event::Grants(home, grants)
+    };
+    for (number, credits) in [(2, 2), (2, 2), (1, 4)] {
+        world.tell_driver(0, grants(number, credits));
+    }
+    assert_eq!(world.drivers[0].1.credits(), 2);
+}
+
+#[test]
+fn whole_report_overtaken() {
+    let mut world = World::new(PATIENT, 0);
+    let old = world.messages[0].clone();
+    world.deliver_all();
+    for driver in 0..DRIVERS {
+        (0..CAPACITY).for_each(|_| world.submit(driver, 0, false));
+        world.deliver_all();
+        world.deliver(old.clone());
+        world.deliver_all();
+        assert_eq!(world.taken(), CAPACITY);
+    }
+}
