Settings, documents, adapters for backends, peers, logs and metrics

Cause: the daemon needs its edges before the path can run.

Ruled out: deserialising settings straight by serde, since it stops at the first fault and gives no line; a table of fields over the parsed tree reports all. Peer calls now tell whether they may have been read (Attempt), which a dispatch of a non-idempotent request needs.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -91,7 +91,7 @@
     pub name: Arc<str>,
     /// Its weight in fair queueing beside the others.
     pub share: f64,
-    /// The rank of its requests that name none.
+    /// The rank of its requests that name none, and the most urgent they may name.
     pub rank: Rank,
     /// The data centre that decides about its idempotency keys.
     pub home: DataCentreKey,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod attempt;
 pub mod collections;
 pub mod config;
+pub mod directory;
 pub mod edges;
 pub mod engine;
 pub mod errors;
--- /dev/null
+++ b/crates/protocol/src/completions.rs
@@ -0,0 +1,223 @@
+//! Completions in the form that the field's clients speak.
+//!
+//! Unknown keys are ignored, since clients send many that steer sampling; keys
+//! that would change the form of the answer are refused.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use hemlockwind_core::Error;
+use hemlockwind_core::Result;
+
+/// Tokens of an answer when the caller names no number.
+const DEFAULT_MAX_TOKENS: u32 = 256;
+
+/// `CompletionRequest` is the body of `POST /v1/completions`.
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
+pub struct CompletionRequest {
+    /// The pipeline's name.
+    pub model: String,
+    /// The prompt.
+    pub prompt: String,
+    /// Tokens at most.
+    #[serde(default)]
+    pub max_tokens: Option<u32>,
+    /// Whether to stream.
+    #[serde(default)]
+    pub stream: bool,
+    /// Answers asked for; only one is given.
+    #[serde(default)]
+    pub n: Option<u32>,
+}
+
+/// `ChatRequest` is the body of `POST /v1/chat/completions`.
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
+pub struct ChatRequest {
+    /// The pipeline's name.
+    pub model: String,
+    /// The conversation.
+    pub messages: Vec<ChatMessage>,
+    /// Tokens at most, by its older name.
+    #[serde(default)]
+    pub max_tokens: Option<u32>,
+    /// Tokens at most.
+    #[serde(default)]
+    pub max_completion_tokens: Option<u32>,
+    /// Whether to stream.
+    #[serde(default)]
+    pub stream: bool,
+    /// Answers asked for; only one is given.
+    #[serde(default)]
+    pub n: Option<u32>,
+}
+
+/// `ChatMessage` is one message of a conversation.
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
+pub struct ChatMessage {
+    /// Who speaks.
+    pub role: String,
+    /// What is said.
+    pub content: String,
+}
+
+/// `Form` is which of the two interfaces a caller uses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Form {
+    /// `/v1/completions`.
+    Text,
+    /// `/v1/chat/completions`.
+    Chat,
+}
+
+/// `Job` is what a caller asks for, in either form.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Job {
+    /// The interface.
+    pub form: Form,
+    /// The pipeline's name.
+    pub pipeline: String,
+    /// The prompt.
+    pub prompt: String,
+    /// Tokens at most.
+    pub max_tokens: u32,
+    /// Whether to stream.
+    pub stream: bool,
+}
+
+impl TryFrom<CompletionRequest> for Job {
+    type Error = Error;
+
+    fn try_from(req: CompletionRequest) -> Result<Self> {
+        one_answer(req.n)?;
+        Ok(Self {
+            form: Form::Text,
+            pipeline: req.model,
+            prompt: req.prompt,
+            max_tokens: max_tokens(req.max_tokens)?,
+            stream: req.stream,
+        })
+    }
+}
+
+impl TryFrom<ChatRequest> for Job {
+    type Error = Error;
+
+    fn try_from(req: ChatRequest) -> Result<Self> {
+        one_answer(req.n)?;
+        if req.messages.is_empty() {
+            return Err(Error::body("`messages` is empty"));
+        }
+        let lines = req.messages.iter();
+        let lines = lines.map(|message| format!("{}: {}", message.role, message.content));
+        Ok(Self {
+            form: Form::Chat,
+            pipeline: req.model,
+            prompt: lines.collect::<Vec<_>>().join("\n"),
+            max_tokens: max_tokens(req.max_completion_tokens.or(req.max_tokens))?,
+            stream: req.stream,
+        })
+    }
+}
+
+/// Refuses more than one answer.
+fn one_answer(n: Option<u32>) -> Result<()> {
+    match n {
+        None | Some(1) => Ok(()),
+        Some(n) => Err(Error::body(format!("`n` is {n}; only 1 is served"))),
+    }
+}
+
+/// The number of tokens asked for.
+fn max_tokens(asked: Option<u32>) -> Result<u32> {
+    match asked {
+        Some(0) => Err(Error::body("`max_tokens` must be at least 1")),
+        asked => Ok(asked.unwrap_or(DEFAULT_MAX_TOKENS)),
+    }
+}
+
+/// `Completion` is a whole answer, or one event of a stream.
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
+pub struct Completion {
+    /// The request's id.
+    pub id: String,
+    /// The kind of object, as clients expect it.
+    pub object: &'static str,
+    /// Seconds since the Unix epoch.
+    pub created: u64,
+    /// The pipeline's name.
+    pub model: String,
+    /// The one answer.
+    pub choices: [Choice; 1],
+    /// Tokens generated, in the last event or the whole answer.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub usage: Option<Usage>,
+}
+
+/// `Choice` is the answer, in the field that its form has.
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
+pub struct Choice {
+    /// Always 0.
+    pub index: u32,
+    /// The text of a completion.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub text: Option<String>,
+    /// The message of a chat.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub message: Option<ChatMessage>,
+    /// The next part of a streamed chat.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub delta: Option<Delta>,
+    /// `stop` or `length`, when the answer has ended.
+    pub finish_reason: Option<&'static str>,
+}
+
+/// `Delta` is the next part of a streamed chat.
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
+pub struct Delta {
+    /// The text.
+    pub content: String,
+}
+
+/// `Usage` counts tokens.
+#[derive(Clone, Copy, Debug)]
+#[derive(Serialize)]
+pub struct Usage {
+    /// Tokens generated.
+    pub completion_tokens: u32,
+}
+
+impl Form {
+    /// The answer's one choice for `text`.
+    pub fn choice(self, text: String, is_event: bool, finish: Option<&'static str>) -> Choice {
+        let mut choice = Choice {
+            finish_reason: finish,
+            ..Choice::default()
+        };
+        match (self, is_event) {
+            (Self::Text, _) => choice.text = Some(text),
+            (Self::Chat, true) => choice.delta = Some(Delta { content: text }),
+            (Self::Chat, false) => {
+                choice.message = Some(ChatMessage {
+                    role: "assistant".into(),
+                    content: text,
+                });
+            }
+        }
+        choice
+    }
+
+    /// The kind of object, as clients expect it.
+    pub const fn object(self, is_event: bool) -> &'static str {
+        match (self, is_event) {
+            (Self::Text, _) => "text_completion",
+            (Self::Chat, false) => "chat.completion",
+            (Self::Chat, true) => "chat.completion.chunk",
+        }
+    }
+}
--- a/crates/protocol/src/document.rs
+++ b/crates/protocol/src/document.rs
@@ -77,7 +77,7 @@
     pub name: String,
     /// The weight beside others.
     pub share: f64,
-    /// The rank of requests that name none.
+    /// The rank of requests that name none, and the most urgent they may name.
     pub rank: String,
     /// The data centre that decides about its idempotency keys.
     pub home: String,
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -3,6 +3,8 @@
 //! Wire types carry serde and hold no logic. `TryFrom` leads in and refuses
 //! whatever does not fit; `From` leads out.
 
+pub mod compile;
+pub mod completions;
 pub mod document;
 pub mod engine;
 pub mod peer;
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -11,6 +11,7 @@
 
 use hemlockwind_core::Error;
 use hemlockwind_core::Result;
+use hemlockwind_core::attempt::Attempt;
 
 pub mod claims;
 pub mod configuration;
@@ -58,8 +59,9 @@
 /// `Peer` reaches other instances.
 #[async_trait]
 pub trait Peer: Send + Sync {
-    /// Sends `req` to the instance at `to` and waits for its reply.
-    async fn call(&self, to: SocketAddr, req: Request) -> Result<Reply>;
+    /// Sends `req` to the instance at `to` and waits for its reply. The error's
+    /// attempt tells whether the other may have read it.
+    async fn call(&self, to: SocketAddr, req: Request) -> Result<Reply, (Attempt, Error)>;
 }
 
 /// `Handler` answers the requests of peers.
--- /dev/null
+++ b/crates/settings/src/document.rs
@@ -0,0 +1,97 @@
+//! Configuration documents as operators write them, in JSON with comments.
+
+use hemlockwind_core::config::Version;
+use hemlockwind_core::directory::Directory;
+use hemlockwind_protocol::compile::compile;
+use hemlockwind_protocol::document::Document;
+
+use crate::faults::Fault;
+use crate::schema::Field;
+use crate::schema::Kind;
+use crate::schema::check;
+use crate::schema::optional;
+use crate::schema::required;
+use crate::source::Source;
+
+/// The longest time that a document may give, in milliseconds: a day.
+const TIME_LIMIT_MS: u64 = 86_400_000;
+/// The largest count that a document may give.
+const COUNT_LIMIT: u64 = 1_000_000;
+
+const MODEL: &[Field] = &[
+    required("name", Kind::Text),
+    required("layers", Kind::Integer(1, 10_000)),
+];
+
+const PIPELINE: &[Field] = &[
+    required("name", Kind::Text),
+    required("model", Kind::Text),
+    required("max_tokens", Kind::Integer(1, COUNT_LIMIT)),
+];
+
+const RANK: &[Field] = &[
+    required("name", Kind::Text),
+    required("first_token_ms", Kind::Integer(1, TIME_LIMIT_MS)),
+    required("between_tokens_ms", Kind::Integer(1, TIME_LIMIT_MS)),
+    required("deadline_ms", Kind::Integer(1, TIME_LIMIT_MS)),
+    optional("floor", Kind::Number),
+];
+
+const ORGANISATION: &[Field] = &[
+    required("name", Kind::Text),
+    required("share", Kind::Number),
+    required("rank", Kind::Text),
+    required("home", Kind::Text),
+    optional("api_keys_sha256", Kind::List(&Kind::Text)),
+];
+
+const SERVICE: &[Field] = &[
+    required("name", Kind::Text),
+    optional("idempotent_methods", Kind::List(&Kind::Text)),
+];
+
+const BACKEND_SERVER: &[Field] = &[
+    required("name", Kind::Text),
+    required("data_centre", Kind::Text),
+    required("addr", Kind::Address),
+    optional("model", Kind::Text),
+    optional("layers", Kind::List(&Kind::Integer(0, 10_000))),
+    optional("service", Kind::Text),
+    required("limit", Kind::Integer(1, COUNT_LIMIT)),
+    optional("checks_fencing", Kind::Boolean),
+    optional("leaving", Kind::Boolean),
+];
+
+const DOCUMENT: Kind = Kind::Object(&[
+    required("models", Kind::List(&Kind::Object(MODEL))),
+    required("pipelines", Kind::List(&Kind::Object(PIPELINE))),
+    required("ranks", Kind::List(&Kind::Object(RANK))),
+    required("organisations", Kind::List(&Kind::Object(ORGANISATION))),
+    optional("services", Kind::List(&Kind::Object(SERVICE))),
+    required("backend_servers", Kind::List(&Kind::Object(BACKEND_SERVER))),
+    optional("sheet_day", Kind::Text),
+]);
+
+/// Reads and checks a document.
+///
+/// # Errors
+///
+/// Every fault of `text`.
+pub fn parse(text: &str) -> Result<Document, Vec<Fault>> {
+    let source = Source::parse(text).map_err(|fault| vec![fault])?;
+    let faults = check(&source, DOCUMENT);
+    if !faults.is_empty() {
+        return Err(faults);
+    }
+    let value = Source::parse(text).map_err(|fault| vec![fault])?.value();
+    let document: Document =
+        serde_json::from_value(value).map_err(|e| vec![source.fault_at("", e.to_string())])?;
+    let mut directory = Directory::default();
+    match compile(&document, Version(0), &mut directory) {
+        Ok(_) => Ok(document),
+        Err(faults) => Err(faults
+            .into_iter()
+            .map(|fault| source.fault_at(&fault.path, fault.text))
+            .collect()),
+    }
+}
--- /dev/null
+++ b/crates/transport/backend/src/engine.rs
@@ -0,0 +1,180 @@
+//! The adapter for engines.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use http_body_util::Full;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use hemlockwind_core::Error;
+use hemlockwind_core::Result;
+use hemlockwind_core::attempt::Attempt;
+use hemlockwind_core::edges::Clock;
+use hemlockwind_core::edges::Engine;
+use hemlockwind_core::edges::KvExport;
+use hemlockwind_core::edges::Order;
+use hemlockwind_core::engine::Incarnation;
+use hemlockwind_core::engine::LoadReport;
+use hemlockwind_core::engine::RequestId;
+use hemlockwind_core::engine::Step;
+use hemlockwind_core::engine::StepResult;
+use hemlockwind_core::time::Instant;
+use hemlockwind_protocol::engine as wire;
+
+use crate::connection::Connections;
+use crate::connection::Failure;
+use crate::connection::Protocol;
+use crate::connection::get;
+use crate::connection::json;
+
+/// Time that a call beside the steps may take.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time that the move of a KV cache may take.
+const MOVE_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+/// `HttpEngine` reaches engines by JSON over HTTP/2.
+pub struct HttpEngine {
+    clock: Arc<dyn Clock>,
+    connections: Connections,
+}
+
+impl HttpEngine {
+    /// An adapter without connections.
+    pub fn new(clock: Arc<dyn Clock>) -> Self {
+        let connections = Connections::new(Protocol::Http2);
+        Self { clock, connections }
+    }
+
+    /// Posts `body` and reads the answer as `T`.
+    async fn post<B: Serialize, T: DeserializeOwned>(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        body: &B,
+        timeout: Duration,
+    ) -> Result<T, Failure> {
+        let bytes = self.post_raw(addr, path, body, timeout).await?;
+        read(&bytes).map_err(|e| (Attempt::Answered, e))
+    }
+
+    /// Posts `body` and gives the answer's bytes.
+    async fn post_raw<B: Serialize>(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        body: &B,
+        timeout: Duration,
+    ) -> Result<Bytes, Failure> {
+        let body = serde_json::to_vec(body);
+        let body = body.map_err(|e| (Attempt::Unsent, Error::body(e.to_string())))?;
+        let req = json(Method::POST, addr, path, body);
+        self.answer(addr, req, timeout).await
+    }
+
+    /// Sends `req` and gives the body of a success.
+    async fn answer(
+        &self,
+        addr: SocketAddr,
+        req: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<Bytes, Failure> {
+        let response = self.connections.exchange(addr, req, timeout).await?;
+        let status = response.status();
+        if status.is_success() {
+            return Ok(response.into_body());
+        }
+        let why = format!("{addr} answered {status}");
+        Err(match status {
+            StatusCode::CONFLICT => (Attempt::Refused, Error::backend_refused(why)),
+            _ => (Attempt::Sent, Error::backend_failed(why)),
+        })
+    }
+}
+
+/// Reads JSON of an engine.
+fn read<T: DeserializeOwned>(bytes: &[u8]) -> Result<T> {
+    serde_json::from_slice(bytes).map_err(|e| Error::backend_answer(e.to_string()))
+}
+
+/// Drops what is known of the attempt, where a call may be repeated.
+fn plain<T>(result: Result<T, Failure>) -> Result<T> {
+    result.map_err(|(_, error)| error)
+}
+
+#[async_trait]
+impl Engine for HttpEngine {
+    async fn steps(
+        &self,
+        to: SocketAddr,
+        steps: Vec<Step>,
+        deadline: Instant,
+    ) -> Result<Vec<StepResult>, Failure> {
+        let timeout = deadline.since(self.clock.now());
+        if timeout.is_zero() {
+            return Err((Attempt::Unsent, Error::DeadlinePassed));
+        }
+        let body = wire::StepsRequest {
+            steps: steps.into_iter().map(wire::Step::from).collect(),
+        };
+        let answer: wire::StepsAnswer = self.post(to, "/v1/steps", &body, timeout).await?;
+        let results = answer.results.into_iter().map(StepResult::try_from);
+        let results: Result<Vec<_>> = results.collect();
+        results.map_err(|e| (Attempt::Answered, e))
+    }
+
+    async fn cancel(&self, to: SocketAddr, request: RequestId) -> Result<()> {
+        let request = wire::StreamRequest { request: request.0 };
+        let answer = self.post_raw(to, "/v1/cancel", &request, CALL_TIMEOUT);
+        plain(answer.await).map(drop)
+    }
+
+    async fn export(&self, from: SocketAddr, request: RequestId) -> Result<KvExport> {
+        let request = wire::StreamRequest { request: request.0 };
+        let cache = self.post::<_, wire::KvCache>(from, "/v1/kv/export", &request, MOVE_TIMEOUT);
+        plain(cache.await)?.try_into()
+    }
+
+    async fn import(
+        &self,
+        to: SocketAddr,
+        request: RequestId,
+        incarnation: Incarnation,
+        cache: KvExport,
+    ) -> Result<()> {
+        let body = wire::KvImport {
+            request: request.0,
+            incarnation: incarnation.0,
+            cache: cache.into(),
+        };
+        let answer = self.post_raw(to, "/v1/kv/import", &body, MOVE_TIMEOUT);
+        plain(answer.await).map(drop)
+    }
+
+    async fn load(&self, at: SocketAddr, fresh: bool) -> Result<LoadReport> {
+        let req = get(at, "/v1/load");
+        let answer = if fresh {
+            let connections = Connections::new(Protocol::Http2);
+            let answer = connections.exchange(at, req, CALL_TIMEOUT).await;
+            // The old connection may be silent; the next step opens a new one.
+            self.connections.reset(at);
+            answer.map(http::Response::into_body)
+        } else {
+            self.answer(at, req, CALL_TIMEOUT).await
+        };
+        let load: wire::Load = read(&plain(answer)?)?;
+        Ok(load.into())
+    }
+
+    async fn order(&self, to: SocketAddr, order: Order) -> Result<()> {
+        let order = wire::Order::from(order);
+        let answer = self.post_raw(to, "/v1/orders", &order, CALL_TIMEOUT);
+        plain(answer.await).map(drop)
+    }
+}
--- a/crates/transport/peer/src/lib.rs
+++ b/crates/transport/peer/src/lib.rs
@@ -1,1 +1,13 @@
 //! h2 streams with bincode between instances.
+//!
+//! Each connection begins with a challenge in header fields: both sides prove by
+//! HMAC that they know the shared key. No body is read before that.
+
+pub mod client;
+pub mod proof;
+pub mod server;
+
+mod body;
+
+pub use crate::client::H2Peer;
+pub use crate::proof::SharedKey;
