--- /dev/null
+++ b/crates/state/stream/src/stream.rs
@@ -0,0 +1,536 @@
+//! The state machine of one stream.
+
+use std::time::Duration;
+
+use hemlockwind_core::Error;
+use hemlockwind_core::attempt::Attempt;
+use hemlockwind_core::attempt::Ran;
+use hemlockwind_core::engine::Incarnation;
+use hemlockwind_core::engine::Input;
+use hemlockwind_core::engine::Output;
+use hemlockwind_core::engine::Refusal;
+use hemlockwind_core::engine::Step;
+use hemlockwind_core::engine::StepId;
+use hemlockwind_core::engine::StepResult;
+use hemlockwind_core::engine::Token;
+use hemlockwind_core::names::BackendServerKey;
+use hemlockwind_core::time::Instant;
+
+use crate::Path;
+use crate::Stage;
+use crate::action::Action;
+use crate::action::Finish;
+use crate::avoid::Avoid;
+use crate::dispatch::Dispatches;
+use crate::dispatch::Outstanding;
+use crate::event::Event;
+use crate::options::Options;
+
+/// The pause before a path is asked for again when there was none.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// `Stream` drives one request over the stages of a path.
+#[derive(Clone, Debug)]
+pub struct Stream {
+    options: Options,
+    state: State,
+    path: Vec<Hop>,
+    incarnation: Incarnation,
+    prefills: u32,
+    generated: Vec<u32>,
+    avoid: Avoid,
+    leaving: Vec<BackendServerKey>,
+    held: Vec<BackendServerKey>,
+    dispatches: Dispatches,
+}
+
+/// `Hop` is a stage of the path with the incarnation of its KV cache.
+#[derive(Clone, Copy, Debug)]
+struct Hop {
+    stage: Stage,
+    incarnation: Incarnation,
+}
+
+/// `State` is what a stream waits for.
+#[derive(Clone, Copy, Debug)]
+enum State {
+    /// A path to prefill.
+    Choosing,
+    /// The time to ask for a path again.
+    Paused { until: Instant },
+    /// A path that replaces a leaving backend server alone.
+    Replacing { from: BackendServerKey },
+    /// The import of a KV cache.
+    Importing(Import),
+    /// The result of a step.
+    Running(Outstanding),
+    /// Nothing more.
+    Done,
+}
+
+/// `Import` is a move of a KV cache under way.
+#[derive(Clone, Copy, Debug)]
+struct Import {
+    hop: usize,
+    to: BackendServerKey,
+    incarnation: Incarnation,
+    deadline: Instant,
+}
+
+impl Stream {
+    /// A stream that starts at `now`, with its first actions.
+    pub fn new(options: Options, now: Instant) -> (Self, Vec<Action>) {
+        let mut stream = Self {
+            options,
+            state: State::Choosing,
+            path: Vec::new(),
+            incarnation: Incarnation(0),
+            prefills: 0,
+            generated: Vec::new(),
+            avoid: Avoid::default(),
+            leaving: Vec::new(),
+            held: Vec::new(),
+            dispatches: Dispatches::default(),
+        };
+        let mut actions = Vec::new();
+        if stream.options.max_tokens == 0 {
+            stream.finish(Finish::Complete { tokens: 0 }, &mut actions);
+        } else {
+            stream.choose(now, &mut actions);
+        }
+        (stream, actions)
+    }
+
+    /// Takes one event and returns what the driver must do, in this order.
+    pub fn on_event(&mut self, now: Instant, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        match event {
+            Event::Path(path) => self.on_path(now, path, &mut actions),
+            Event::NoPath => self.on_no_path(now, &mut actions),
+            Event::Result(result) => self.on_result(now, result, &mut actions),
+            Event::Failed { id, attempt } => self.on_failed(now, id, attempt, &mut actions),
+            Event::Left(server) => self.on_left(server),
+            Event::Imported { to, incarnation } => {
+                self.on_imported(now, to, incarnation, true, &mut actions);
+            }
+            Event::ImportFailed { to, incarnation } => {
+                self.on_imported(now, to, incarnation, false, &mut actions);
+            }
+            Event::Cancel => self.on_cancel(&mut actions),
+            Event::Tick => self.on_tick(now, &mut actions),
+        }
+        actions
+    }
+
+    /// When `Event::Tick` is due at the latest, `Instant::NEVER` after the end.
+    pub fn next_deadline(&self) -> Instant {
+        let next = match self.state {
+            State::Choosing | State::Replacing { .. } => self.options.deadline,
+            State::Paused { until } => until,
+            State::Importing(import) => import.deadline,
+            State::Running(outstanding) => outstanding.deadline,
+            State::Done => return Instant::NEVER,
+        };
+        next.min(self.options.deadline)
+    }
+
+    /// The number of tokens emitted.
+    pub fn tokens(&self) -> u32 {
+        // The tokens are bounded by `max_tokens`, which is a `u32`.
+        self.generated.len() as u32
+    }
+
+    /// The number of the path that the stream is on, 0 before the first one.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    fn on_path(&mut self, now: Instant, path: Path, actions: &mut Vec<Action>) {
+        match self.state {
+            State::Choosing => self.prefill(now, path, actions),
+            State::Replacing { from } => self.replace(now, from, &path, actions),
+            State::Paused { .. } | State::Importing(_) | State::Running(_) | State::Done => {}
+        }
+    }
+
+    fn on_no_path(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        match self.state {
+            State::Choosing if self.prefills == 0 => self.fail(no_path(&self.options), actions),
+            State::Choosing => self.pause(now),
+            // The leaving backend server may finish the stream.
+            State::Replacing { .. } => self.decode(now, actions),
+            State::Paused { .. } | State::Importing(_) | State::Running(_) | State::Done => {}
+        }
+    }
+
+    fn on_result(&mut self, now: Instant, result: StepResult, actions: &mut Vec<Action>) {
+        let State::Running(outstanding) = self.state else {
+            return;
+        };
+        if outstanding.id != result.id {
+            return;
+        }
+        let last = outstanding.hop + 1 == self.path.len();
+        match result.output {
+            Output::Refused(refusal) => self.on_refusal(now, outstanding, refusal, actions),
+            Output::Activation(data) if !last => {
+                self.dispatches.settle(Attempt::Answered);
+                let input = Input::Activation(data);
+                let hop = outstanding.hop + 1;
+                self.send(now, hop, outstanding.prefill, input, actions);
+            }
+            Output::Token(token) if last => {
+                self.dispatches.settle(Attempt::Answered);
+                self.emit(now, token, actions);
+            }
+            Output::Activation(_) | Output::Token(_) => {
+                self.dispatches.settle(Attempt::Answered);
+                self.avoid.add_failed(outstanding.server);
+                let why = format!("stage {} gave the wrong output", outstanding.id.layers);
+                self.recover(now, Error::backend_answer(why), actions);
+            }
+        }
+    }
+
+    fn on_refusal(
+        &mut self,
+        now: Instant,
+        outstanding: Outstanding,
+        refusal: Refusal,
+        actions: &mut Vec<Action>,
+    ) {
+        self.dispatches.settle(Attempt::Refused);
+        match refusal {
+            Refusal::Leaving => {
+                self.avoid.add_leaving(outstanding.server);
+            }
+            Refusal::Busy | Refusal::WrongLayers => self.avoid.add_failed(outstanding.server),
+            // The server works; only its KV cache is of no use.
+            Refusal::MissingCache | Refusal::StaleIncarnation => {}
+        }
+        let why = format!("stage {}: {refusal:?}", outstanding.id.layers);
+        self.recover(now, Error::backend_refused(why), actions);
+    }
+
+    fn on_failed(&mut self, now: Instant, id: StepId, attempt: Attempt, actions: &mut Vec<Action>) {
+        let State::Running(outstanding) = self.state else {
+            return;
+        };
+        if outstanding.id != id {
+            return;
+        }
+        self.dispatches.settle(attempt);
+        self.avoid.add_failed(outstanding.server);
+        let why = format!("stage {} gave no result", id.layers);
+        self.recover(now, Error::backend_failed(why), actions);
+    }
+
+    /// Notes a leaving server; its KV cache is moved between two tokens.
+    fn on_left(&mut self, server: BackendServerKey) {
+        if self.avoid.add_leaving(server) {
+            self.leaving.push(server);
+        }
+    }
+
+    fn on_imported(
+        &mut self,
+        now: Instant,
+        to: BackendServerKey,
+        incarnation: Incarnation,
+        done: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        let State::Importing(import) = self.state else {
+            return;
+        };
+        if import.incarnation != incarnation || import.to != to {
+            return;
+        }
+        if done {
+            self.adopt(import, actions);
+        }
+        // Without the import the leaving backend server may finish the stream.
+        self.next_token(now, actions);
+    }
+
+    fn on_cancel(&mut self, actions: &mut Vec<Action>) {
+        if !matches!(self.state, State::Done) {
+            self.finish(Finish::Cancelled, actions);
+        }
+    }
+
+    fn on_tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if matches!(self.state, State::Done) {
+            return;
+        }
+        if self.expired(now, actions) {
+            return;
+        }
+        match self.state {
+            State::Paused { until } if now >= until => self.choose(now, actions),
+            State::Importing(import) if now >= import.deadline => self.next_token(now, actions),
+            State::Running(outstanding) if now >= outstanding.deadline => {
+                self.on_timeout(now, outstanding, actions);
+            }
+            State::Choosing
+            | State::Replacing { .. }
+            | State::Paused { .. }
+            | State::Importing(_)
+            | State::Running(_)
+            | State::Done => {}
+        }
+    }
+
+    /// Gives up a step. Recovery does not wait for the verdict on its server.
+    fn on_timeout(&mut self, now: Instant, outstanding: Outstanding, actions: &mut Vec<Action>) {
+        self.dispatches.settle(Attempt::Sent);
+        actions.push(Action::Doubt(outstanding.server));
+        self.avoid.add_failed(outstanding.server);
+        let why = format!("stage {} timed out", outstanding.id.layers);
+        self.recover(now, Error::backend_unreachable(why), actions);
+    }
+
+    /// Asks for a path that avoids what failed.
+    fn choose(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if self.expired(now, actions) {
+            return;
+        }
+        self.state = State::Choosing;
+        self.ask(actions);
+    }
+
+    fn ask(&self, actions: &mut Vec<Action>) {
+        let stages = self.path.iter().map(|hop| hop.stage);
+        actions.push(Action::Choose {
+            avoid: self.avoid.list(),
+            keep: stages.filter(|s| !self.avoid.contains(s.server)).collect(),
+        });
+    }
+
+    /// Waits before it asks again, and then allows failed servers too.
+    fn pause(&mut self, now: Instant) {
+        self.avoid.forgive();
+        let until = now + RETRY_PAUSE;
+        self.state = State::Paused { until };
+    }
+
+    /// Starts a new incarnation on another path, or fails when there were enough.
+    fn recover(&mut self, now: Instant, cause: Error, actions: &mut Vec<Action>) {
+        if self.prefills >= self.options.max_incarnations {
+            self.fail(cause, actions);
+        } else {
+            self.choose(now, actions);
+        }
+    }
+
+    /// Takes a path and fills the KV caches of all its stages.
+    fn prefill(&mut self, now: Instant, path: Path, actions: &mut Vec<Action>) {
+        let unwanted = path.stages.iter().any(|s| self.avoid.contains(s.server));
+        if unwanted || !path.joins(self.options.model_layers) {
+            self.pause(now);
+            return;
+        }
+        self.release_all_but(&path, actions);
+        self.incarnation.0 += 1;
+        self.prefills += 1;
+        let incarnation = self.incarnation;
+        let hops = path.stages.into_iter();
+        self.path = hops.map(|stage| Hop { stage, incarnation }).collect();
+        self.leaving.clear();
+        let input = Input::Prompt {
+            text: self.options.prompt.clone(),
+            generated: self.generated.clone(),
+        };
+        self.send(now, 0, true, input, actions);
+    }
+
+    /// Emits a token and goes on to the next.
+    fn emit(&mut self, now: Instant, token: Token, actions: &mut Vec<Action>) {
+        let end = token.end;
+        self.generated.push(token.id);
+        actions.push(Action::Emit(token));
+        if end || self.tokens() >= self.options.max_tokens {
+            let tokens = self.tokens();
+            self.finish(Finish::Complete { tokens }, actions);
+        } else {
+            self.next_token(now, actions);
+        }
+    }
+
+    /// Moves off a leaving server if there is one, else runs the next token.
+    fn next_token(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if self.expired(now, actions) {
+            return;
+        }
+        while let Some(from) = self.leaving.pop() {
+            if self.path.iter().any(|hop| hop.stage.server == from) {
+                self.state = State::Replacing { from };
+                self.ask(actions);
+                return;
+            }
+        }
+        self.decode(now, actions);
+    }
+
+    /// Sends the last token to the first stage.
+    fn decode(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let last = self.generated.last().copied();
+        let last = last.expect("decoding starts after the prefill gave a token");
+        self.send(now, 0, false, Input::Token(last), actions);
+    }
+
+    /// Moves the KV cache from a leaving server when `path` differs in it alone.
+    fn replace(
+        &mut self,
+        now: Instant,
+        from: BackendServerKey,
+        path: &Path,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some((hop, to)) = self.replacement(from, path) else {
+            self.decode(now, actions);
+            return;
+        };
+        self.incarnation.0 += 1;
+        let incarnation = self.incarnation;
+        self.hold(to);
+        self.state = State::Importing(Import {
+            hop,
+            to,
+            incarnation,
+            deadline: now + self.options.prefill_timeout,
+        });
+        actions.push(Action::Move {
+            from,
+            to,
+            incarnation,
+        });
+    }
+
+    fn replacement(
+        &self,
+        from: BackendServerKey,
+        path: &Path,
+    ) -> Option<(usize, BackendServerKey)> {
+        if path.stages.len() != self.path.len() {
+            return None;
+        }
+        let mut place = None;
+        for (index, (hop, new)) in self.path.iter().zip(&path.stages).enumerate() {
+            if hop.stage.layers != new.layers {
+                return None;
+            }
+            if hop.stage.server == from && !self.avoid.contains(new.server) {
+                place = Some((index, new.server));
+            } else if hop.stage.server != new.server {
+                return None;
+            }
+        }
+        place
+    }
+
+    /// Puts the backend server that has the KV cache now in place of the old one.
+    fn adopt(&mut self, import: Import, actions: &mut Vec<Action>) {
+        let hop = &mut self.path[import.hop];
+        let from = hop.stage.server;
+        hop.stage.server = import.to;
+        hop.incarnation = import.incarnation;
+        self.held.retain(|&server| server != from);
+        actions.push(Action::Release(from));
+    }
+
+    /// Sends the step of stage `hop` for the next token.
+    fn send(
+        &mut self,
+        now: Instant,
+        hop: usize,
+        prefill: bool,
+        input: Input,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.expired(now, actions) {
+            return;
+        }
+        let Hop { stage, incarnation } = self.path[hop];
+        let id = StepId {
+            request: self.options.request,
+            incarnation,
+            token: self.tokens(),
+            layers: stage.layers,
+        };
+        let timeout = if prefill {
+            self.options.prefill_timeout
+        } else {
+            self.options.step_timeout
+        };
+        let outstanding = Outstanding {
+            id,
+            server: stage.server,
+            hop,
+            prefill,
+            deadline: (now + timeout).min(self.options.deadline),
+        };
+        self.hold(stage.server);
+        self.dispatches.open();
+        self.state = State::Running(outstanding);
+        actions.push(Action::Send {
+            server: stage.server,
+            step: Step {
+                id,
+                rank: self.options.rank,
+                prefill,
+                input,
+            },
+            deadline: outstanding.deadline,
+        });
+    }
+
+    fn hold(&mut self, server: BackendServerKey) {
+        if !self.held.contains(&server) {
+            self.held.push(server);
+        }
+    }
+
+    fn release_all_but(&mut self, path: &Path, actions: &mut Vec<Action>) {
+        self.held.retain(|&server| {
+            let kept = path.contains(server);
+            if !kept {
+                actions.push(Action::Release(server));
+            }
+            kept
+        });
+    }
+
+    /// Ends the stream when its deadline has passed. Returns whether it has.
+    fn expired(&mut self, now: Instant, actions: &mut Vec<Action>) -> bool {
+        let expired = now >= self.options.deadline;
+        if expired {
+            let error = match self.dispatches.ran() {
+                Ran::No(_) => Error::DeadlinePassed,
+                Ran::Unknown => {
+                    let tokens = self.tokens();
+                    Error::outcome_unknown(format!("the deadline passed after {tokens} tokens"))
+                }
+            };
+            self.fail(error, actions);
+        }
+        expired
+    }
+
+    fn fail(&mut self, error: Error, actions: &mut Vec<Action>) {
+        let ran = self.dispatches.ran();
+        self.finish(Finish::Failed(error, ran), actions);
+    }
+
+    fn finish(&mut self, finish: Finish, actions: &mut Vec<Action>) {
+        let held = std::mem::take(&mut self.held);
+        actions.extend(held.into_iter().map(Action::Release));
+        actions.push(Action::Finish(finish));
+        self.state = State::Done;
+    }
+}
+
+/// The error of a model that no servers join for.
+fn no_path(options: &Options) -> Error {
+    Error::no_path(format!("layers 0..{}", options.model_layers))
+}
