Daemon: callers, driver, lanes, fleet, admin port, planned stop

Cause: the thin whole path. A stream's decisions come from the stream crate; the daemon only carries them out.

Ruled out: axum::serve, which sets no bound on the time and size of headers; hyper-util's builder does.

Not yet measured.

--- /dev/null
+++ b/crates/daemon/src/admin.rs
@@ -0,0 +1,136 @@
+//! The port for operators: a bearer token goes before everything but health.
+
+use std::sync::Arc;
+
+use axum::Json;
+use axum::Router;
+use axum::body::Body;
+use axum::extract::Request;
+use axum::extract::State;
+use axum::http::HeaderMap;
+use axum::http::header::AUTHORIZATION;
+use axum::http::header::IF_MATCH;
+use axum::middleware;
+use axum::middleware::Next;
+use axum::response::IntoResponse;
+use axum::response::Response;
+use axum::routing::get;
+use axum::routing::post;
+use serde_json::Value;
+use serde_json::json;
+use slog::info;
+use subtle::ConstantTimeEq;
+
+use hemlockwind_core::Error;
+use hemlockwind_core::Result;
+use hemlockwind_core::edges::ObjectVersion;
+use hemlockwind_protocol::document::Document;
+
+use crate::callers::body;
+use crate::configuration;
+use crate::instance::Instance;
+use crate::problem::Failure;
+
+/// The routes that operators use.
+pub fn router(instance: Arc<Instance>) -> Router {
+    let guarded = Router::new()
+        .route("/metrics", get(metrics))
+        .route("/v1/status", get(status))
+        .route(
+            "/v1/configuration",
+            get(read_configuration).put(write_configuration),
+        )
+        .route("/v1/drain", post(drain))
+        .layer(middleware::from_fn_with_state(
+            Arc::clone(&instance),
+            authorise,
+        ));
+    Router::new()
+        .route("/healthz", get(|| async { "ok" }))
+        .merge(guarded)
+        .with_state(instance)
+}
+
+/// Lets only requests with the admin token pass.
+async fn authorise(
+    State(instance): State<Arc<Instance>>,
+    req: Request,
+    next: Next,
+) -> Result<Response, Failure> {
+    let value = req.headers().get(AUTHORIZATION);
+    let token = value.and_then(|value| value.as_bytes().strip_prefix(b"Bearer "));
+    let expected = instance.settings.admin_token.as_bytes();
+    let is_right = token.is_some_and(|token| bool::from(token.ct_eq(expected)));
+    if !is_right {
+        return Err(Error::AdminToken.into());
+    }
+    Ok(next.run(req).await)
+}
+
+/// The histograms in the text form of Prometheus.
+async fn metrics(State(instance): State<Arc<Instance>>) -> String {
+    instance.histograms.render(|rank| instance.rank_name(rank))
+}
+
+/// What this instance does and knows.
+async fn status(State(instance): State<Arc<Instance>>) -> Json<Value> {
+    let config = instance.config.load();
+    let directory = instance.directory.read();
+    let leaving: Vec<_> = instance
+        .fleet
+        .leaving()
+        .into_iter()
+        .map(|key| directory.backend_servers.name(key).to_string())
+        .collect();
+    Json(json!({
+        "instance": instance.me.name,
+        "data_centre": instance.me.data_centre,
+        "ready": instance.is_ready(),
+        "stopping": instance.stopping.is_cancelled(),
+        "requests": instance.requests.len(),
+        "config_version": config.version.0,
+        "sheet_day": config.sheet_day,
+        "backend_servers": config.backend_servers.len(),
+        "leaving": leaving,
+    }))
+}
+
+/// The document that the platform holds, with its version as entity tag.
+async fn read_configuration(State(instance): State<Arc<Instance>>) -> Result<Response, Failure> {
+    let object = configuration::read(&instance).await?;
+    let object = object.ok_or(Error::NoConfig)?;
+    let tag = format!("\"{}\"", object.version.0);
+    let headers = [("etag", tag), ("content-type", "application/json".into())];
+    Ok((headers, object.value).into_response())
+}
+
+/// Takes a new document over the version that `If-Match` names.
+async fn write_configuration(
+    State(instance): State<Arc<Instance>>,
+    headers: HeaderMap,
+    req: Body,
+) -> Result<Json<Value>, Failure> {
+    let base = base(&headers)?;
+    let req = body::read(req, &instance.settings.limits).await?;
+    let document: Document = body::json(&req)?;
+    let version = configuration::accept(&instance, &document, base).await?;
+    info!(instance.log, "a configuration was accepted"; "version" => version.0);
+    Ok(Json(json!({"version": version.0})))
+}
+
+/// The version that `If-Match` names.
+fn base(headers: &HeaderMap) -> Result<Option<ObjectVersion>> {
+    let Some(value) = headers.get(IF_MATCH) else {
+        return Ok(None);
+    };
+    let text = value.to_str().unwrap_or_default().trim_matches('"');
+    let version = text.parse().map(ObjectVersion);
+    let version = version.map_err(|_| Error::header("If-Match must be a version"))?;
+    Ok(Some(version))
+}
+
+/// Begins a planned stop.
+async fn drain(State(instance): State<Arc<Instance>>) -> Json<Value> {
+    instance.stopping.cancel();
+    Json(json!({"stopping": true, "requests": instance.requests.len()}))
+}
--- /dev/null
+++ b/crates/daemon/src/callers.rs
@@ -0,0 +1,58 @@
+//! The port for callers.
+
+use std::sync::Arc;
+
+use axum::Json;
+use axum::Router;
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::routing::get;
+use axum::routing::post;
+use serde_json::Value;
+use serde_json::json;
+
+use hemlockwind_core::Error;
+
+use crate::instance::Instance;
+use crate::problem::Failure;
+
+pub mod body;
+pub mod caller;
+pub mod completions;
+pub mod events;
+
+/// The routes that callers and the balancer use.
+pub fn router(instance: Arc<Instance>) -> Router {
+    Router::new()
+        .route("/v1/completions", post(completions::text))
+        .route("/v1/chat/completions", post(completions::chat))
+        .route("/v1/models", get(models))
+        .route("/healthz", get(|| async { "ok" }))
+        .route("/readyz", get(ready))
+        .fallback(unknown)
+        .with_state(instance)
+}
+
+/// Tells the balancer whether to send requests here.
+async fn ready(State(instance): State<Arc<Instance>>) -> StatusCode {
+    if instance.is_ready() {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    }
+}
+
+/// Lists the pipelines in the form that the field's clients expect.
+async fn models(State(instance): State<Arc<Instance>>) -> Json<Value> {
+    let config = instance.config.load();
+    let names = config.pipeline_names.keys();
+    let models: Vec<_> = names
+        .map(|name| json!({"id": &**name, "object": "model", "owned_by": "hemlockwind"}))
+        .collect();
+    Json(json!({"object": "list", "data": models}))
+}
+
+/// Refuses any other path.
+async fn unknown(uri: axum::http::Uri) -> Failure {
+    Failure::from(Error::unknown_target(uri.path()))
+}
--- /dev/null
+++ b/crates/daemon/src/callers/caller.rs
@@ -0,0 +1,111 @@
+//! Who asks, and how urgently.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::http::HeaderMap;
+use axum::http::header::AUTHORIZATION;
+use sha2::Digest;
+use sha2::Sha256;
+
+use hemlockwind_core::Error;
+use hemlockwind_core::Result;
+use hemlockwind_core::config::Config;
+use hemlockwind_core::names::OrganisationKey;
+use hemlockwind_core::names::Rank;
+use hemlockwind_core::time::Instant;
+
+/// The header that names a rank.
+const RANK_HEADER: &str = "x-hemlockwind-rank";
+/// The header with the milliseconds that a request may take in all.
+const DEADLINE_HEADER: &str = "x-hemlockwind-deadline-ms";
+/// The longest time that a caller may ask for, in milliseconds: a day.
+const DEADLINE_LIMIT_MS: u64 = 86_400_000;
+
+/// `Caller` is who asks, and how urgently.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    /// The organisation.
+    pub organisation: OrganisationKey,
+    /// The organisation's name.
+    pub name: Arc<str>,
+    /// The rank of this request.
+    pub rank: Rank,
+    /// When the request arrived.
+    pub arrived_at: Instant,
+    /// When the whole answer must be there.
+    pub deadline: Instant,
+}
+
+impl Caller {
+    /// The caller that a request's headers name.
+    ///
+    /// # Errors
+    ///
+    /// `Error::NoConfig`, `Error::ApiKey`, `Error::Header` or `Error::Forbidden`.
+    pub fn new(headers: &HeaderMap, config: &Config, now: Instant) -> Result<Self> {
+        if config.version.0 == 0 {
+            return Err(Error::NoConfig);
+        }
+        let key = organisation(headers, config)?;
+        let organisation = config.organisations.get(&key).ok_or(Error::ApiKey)?;
+        let rank = match text(headers, RANK_HEADER)? {
+            None => organisation.rank,
+            Some(name) => rank(name, organisation.rank, config)?,
+        };
+        let time = match text(headers, DEADLINE_HEADER)? {
+            None => {
+                let target = config.ranks.get(usize::from(rank.0));
+                target.ok_or(Error::NoConfig)?.deadline
+            }
+            Some(ms) => deadline(ms)?,
+        };
+        Ok(Self {
+            organisation: key,
+            name: Arc::clone(&organisation.name),
+            rank,
+            arrived_at: now,
+            deadline: now + time,
+        })
+    }
+}
+
+/// The text of a header.
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>> {
+    let value = headers.get(name).map(|value| value.to_str());
+    let value = value.transpose();
+    value.map_err(|_| Error::header(format!("{name} is not plain text")))
+}
+
+/// The organisation of an API key. Keys are compared by their SHA-256, so the
+/// time of the look-up tells nothing of a key.
+fn organisation(headers: &HeaderMap, config: &Config) -> Result<OrganisationKey> {
+    let value = text(headers, AUTHORIZATION.as_str()).map_err(|_| Error::ApiKey)?;
+    let key = value.and_then(|value| value.strip_prefix("Bearer "));
+    let digest: [u8; 32] = Sha256::digest(key.ok_or(Error::ApiKey)?).into();
+    config.api_keys.get(&digest).copied().ok_or(Error::ApiKey)
+}
+
+/// The rank of this name, if the organisation may use it.
+fn rank(name: &str, most_urgent: Rank, config: &Config) -> Result<Rank> {
+    let place = config.ranks.iter().position(|rank| &*rank.name == name);
+    let place = place.and_then(|place| u8::try_from(place).ok());
+    let rank = place.map(Rank);
+    let rank = rank.ok_or_else(|| Error::header(format!("there is no rank {name}")))?;
+    if rank < most_urgent {
+        return Err(Error::forbidden(format!("the rank {name}")));
+    }
+    Ok(rank)
+}
+
+/// The time of a deadline header.
+fn deadline(ms: &str) -> Result<Duration> {
+    let ms = ms.parse::<u64>().ok();
+    let ms = ms.filter(|ms| (1..=DEADLINE_LIMIT_MS).contains(ms));
+    let ms = ms.ok_or_else(|| {
+        Error::header(format!(
+            "{DEADLINE_HEADER} must be between 1 and {DEADLINE_LIMIT_MS}"
+        ))
+    })?;
+    Ok(Duration::from_millis(ms))
+}
--- /dev/null
+++ b/crates/daemon/src/callers/completions.rs
@@ -0,0 +1,185 @@
+//! Completions: from the caller's request to a driven stream and back.
+
+use std::sync::Arc;
+
+use axum::Json;
+use axum::body::Body;
+use axum::extract::Request;
+use axum::extract::State;
+use axum::response::IntoResponse;
+use axum::response::Response;
+use tokio::sync::mpsc;
+use tokio::sync::mpsc::UnboundedReceiver;
+use uuid::Uuid;
+
+use hemlockwind_core::Error;
+use hemlockwind_core::Result;
+use hemlockwind_core::attempt::Attempts;
+use hemlockwind_core::engine::RequestId;
+use hemlockwind_protocol::completions::ChatRequest;
+use hemlockwind_protocol::completions::CompletionRequest;
+use hemlockwind_protocol::completions::Form;
+use hemlockwind_protocol::completions::Job;
+use hemlockwind_stream::Finish;
+
+use crate::callers::body;
+use crate::callers::caller::Caller;
+use crate::callers::events;
+use crate::callers::events::Answer;
+use crate::driver;
+use crate::driver::Progress;
+use crate::driver::Work;
+use crate::instance::Instance;
+use crate::problem::Failure;
+
+/// The header with the request's id.
+const REQUEST_HEADER: &str = "x-request-id";
+
+/// `POST /v1/completions`.
+pub async fn text(State(instance): State<Arc<Instance>>, req: Request) -> Response {
+    answer(instance, req, Form::Text).await
+}
+
+/// `POST /v1/chat/completions`.
+pub async fn chat(State(instance): State<Arc<Instance>>, req: Request) -> Response {
+    answer(instance, req, Form::Chat).await
+}
+
+/// Answers one request, with its id in a header.
+async fn answer(instance: Arc<Instance>, req: Request, form: Form) -> Response {
+    let id = RequestId(Uuid::now_v7());
+    let answer = serve(&instance, req, form, id).await;
+    let mut response = answer.unwrap_or_else(|mut failure| {
+        failure.request = id.0.to_string();
+        slog::info!(instance.log, "a request failed"; "request" => %id.0, "code" => failure.error.code().number(), "error" => %failure.error);
+        instance.metrics.count("requests.refused", 1);
+        failure.into_response()
+    });
+    if let Ok(value) = id.0.to_string().parse() {
+        response.headers_mut().insert(REQUEST_HEADER, value);
+    }
+    response
+}
+
+/// Reads, checks and runs one request.
+async fn serve(
+    instance: &Arc<Instance>,
+    req: Request,
+    form: Form,
+    id: RequestId,
+) -> Result<Response, Failure> {
+    if instance.stopping.is_cancelled() {
+        return Err(Error::Stopping.into());
+    }
+    let now = instance.edges.clock.now();
+    let (parts, body) = req.into_parts();
+    let caller = Caller::new(&parts.headers, &instance.config.load(), now)?;
+    let job = job(instance, body, form).await?;
+    let pipeline = job.pipeline.clone();
+    let stream = job.stream;
+    let work = work(instance, job, caller, id)?;
+    let mut progress = start(instance, work)?;
+    // An error before the first token is still an HTTP error.
+    let first = match progress.recv().await {
+        Some(Progress::End(Finish::Failed(error, ran))) => {
+            return Err(Failure::new(error, ran, id.0));
+        }
+        Some(first) => first,
+        None => return Err(broken(id)),
+    };
+    let answer = Answer {
+        form,
+        id,
+        pipeline,
+        created: instance.edges.clock.wall().as_millis() / 1_000,
+    };
+    if stream {
+        Ok(events::stream(answer, first, progress))
+    } else {
+        whole(answer, first, progress).await
+    }
+}
+
+/// The failure of a stream whose driver ended without a word.
+fn broken(id: RequestId) -> Failure {
+    let mut attempts = Attempts::default();
+    let open = attempts.open();
+    attempts.record(open, hemlockwind_core::attempt::Attempt::Sent);
+    let error = Error::outcome_unknown("the stream broke off");
+    Failure::new(error, attempts.ran(), id.0)
+}
+
+/// What the caller asks for.
+async fn job(instance: &Instance, req: Body, form: Form) -> Result<Job> {
+    let req = body::read(req, &instance.settings.limits).await?;
+    match form {
+        Form::Text => body::json::<CompletionRequest>(&req)?.try_into(),
+        Form::Chat => body::json::<ChatRequest>(&req)?.try_into(),
+    }
+}
+
+/// The work that the configuration makes of a job.
+fn work(instance: &Instance, job: Job, caller: Caller, id: RequestId) -> Result<Work> {
+    let config = instance.config.load();
+    let unknown = || Error::unknown_target(&job.pipeline);
+    let key = config.pipeline_names.get(job.pipeline.as_str());
+    let pipeline = key.and_then(|key| config.pipelines.get(key));
+    let pipeline = pipeline.ok_or_else(unknown)?;
+    let model = config.models.get(&pipeline.model).ok_or_else(unknown)?;
+    Ok(Work {
+        id,
+        organisation: caller.name,
+        rank: caller.rank,
+        model: pipeline.model,
+        model_layers: model.layers,
+        max_tokens: job.max_tokens.min(pipeline.max_tokens),
+        prompt: job.prompt,
+        arrived_at: caller.arrived_at,
+        deadline: caller.deadline,
+    })
+}
+
+/// Starts the driver of a stream.
+fn start(instance: &Arc<Instance>, work: Work) -> Result<UnboundedReceiver<Progress>> {
+    let permit = Arc::clone(&instance.room).try_acquire_owned();
+    let permit = permit.map_err(|_| Error::QueueFull(std::time::Duration::from_secs(1)))?;
+    // The answer is bounded by the pipeline's `max_tokens`, so the channel is too.
+    let (tx, rx) = mpsc::unbounded_channel();
+    let driven = driver::drive(Arc::clone(instance), work, tx);
+    instance.requests.spawn(async move {
+        driven.await;
+        drop(permit);
+    });
+    Ok(rx)
+}
+
+/// Waits for the whole answer.
+async fn whole(
+    answer: Answer,
+    first: Progress,
+    mut progress: UnboundedReceiver<Progress>,
+) -> Result<Response, Failure> {
+    let mut text = String::new();
+    let mut tokens = 0;
+    let mut ended = false;
+    let mut next = Some(first);
+    while let Some(progress_now) = next {
+        match progress_now {
+            Progress::Token(token) => {
+                text.push_str(&token.text);
+                tokens += 1;
+                ended = token.end;
+            }
+            Progress::End(Finish::Complete { .. }) => {
+                let body = answer.completion(text, false, Some(ended), Some(tokens));
+                return Ok(Json(body).into_response());
+            }
+            Progress::End(Finish::Failed(error, ran)) => {
+                return Err(Failure::new(error, ran, answer.id.0));
+            }
+            Progress::End(Finish::Cancelled) => break,
+        }
+        next = progress.recv().await;
+    }
+    Err(broken(answer.id))
+}
--- /dev/null
+++ b/crates/daemon/src/fleet.rs
@@ -0,0 +1,252 @@
+//! The backend servers as this instance sees them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use parking_lot::Mutex;
+use tokio::sync::broadcast;
+
+use hemlockwind_core::collections::HashMap;
+use hemlockwind_core::collections::HashSet;
+use hemlockwind_core::config::Config;
+use hemlockwind_core::config::Role;
+use hemlockwind_core::names::BackendServerKey;
+use hemlockwind_core::names::DataCentreKey;
+use hemlockwind_core::names::ModelKey;
+use hemlockwind_core::names::ServiceKey;
+use hemlockwind_core::time::Instant;
+use hemlockwind_routing::Graph;
+use hemlockwind_routing::Path;
+use hemlockwind_routing::Server;
+use hemlockwind_routing::Stage;
+
+/// The time of a step that is assumed before one was measured.
+const STEP_TIME: Duration = Duration::from_millis(10);
+/// The time to another data centre that is assumed before it was measured.
+const REMOTE_LINK: Duration = Duration::from_millis(1);
+/// Weight of a new measurement of a step's time, in parts of this number.
+const SMOOTHING: u32 = 8;
+
+/// News of leaving servers that a slow stream may have waiting.
+const NEWS: usize = 256;
+
+/// `Fleet` holds a graph for each model, each under its own lock.
+pub struct Fleet {
+    data_centre: DataCentreKey,
+    graphs: ArcSwap<HashMap<ModelKey, Arc<Mutex<Graph>>>>,
+    servers: ArcSwap<HashMap<BackendServerKey, Place>>,
+    doubted: Mutex<HashMap<BackendServerKey, Instant>>,
+    leaving: Mutex<HashSet<BackendServerKey>>,
+    left: broadcast::Sender<BackendServerKey>,
+}
+
+/// `Place` is where a backend server is reached and what it serves.
+#[derive(Clone, Copy, Debug)]
+pub struct Place {
+    /// Its address.
+    pub addr: SocketAddr,
+    /// What it serves.
+    pub role: Role,
+    /// Whether the configuration says that it is leaving.
+    pub leaving: bool,
+    /// Its data centre.
+    pub data_centre: DataCentreKey,
+}
+
+impl Fleet {
+    /// No backend servers yet, seen from `data_centre`.
+    pub fn new(data_centre: DataCentreKey) -> Self {
+        Self {
+            data_centre,
+            graphs: ArcSwap::default(),
+            servers: ArcSwap::default(),
+            doubted: Mutex::default(),
+            leaving: Mutex::default(),
+            left: broadcast::Sender::new(NEWS),
+        }
+    }
+
+    /// News of servers that are leaving, for streams that run on them.
+    pub fn subscribe(&self) -> broadcast::Receiver<BackendServerKey> {
+        self.left.subscribe()
+    }
+
+    /// Takes over the backend servers of `config`, and keeps what was learned of
+    /// those that stay.
+    pub fn apply(&self, config: &Config) {
+        let old = self.graphs.load();
+        let mut graphs: HashMap<ModelKey, Arc<Mutex<Graph>>> = HashMap::default();
+        for (&key, model) in &config.models {
+            let same = |graph: &&Arc<Mutex<Graph>>| graph.lock().model_layers() == model.layers;
+            let kept = old.get(&key).filter(same).cloned();
+            let graph = kept.unwrap_or_else(|| Arc::new(Mutex::new(Graph::new(model.layers))));
+            graphs.insert(key, graph);
+        }
+        let mut places = HashMap::default();
+        for (&key, server) in &config.backend_servers {
+            let place = Place {
+                addr: server.addr,
+                role: server.role,
+                leaving: server.leaving,
+                data_centre: server.data_centre,
+            };
+            places.insert(key, place);
+            let Role::Engine { model, layers } = server.role else {
+                continue;
+            };
+            let Some(graph) = graphs.get(&model) else {
+                continue;
+            };
+            let mut graph = graph.lock();
+            let available = !server.leaving && !self.leaving.lock().contains(&key);
+            let is_known = graph.update(key, |known| {
+                known.layers = layers;
+                known.limit = server.limit;
+                known.available = available;
+            });
+            if !is_known {
+                let is_near = server.data_centre == self.data_centre;
+                graph.insert(Server {
+                    available,
+                    step_time: STEP_TIME,
+                    link_time: if is_near { Duration::ZERO } else { REMOTE_LINK },
+                    limit: server.limit,
+                    ..Server::new(key, layers, server.data_centre)
+                });
+            }
+        }
+        for (model, graph) in &graphs {
+            let mut graph = graph.lock();
+            let gone: Vec<_> = graph.servers().map(|server| server.key).collect();
+            for key in gone {
+                let place: Option<&Place> = places.get(&key);
+                let stays = place.is_some_and(
+                    |p| matches!(p.role, Role::Engine { model: m, .. } if m == *model),
+                );
+                if !stays {
+                    graph.remove(key);
+                }
+            }
+        }
+        self.graphs.store(Arc::new(graphs));
+        self.servers.store(Arc::new(places));
+    }
+
+    /// The place of a backend server.
+    pub fn place(&self, key: BackendServerKey) -> Option<Place> {
+        self.servers.load().get(&key).copied()
+    }
+
+    /// All backend servers.
+    pub fn places(&self) -> Arc<HashMap<BackendServerKey, Place>> {
+        self.servers.load_full()
+    }
+
+    /// The graph of a model.
+    pub fn graph(&self, model: ModelKey) -> Option<Arc<Mutex<Graph>>> {
+        self.graphs.load().get(&model).cloned()
+    }
+
+    /// Chooses a path and counts the stream on its servers.
+    pub fn choose(
+        &self,
+        now: Instant,
+        model: ModelKey,
+        avoid: &[BackendServerKey],
+        keep: &[Stage],
+    ) -> Option<Path> {
+        let graph = self.graph(model)?;
+        let graph = graph.lock();
+        graph.choose(now, &mut rand::rng(), avoid, keep)
+    }
+
+    /// Counts a stream on a server.
+    pub fn begin(&self, key: BackendServerKey) {
+        self.with(key, |graph| graph.begin(key));
+    }
+
+    /// Counts a stream off a server.
+    pub fn end(&self, key: BackendServerKey) {
+        self.with(key, |graph| graph.end(key));
+    }
+
+    /// Takes in the time that a decode step took.
+    pub fn measured(&self, key: BackendServerKey, time: Duration) {
+        self.with(key, |graph| {
+            graph.update(key, |server| {
+                let old = server.step_time;
+                server.step_time = (old * (SMOOTHING - 1) + time) / SMOOTHING;
+            });
+        });
+    }
+
+    /// Makes a server available or not for new streams.
+    pub fn set_available(&self, key: BackendServerKey, available: bool) {
+        let is_leaving = self.leaving.lock().contains(&key);
+        let is_leaving = is_leaving || self.place(key).is_some_and(|place| place.leaving);
+        self.with(key, |graph| {
+            graph.update(key, |server| server.available = available && !is_leaving);
+        });
+    }
+
+    /// Notes that a server is leaving. Returns whether that is news.
+    pub fn leave(&self, key: BackendServerKey) -> bool {
+        let is_news = self.leaving.lock().insert(key);
+        self.set_available(key, false);
+        if is_news {
+            // Without streams nobody listens.
+            let _ = self.left.send(key);
+        }
+        is_news
+    }
+
+    /// The servers that are leaving.
+    pub fn leaving(&self) -> Vec<BackendServerKey> {
+        self.leaving.lock().iter().copied().collect()
+    }
+
+    /// Begins a probe of a server in doubt, unless one is under way.
+    pub fn doubt(&self, key: BackendServerKey, now: Instant) -> bool {
+        self.doubted.lock().insert(key, now).is_none()
+    }
+
+    /// Ends a probe.
+    pub fn settle(&self, key: BackendServerKey) {
+        self.doubted.lock().remove(&key);
+    }
+
+    /// The servers of a service, those of the own data centre first.
+    pub fn service(&self, service: ServiceKey) -> Vec<(BackendServerKey, SocketAddr)> {
+        let places = self.servers.load();
+        let leaving = self.leaving.lock();
+        let mut found: Vec<_> = places
+            .iter()
+            .filter(|(key, place)| {
+                let serves = matches!(place.role, Role::Service { service: s } if s == service);
+                serves && !place.leaving && !leaving.contains(*key)
+            })
+            .map(|(&key, place)| (place.data_centre != self.data_centre, key, place.addr))
+            .collect();
+        found.sort_unstable_by_key(|&(is_far, key, _)| (is_far, key));
+        found
+            .into_iter()
+            .map(|(_, key, addr)| (key, addr))
+            .collect()
+    }
+
+    /// Runs `f` on the graph that holds a server.
+    fn with(&self, key: BackendServerKey, f: impl FnOnce(&mut Graph)) {
+        let Some(Place {
+            role: Role::Engine { model, .. },
+            ..
+        }) = self.place(key)
+        else {
+            return;
+        };
+        if let Some(graph) = self.graph(model) {
+            f(&mut graph.lock());
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peers.rs
@@ -0,0 +1,36 @@
+//! Answers to other instances.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+
+use hemlockwind_core::Error;
+use hemlockwind_protocol::peer::Handler;
+use hemlockwind_protocol::peer::Reply;
+use hemlockwind_protocol::peer::Request;
+
+use crate::instance::Instance;
+
+/// `Peers` answers other instances for this one.
+pub struct Peers {
+    /// The instance.
+    pub instance: Arc<Instance>,
+}
+
+#[async_trait]
+impl Handler for Peers {
+    async fn handle(&self, _from: &str, req: Request) -> Reply {
+        match req {
+            Request::Probe(_)
+            | Request::Tickets(_)
+            | Request::Grants(_)
+            | Request::Configuration(_)
+            | Request::Dispatch(_) => refused(&Error::Stopping),
+        }
+    }
+}
+
+/// The refusal with `error`.
+pub fn refused(error: &Error) -> Reply {
+    Reply::Refused(error.code().number(), error.to_string())
+}
--- /dev/null
+++ b/crates/daemon/src/start.rs
@@ -0,0 +1,158 @@
+//! Start and planned stop of an instance.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::Logger;
+use slog::info;
+use slog::warn;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use hemlockwind_core::Error;
+use hemlockwind_core::Result;
+use hemlockwind_peer::SharedKey;
+use hemlockwind_peer::server;
+use hemlockwind_protocol::peer::Handler;
+use hemlockwind_settings::Settings;
+use hemlockwind_settings::settings;
+
+use crate::admin;
+use crate::callers;
+use crate::configuration;
+use crate::instance::Edges;
+use crate::instance::Instance;
+use crate::listener;
+use crate::peers::Peers;
+
+/// `Running` is an instance with open sockets.
+pub struct Running {
+    /// What its parts share.
+    pub instance: Arc<Instance>,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Where other instances reach it.
+    pub peers: SocketAddr,
+    /// Where operators reach it.
+    pub admin: SocketAddr,
+    callers_task: JoinHandle<()>,
+    others: Vec<JoinHandle<()>>,
+    closing: CancellationToken,
+}
+
+/// Opens the sockets of the instance `name` and starts its tasks.
+///
+/// # Errors
+///
+/// `Error::Settings` when the settings don't name the instance, `Error::Listen`
+/// when a socket can't be opened.
+pub async fn start(settings: Settings, name: Option<&str>, log: Logger) -> Result<Running> {
+    let me = settings.instance(name).cloned().ok_or_else(|| {
+        Error::settings("name one of the instances of the settings by --instance")
+    })?;
+    let edges = Edges::new(&settings, &me);
+    start_with(settings, me, edges, log).await
+}
+
+/// As [`start`], with adapters of the caller's choice.
+///
+/// # Errors
+///
+/// `Error::Listen` when a socket can't be opened.
+pub async fn start_with(
+    settings: Settings,
+    me: settings::Instance,
+    edges: Edges,
+    log: Logger,
+) -> Result<Running> {
+    let key = SharedKey::new(settings.peer_key.as_bytes());
+    let options = listener::Options {
+        header_bytes: settings.limits.header_bytes,
+        header_timeout: Duration::from_millis(settings.limits.receive_ms),
+    };
+    let (callers_socket, callers) = open(me.callers).await?;
+    let (peers_socket, peers) = open(me.peers).await?;
+    let (admin_socket, admin_addr) = open(me.admin).await?;
+    let instance = Arc::new(Instance::new(settings, me, edges, log)?);
+    let closing = CancellationToken::new();
+
+    let app = callers::router(Arc::clone(&instance));
+    let stopping = instance.stopping.clone();
+    let callers_task = tokio::spawn(listener::serve(callers_socket, app, options, stopping));
+
+    let app = admin::router(Arc::clone(&instance));
+    let admin_task = listener::serve(admin_socket, app, options, closing.clone());
+    let handler: Arc<dyn Handler> = Arc::new(Peers {
+        instance: Arc::clone(&instance),
+    });
+    let peer_task = server::serve(peers_socket, key, handler, instance.log.clone());
+    let others = vec![
+        tokio::spawn(admin_task),
+        tokio::spawn(peer_task),
+        tokio::spawn(configuration::follow(Arc::clone(&instance))),
+    ];
+    info!(instance.log, "started"; "callers" => %callers, "peers" => %peers, "admin" => %admin_addr);
+    Ok(Running {
+        instance,
+        callers,
+        peers,
+        admin: admin_addr,
+        callers_task,
+        others,
+        closing,
+    })
+}
+
+/// Opens a listening socket.
+async fn open(addr: SocketAddr) -> Result<(TcpListener, SocketAddr)> {
+    let error = |e: std::io::Error| Error::listen(format!("{addr}: {e}"));
+    let socket = TcpListener::bind(addr).await.map_err(error)?;
+    let local = socket.local_addr().map_err(error)?;
+    Ok((socket, local))
+}
+
+impl Running {
+    /// Stops as planned: no new requests, and those in progress run to their ends.
+    /// Gives the number of requests that the drain time cut.
+    pub async fn stop(mut self) -> usize {
+        let instance = Arc::clone(&self.instance);
+        info!(instance.log, "stopping"; "requests" => instance.requests.len());
+        instance.stopping.cancel();
+        instance.requests.close();
+        let drained = async {
+            // A connection may be gone while its stream still frees caches.
+            let _ = (&mut self.callers_task).await;
+            instance.requests.wait().await;
+        };
+        let time = Duration::from_millis(instance.settings.limits.drain_ms);
+        let cut = match tokio::time::timeout(time, drained).await {
+            Ok(()) => 0,
+            Err(_) => instance.requests.len(),
+        };
+        if cut > 0 {
+            warn!(instance.log, "the drain time passed"; "cut" => cut);
+        }
+        self.end();
+        info!(instance.log, "stopped"; "cut" => cut);
+        cut
+    }
+
+    /// Ends at once. Gives the number of requests that this cut.
+    pub fn abort(self) -> usize {
+        let cut = self.instance.requests.len();
+        self.instance.stopping.cancel();
+        self.callers_task.abort();
+        self.end();
+        cut
+    }
+
+    /// Ends the tasks that serve no caller.
+    fn end(&self) {
+        self.closing.cancel();
+        for task in &self.others {
+            task.abort();
+        }
+    }
+}
--- a/programs/src/bin/hemlockwindd.rs
+++ b/programs/src/bin/hemlockwindd.rs
@@ -1,3 +1,90 @@
-//! Program.
+//! The daemon that every instance runs.
 
-fn main() {}
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use slog::error;
+use slog::warn;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+use hemlockwind::core::Error;
+use hemlockwind::core::Result;
+use hemlockwind::daemon::Running;
+use hemlockwind::daemon::start;
+use hemlockwind::settings::Settings;
+use hemlockwind::settings::faults;
+use hemlockwind::telemetry::logs;
+
+/// Routes requests to pipelines of backend servers.
+///
+/// Exit codes: 0 after a planned stop that cut no request, 1 when requests were
+/// cut, 2 when the settings or the command line have faults.
+#[derive(Debug)]
+#[derive(FromArgs)]
+struct Args {
+    /// the file with the settings, JSON with comments
+    #[argh(option)]
+    settings: String,
+
+    /// the name of this instance, when the settings hold several
+    #[argh(option)]
+    instance: Option<String>,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    let settings = match read(&args.settings) {
+        Ok(settings) => settings,
+        Err(e) => {
+            eprintln!("hemlockwindd: {}: {e}", e.code().number());
+            return ExitCode::from(2);
+        }
+    };
+    let name = args.instance.as_deref();
+    let label = settings.instance(name).map(|i| i.name.clone());
+    let log = logs::json(std::io::stderr(), label.as_deref().unwrap_or("?"));
+    match start(settings, name, log.clone()).await {
+        Ok(running) => run(running).await,
+        Err(e) => {
+            error!(log, "not started"; "code" => e.code().number(), "error" => %e);
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// Reads the settings.
+fn read(path: &str) -> Result<Settings> {
+    let text = std::fs::read_to_string(path);
+    let text = text.map_err(|e| Error::settings(format!("{path}: {e}")))?;
+    Settings::parse(&text).map_err(|found| faults::error(&found))
+}
+
+/// Runs until a signal. The first one stops as planned, the second at once.
+async fn run(running: Running) -> ExitCode {
+    let log = running.instance.log.clone();
+    let requests = running.instance.requests.clone();
+    let (Ok(mut terminate), Ok(mut interrupt)) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    ) else {
+        error!(log, "no signal handler can be set");
+        return ExitCode::from(2);
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+        () = running.instance.stopping.cancelled() => {}
+    }
+    let cut = tokio::select! {
+        cut = running.stop() => cut,
+        _ = terminate.recv() => requests.len(),
+        _ = interrupt.recv() => requests.len(),
+    };
+    if cut > 0 {
+        warn!(log, "requests were cut"; "cut" => cut);
+        return ExitCode::from(1);
+    }
+    ExitCode::SUCCESS
+}
