--- /dev/null
+++ b/crates/standin/src/engine/streams.rs
@@ -0,0 +1,322 @@
+//! The streams of an engine with their KV cache.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use hemlockwind_core::edges::KvExport;
+use hemlockwind_core::engine::Incarnation;
+use hemlockwind_core::engine::Input;
+use hemlockwind_core::engine::LoadReport;
+use hemlockwind_core::engine::Output;
+use hemlockwind_core::engine::Refusal;
+use hemlockwind_core::engine::RequestId;
+use hemlockwind_core::engine::Step;
+use hemlockwind_core::engine::StepId;
+use hemlockwind_core::layers::LayerRange;
+use hemlockwind_protocol::engine;
+
+use super::Options;
+use super::StreamState;
+use crate::model;
+use crate::model::Layers;
+
+/// Cancelled requests that are remembered, so that a late step opens none again.
+const CANCELLED: usize = 4_096;
+
+/// `Run` tells how often a step ran.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Run {
+    /// The step.
+    pub id: engine::StepId,
+    /// Its runs.
+    pub count: u64,
+}
+
+/// `Streams` holds the streams of one engine and decides which steps run.
+#[derive(Debug)]
+pub struct Streams {
+    layers: LayerRange,
+    model_layers: u16,
+    limit: usize,
+    idle: Duration,
+    leaving: bool,
+    streams: HashMap<RequestId, Stream>,
+    cancelled: VecDeque<(RequestId, Incarnation)>,
+    record: bool,
+    runs: HashMap<StepId, u64>,
+}
+
+/// `Stream` is one request on this engine.
+#[derive(Debug)]
+struct Stream {
+    incarnation: Incarnation,
+    kv: Option<Kv>,
+    used_at: Instant,
+}
+
+/// `Kv` is the cache of a stream.
+#[derive(Debug)]
+struct Kv {
+    layers: Layers,
+    /// The next token that a decode step may ask for.
+    next: u32,
+    /// The last step that ran, for repeats.
+    last: Option<(Step, Output)>,
+}
+
+impl Streams {
+    /// No streams.
+    pub fn new(options: &Options) -> Self {
+        Self {
+            layers: options.layers,
+            model_layers: options.model_layers,
+            limit: options.limit as usize,
+            idle: Duration::from_millis(options.idle_ms),
+            leaving: false,
+            streams: HashMap::new(),
+            cancelled: VecDeque::new(),
+            record: options.record,
+            runs: HashMap::new(),
+        }
+    }
+
+    /// Whether new streams are refused.
+    pub fn set_leaving(&mut self, leaving: bool) {
+        self.leaving = leaving;
+    }
+
+    /// Holds other layers from now on; the cache of the former ones is lost.
+    pub fn hold(&mut self, layers: LayerRange) {
+        if layers != self.layers {
+            self.layers = layers;
+            self.streams.clear();
+        }
+    }
+
+    /// Takes a step for the batch. A prefill of a new stream takes its place here.
+    pub fn admit(&mut self, step: &Step, now: Instant) -> Result<(), Refusal> {
+        self.check(step)?;
+        if step.prefill {
+            return self.open(step.id.request, step.id.incarnation, now);
+        }
+        Ok(())
+    }
+
+    /// Runs a step, or repeats what it gave when it was the last.
+    pub fn run(&mut self, step: &Step, now: Instant) -> Output {
+        self.try_run(step, now).unwrap_or_else(Output::Refused)
+    }
+
+    fn try_run(&mut self, step: &Step, now: Instant) -> Result<Output, Refusal> {
+        // What was true at admission may have changed.
+        self.check(step)?;
+        let layers = self.layers;
+        let stream = self.streams.get_mut(&step.id.request);
+        let stream = stream.ok_or(Refusal::MissingCache)?;
+        stream.used_at = now;
+        if let Some(output) = stream.repeat(step) {
+            return Ok(output);
+        }
+        let inputs = inputs(step).ok_or(Refusal::WrongLayers)?;
+        let kv = stream.cache_for(step, layers)?;
+        let outputs: Vec<u64> = inputs.into_iter().map(|x| kv.layers.run(x)).collect();
+        kv.next = step.id.token + 1;
+        let output = match outputs.last() {
+            Some(&last) if layers.end() == self.model_layers => Output::Token(model::token(last)),
+            _ => Output::Activation(model::encode(&outputs).into()),
+        };
+        kv.last = Some((step.clone(), output.clone()));
+        if self.record {
+            *self.runs.entry(step.id).or_default() += 1;
+        }
+        Ok(output)
+    }
+
+    /// Refuses steps for other layers and for a path that was given up.
+    fn check(&self, step: &Step) -> Result<(), Refusal> {
+        let first = step.id.layers.start() == 0;
+        let fits = match (&step.input, step.prefill) {
+            (Input::Prompt { .. }, true) | (Input::Token(_), false) => first,
+            (Input::Activation(_), _) => !first,
+            (Input::Prompt { .. }, false) | (Input::Token(_), true) => false,
+        };
+        if step.id.layers != self.layers || !fits {
+            return Err(Refusal::WrongLayers);
+        }
+        self.check_incarnation(step.id.request, step.id.incarnation)
+    }
+
+    fn check_incarnation(&self, request: RequestId, at: Incarnation) -> Result<(), Refusal> {
+        let known = self.streams.get(&request).map(|stream| stream.incarnation);
+        let gone = self.cancelled.iter().find(|(of, _)| *of == request);
+        let stale = known.is_some_and(|known| at < known) || gone.is_some_and(|gone| at <= gone.1);
+        if stale {
+            return Err(Refusal::StaleIncarnation);
+        }
+        Ok(())
+    }
+
+    /// Makes a place for a stream, or lifts it to a higher incarnation.
+    fn open(
+        &mut self,
+        request: RequestId,
+        incarnation: Incarnation,
+        now: Instant,
+    ) -> Result<(), Refusal> {
+        if let Some(stream) = self.streams.get_mut(&request) {
+            if incarnation > stream.incarnation {
+                *stream = Stream::new(incarnation, now);
+            }
+            return Ok(());
+        }
+        if self.leaving {
+            return Err(Refusal::Leaving);
+        }
+        if self.streams.len() >= self.limit {
+            self.forget_idle(now);
+        }
+        if self.streams.len() >= self.limit {
+            return Err(Refusal::Busy);
+        }
+        self.streams.insert(request, Stream::new(incarnation, now));
+        Ok(())
+    }
+
+    fn forget_idle(&mut self, now: Instant) {
+        let idle = self.idle;
+        self.streams
+            .retain(|_, stream| now.duration_since(stream.used_at) < idle);
+    }
+
+    /// Ends a stream.
+    pub fn cancel(&mut self, request: RequestId) {
+        let Some(stream) = self.streams.remove(&request) else {
+            return;
+        };
+        if self.cancelled.len() == CANCELLED {
+            self.cancelled.pop_front();
+        }
+        self.cancelled.retain(|(of, _)| *of != request);
+        self.cancelled.push_back((request, stream.incarnation));
+    }
+
+    /// The cache of a stream.
+    pub fn export(&self, request: RequestId) -> Option<KvExport> {
+        let kv = self.streams.get(&request)?.kv.as_ref()?;
+        Some(KvExport {
+            tokens: kv.next,
+            data: kv.layers.export().into(),
+        })
+    }
+
+    /// Takes the cache of a stream for its new incarnation.
+    pub fn import(
+        &mut self,
+        request: RequestId,
+        incarnation: Incarnation,
+        cache: &KvExport,
+        now: Instant,
+    ) -> Result<(), Refusal> {
+        self.check_incarnation(request, incarnation)?;
+        let layers = Layers::import(self.layers.start()..self.layers.end(), &cache.data);
+        let layers = layers.ok_or(Refusal::WrongLayers)?;
+        self.open(request, incarnation, now)?;
+        if let Some(stream) = self.streams.get_mut(&request) {
+            stream.kv = Some(Kv {
+                layers,
+                next: cache.tokens,
+                last: None,
+            });
+        }
+        Ok(())
+    }
+
+    /// The load now.
+    pub fn load(&self) -> LoadReport {
+        LoadReport {
+            streams: u32::try_from(self.streams.len()).unwrap_or(u32::MAX),
+            limit: u32::try_from(self.limit).unwrap_or(u32::MAX),
+            leaving: self.leaving,
+        }
+    }
+
+    /// How often each step ran.
+    pub fn runs(&self) -> Vec<Run> {
+        let runs = self.runs.iter().map(|(&id, &count)| Run {
+            id: id.into(),
+            count,
+        });
+        runs.collect()
+    }
+
+    /// The streams.
+    pub fn list(&self) -> Vec<StreamState> {
+        let streams = self.streams.iter().map(|(request, stream)| StreamState {
+            request: request.0,
+            incarnation: stream.incarnation.0,
+            next: stream.kv.as_ref().map_or(0, |kv| kv.next),
+        });
+        streams.collect()
+    }
+}
+
+impl Stream {
+    fn new(incarnation: Incarnation, now: Instant) -> Self {
+        Self {
+            incarnation,
+            kv: None,
+            used_at: now,
+        }
+    }
+
+    /// What this very step gave when it was the last one run.
+    fn repeat(&self, step: &Step) -> Option<Output> {
+        let (last, output) = self.kv.as_ref()?.last.as_ref()?;
+        let same = last.id == step.id && last.prefill == step.prefill && last.input == step.input;
+        same.then(|| output.clone())
+    }
+
+    /// The cache that the step works on: a new one for a prefill, else the one
+    /// of the step's incarnation and position.
+    fn cache_for(&mut self, step: &Step, layers: LayerRange) -> Result<&mut Kv, Refusal> {
+        if step.prefill {
+            if self.kv.is_some() {
+                // A prefill that comes after later steps of its own path is late.
+                return Err(Refusal::StaleIncarnation);
+            }
+            return Ok(self.kv.insert(Kv {
+                layers: Layers::new(layers.start()..layers.end()),
+                next: 0,
+                last: None,
+            }));
+        }
+        let kv = self.kv.as_mut();
+        kv.filter(|kv| self.incarnation == step.id.incarnation && kv.next == step.id.token)
+            .ok_or(Refusal::MissingCache)
+    }
+}
+
+/// The inputs of a step, one for each position that it runs.
+fn inputs(step: &Step) -> Option<Vec<u64>> {
+    let inputs = match &step.input {
+        Input::Prompt { text, generated } => {
+            let mut inputs = vec![model::prompt_input(text)];
+            inputs.extend(generated.iter().map(|&id| model::token_input(id)));
+            inputs
+        }
+        Input::Token(id) => vec![model::token_input(*id)],
+        Input::Activation(data) => model::decode(data)?,
+    };
+    let positions = if step.prefill {
+        step.id.token as usize + 1
+    } else {
+        1
+    };
+    (inputs.len() == positions).then_some(inputs)
+}
--- /dev/null
+++ b/crates/standin/src/oracle.rs
@@ -0,0 +1,28 @@
+//! The answers that a pipeline of engines must give.
+
+use hemlockwind_core::engine::Token;
+
+use crate::model;
+use crate::model::Layers;
+
+/// The answer of a model with `layers` layers to `prompt`, of at most `max_tokens`.
+pub fn answer(layers: u16, prompt: &str, max_tokens: u32) -> Vec<Token> {
+    let mut all = Layers::new(0..layers);
+    let mut input = model::prompt_input(prompt);
+    let mut tokens = Vec::new();
+    for _ in 0..max_tokens {
+        let token = model::token(all.run(input));
+        input = model::token_input(token.id);
+        let end = token.end;
+        tokens.push(token);
+        if end {
+            break;
+        }
+    }
+    tokens
+}
+
+/// The text of an answer.
+pub fn text(tokens: &[Token]) -> String {
+    tokens.iter().map(|token| token.text.as_str()).collect()
+}
--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,314 @@
+//! The platform's object API and its list of instances, in memory.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use axum::Router;
+use axum::routing::get;
+use axum::routing::put;
+use parking_lot::Mutex;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::sync::broadcast;
+use tokio_util::sync::CancellationToken;
+
+use hemlockwind_protocol::platform::InstanceList;
+use hemlockwind_protocol::platform::Object;
+use hemlockwind_protocol::platform::Precondition;
+use hemlockwind_protocol::platform::Write;
+
+use crate::lagged::Lagged;
+use crate::server;
+use crate::server::Handle;
+
+mod budget;
+mod routes;
+
+use budget::Budget;
+
+/// Changes that a slow watch may be behind before it is ended.
+const WATCH_BACKLOG: usize = 4_096;
+/// How far back the list of instances is kept.
+const LIST_HISTORY: Duration = Duration::from_secs(60);
+
+/// `Options` says how a platform starts.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Where to listen.
+    pub listen: SocketAddr,
+    /// Milliseconds between the bookmarks of a watch.
+    pub bookmark_ms: u64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            bookmark_ms: 500,
+        }
+    }
+}
+
+/// `Outage` is how an unavailable platform behaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outage {
+    /// It answers 503.
+    Refuse,
+    /// It cuts the connection before any effect.
+    Reset,
+}
+
+/// `Faults` are the switches of a platform.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// The platform is unavailable. Watches end as well.
+    pub outage: Option<Outage>,
+    /// Milliseconds that each call waits before its effect.
+    pub delay_ms: u64,
+    /// Let so many writes take effect and cut their connections without an answer.
+    pub lose_answers: u32,
+    /// The probability that a write's answer is lost so, 0 to 1.
+    pub lose_probability: f64,
+    /// The seed for the probability.
+    pub seed: u64,
+    /// Writes a second; above, 429.
+    pub writes_per_s: Option<u32>,
+    /// Reads a second; above, 429. Opening a watch is a read.
+    pub reads_per_s: Option<u32>,
+    /// Leave out the next so many changes in all watches.
+    pub watch_drop: u32,
+    /// Milliseconds by which the list of instances lags.
+    pub list_lag_ms: u64,
+}
+
+/// `Calls` counts what the platform was asked.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Calls {
+    /// Reads, lists, and openings of watches.
+    pub reads: u64,
+    /// Writes.
+    pub writes: u64,
+    /// Watches opened.
+    pub watches: u64,
+    /// Watches open now.
+    pub watches_open: u64,
+    /// Calls refused for their rate.
+    pub over_rate: u64,
+}
+
+/// `Written` is what became of a write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Written {
+    /// It took effect under this version.
+    Done(u64),
+    /// It took effect, and its answer is to be lost.
+    Lost,
+    /// The precondition did not hold.
+    Conflict,
+}
+
+/// `Platform` is the state of a running platform.
+#[derive(Debug)]
+pub struct Platform {
+    inner: Mutex<Inner>,
+    bookmark_ms: u64,
+}
+
+#[derive(Debug)]
+struct Inner {
+    version: u64,
+    objects: BTreeMap<String, Object>,
+    changes: broadcast::Sender<Object>,
+    list: Lagged<InstanceList>,
+    faults: Faults,
+    rng: SmallRng,
+    reads: Budget,
+    writes: Budget,
+    calls: Calls,
+}
+
+impl Platform {
+    fn new(options: &Options) -> Self {
+        let inner = Inner {
+            version: 0,
+            objects: BTreeMap::new(),
+            changes: broadcast::channel(WATCH_BACKLOG).0,
+            list: Lagged::new(InstanceList { instances: vec![] }),
+            faults: Faults::default(),
+            rng: SmallRng::seed_from_u64(0),
+            reads: Budget::default(),
+            writes: Budget::default(),
+            calls: Calls::default(),
+        };
+        Self {
+            inner: Mutex::new(inner),
+            bookmark_ms: options.bookmark_ms,
+        }
+    }
+
+    /// Sets all switches.
+    pub fn set_faults(&self, faults: Faults) {
+        let mut inner = self.inner.lock();
+        inner.rng = SmallRng::seed_from_u64(faults.seed);
+        inner.faults = faults;
+    }
+
+    /// Sets the list of instances and backend servers.
+    pub fn set_instances(&self, list: InstanceList) {
+        let mut inner = self.inner.lock();
+        inner.list.set(Instant::now(), list, LIST_HISTORY);
+    }
+
+    /// What was asked so far.
+    pub fn calls(&self) -> Calls {
+        self.inner.lock().calls
+    }
+
+    /// The object of this name.
+    pub fn get(&self, name: &str) -> Option<Object> {
+        self.inner.lock().objects.get(name).cloned()
+    }
+
+    /// All objects whose name starts with `prefix`.
+    pub fn list(&self, prefix: &str) -> Vec<Object> {
+        self.inner.lock().list(prefix)
+    }
+
+    /// Writes an object when the precondition holds.
+    pub fn write(&self, name: &str, write: Write) -> Written {
+        let mut inner = self.inner.lock();
+        let at = inner.objects.get(name).map(|object| object.version);
+        let holds = match write.when {
+            Precondition::Absent => at.is_none(),
+            Precondition::Version(version) => at == Some(version),
+            Precondition::None => true,
+        };
+        if !holds {
+            return Written::Conflict;
+        }
+        let version = inner.put(name, write.value);
+        match inner.loses_answer() {
+            true => Written::Lost,
+            false => Written::Done(version),
+        }
+    }
+
+    /// The list of instances, as late as the switch says.
+    fn instances(&self) -> InstanceList {
+        let inner = self.inner.lock();
+        let lag = Duration::from_millis(inner.faults.list_lag_ms);
+        inner.list.get(Instant::now(), lag)
+    }
+
+    fn faults(&self) -> Faults {
+        self.inner.lock().faults.clone()
+    }
+
+    /// Counts a call, and tells whether its rate allows it.
+    fn count(&self, write: bool) -> bool {
+        let mut guard = self.inner.lock();
+        let inner = &mut *guard;
+        let (calls, budget, per_s) = match write {
+            true => (
+                &mut inner.calls.writes,
+                &mut inner.writes,
+                inner.faults.writes_per_s,
+            ),
+            false => (
+                &mut inner.calls.reads,
+                &mut inner.reads,
+                inner.faults.reads_per_s,
+            ),
+        };
+        *calls += 1;
+        let allowed = per_s.is_none_or(|per_s| budget.take(Instant::now(), per_s));
+        inner.calls.over_rate += u64::from(!allowed);
+        allowed
+    }
+
+    /// What a watch has to tell first, and its later changes.
+    fn watch(&self, prefix: &str, from: u64) -> (Vec<Object>, broadcast::Receiver<Object>) {
+        let mut inner = self.inner.lock();
+        inner.calls.watches += 1;
+        inner.calls.watches_open += 1;
+        let mut objects = inner.list(prefix);
+        objects.retain(|object| object.version > from);
+        objects.sort_by_key(|object| object.version);
+        (objects, inner.changes.subscribe())
+    }
+
+    fn watch_closed(&self) {
+        self.inner.lock().calls.watches_open -= 1;
+    }
+}
+
+impl Inner {
+    fn list(&self, prefix: &str) -> Vec<Object> {
+        let from = self.objects.range(prefix.to_owned()..);
+        let matching = from.take_while(|(name, _)| name.starts_with(prefix));
+        matching.map(|(_, object)| object.clone()).collect()
+    }
+
+    fn put(&mut self, name: &str, value: String) -> u64 {
+        self.version += 1;
+        let object = Object {
+            name: name.to_owned(),
+            version: self.version,
+            value,
+        };
+        self.objects.insert(name.to_owned(), object.clone());
+        if self.faults.watch_drop > 0 {
+            self.faults.watch_drop -= 1;
+        } else {
+            // An error only says that nobody watches.
+            let _ = self.changes.send(object);
+        }
+        self.version
+    }
+
+    fn loses_answer(&mut self) -> bool {
+        if self.faults.lose_answers > 0 {
+            self.faults.lose_answers -= 1;
+            return true;
+        }
+        let probability = self.faults.lose_probability.clamp(0.0, 1.0);
+        self.rng.random_bool(probability)
+    }
+}
+
+/// Starts a platform.
+///
+/// # Errors
+///
+/// When the socket can't be opened.
+pub async fn start(options: Options) -> io::Result<Handle<Platform>> {
+    let state = Arc::new(Platform::new(&options));
+    let app = Router::new()
+        .route("/v1/objects", get(routes::list))
+        .route("/v1/objects/{*name}", get(routes::get).put(routes::write))
+        .route("/v1/watch", get(routes::watch))
+        .route("/v1/instances", get(routes::instances))
+        .layer(axum::middleware::from_fn_with_state(
+            Arc::clone(&state),
+            routes::interfere,
+        ))
+        .route("/_standin/faults", put(routes::set_faults))
+        .route("/_standin/instances", put(routes::set_instances))
+        .route("/_standin/calls", get(routes::calls))
+        .with_state(Arc::clone(&state));
+    let connections = Arc::default();
+    let shutdown = CancellationToken::new();
+    server::start(options.listen, app, state, connections, shutdown).await
+}
--- /dev/null
+++ b/crates/standin/src/service.rs
@@ -0,0 +1,218 @@
+//! A plain service that counts what it really ran.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Extension;
+use axum::Json;
+use axum::Router;
+use axum::body::Bytes;
+use axum::extract::State;
+use axum::http::HeaderMap;
+use axum::http::Method;
+use axum::http::StatusCode;
+use axum::http::Uri;
+use axum::response::IntoResponse;
+use axum::response::Response;
+use axum::routing::get;
+use axum::routing::put;
+use parking_lot::Mutex;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio_util::sync::CancellationToken;
+
+use crate::server;
+use crate::server::Gate;
+use crate::server::Handle;
+
+/// The header that says that a call was refused before it started.
+pub const NOT_STARTED: &str = "x-not-started";
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// `Options` says how a service starts.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Where to listen.
+    pub listen: SocketAddr,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+        }
+    }
+}
+
+/// `Faults` are the switches of a service.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Accept calls, but neither run nor answer them.
+    pub freeze: bool,
+    /// Milliseconds that each call waits before it runs.
+    pub delay_ms: u64,
+    /// Refuse each call before it starts.
+    pub refuse: bool,
+    /// Cut the connections of so many calls after they ran, without an answer.
+    pub lose_answers: u32,
+}
+
+/// `Call` is a call by all that tells it from another.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct Call {
+    /// The method.
+    pub method: String,
+    /// The path with the query.
+    pub path: String,
+    /// The idempotency key.
+    pub key: Option<String>,
+    /// The body.
+    pub body: String,
+}
+
+/// `Entry` is the answer to a call that ran.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Entry {
+    /// The number of the run, from 1.
+    pub entry: u64,
+    /// What ran.
+    #[serde(flatten)]
+    pub call: Call,
+}
+
+/// `Count` tells how often a call ran.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Count {
+    /// The call.
+    #[serde(flatten)]
+    pub call: Call,
+    /// Its runs.
+    pub count: u64,
+}
+
+/// `Ran` is what the service really ran.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Ran {
+    /// All runs.
+    pub total: u64,
+    /// Runs by call.
+    pub calls: Vec<Count>,
+}
+
+/// `Service` is the state of a running service.
+#[derive(Debug, Default)]
+pub struct Service {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    faults: Faults,
+    total: u64,
+    counts: HashMap<Call, u64>,
+}
+
+impl Service {
+    /// Sets all switches.
+    pub fn set_faults(&self, faults: Faults) {
+        self.inner.lock().faults = faults;
+    }
+
+    /// What really ran.
+    pub fn ran(&self) -> Ran {
+        let inner = self.inner.lock();
+        let calls = inner.counts.iter().map(|(call, &count)| Count {
+            call: call.clone(),
+            count,
+        });
+        Ran {
+            total: inner.total,
+            calls: calls.collect(),
+        }
+    }
+
+    fn faults(&self) -> Faults {
+        self.inner.lock().faults.clone()
+    }
+
+    /// Runs a call, and tells whether its answer is to be lost.
+    fn run(&self, call: Call) -> (Entry, bool) {
+        let mut inner = self.inner.lock();
+        inner.total += 1;
+        *inner.counts.entry(call.clone()).or_default() += 1;
+        let lose = inner.faults.lose_answers > 0;
+        inner.faults.lose_answers -= u32::from(lose);
+        let entry = inner.total;
+        (Entry { entry, call }, lose)
+    }
+}
+
+/// Starts a service.
+///
+/// # Errors
+///
+/// When the socket can't be opened.
+pub async fn start(options: Options) -> io::Result<Handle<Service>> {
+    let state = Arc::new(Service::default());
+    let app = Router::new()
+        .route("/_standin/faults", put(set_faults))
+        .route("/_standin/ran", get(ran))
+        .fallback(call)
+        .with_state(Arc::clone(&state));
+    let connections = Arc::default();
+    let shutdown = CancellationToken::new();
+    server::start(options.listen, app, state, connections, shutdown).await
+}
+
+async fn set_faults(State(service): State<Arc<Service>>, Json(faults): Json<Faults>) -> StatusCode {
+    service.set_faults(faults);
+    StatusCode::NO_CONTENT
+}
+
+async fn ran(State(service): State<Arc<Service>>) -> Json<Ran> {
+    Json(service.ran())
+}
+
+async fn call(
+    State(service): State<Arc<Service>>,
+    Extension(gate): Extension<Arc<Gate>>,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Response {
+    let faults = service.faults();
+    if faults.refuse {
+        return (StatusCode::SERVICE_UNAVAILABLE, [(NOT_STARTED, "1")]).into_response();
+    }
+    if faults.freeze {
+        std::future::pending::<()>().await;
+    }
+    if faults.delay_ms > 0 {
+        tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+    }
+    let key = headers.get(IDEMPOTENCY_KEY);
+    let (entry, lose) = service.run(Call {
+        method: method.to_string(),
+        path: uri
+            .path_and_query()
+            .map(ToString::to_string)
+            .unwrap_or_default(),
+        key: key.map(|key| String::from_utf8_lossy(key.as_bytes()).into_owned()),
+        body: String::from_utf8_lossy(&body).into_owned(),
+    });
+    if lose {
+        gate.cut();
+        std::future::pending::<()>().await;
+    }
+    Json(entry).into_response()
+}
