--- /dev/null
+++ b/crates/standin/tests/fakes/main.rs
@@ -0,0 +1,6 @@
+//! What the fakes promise to the tests that use them.
+
+mod client;
+mod engine;
+mod platform;
+mod service;
--- /dev/null
+++ b/crates/standin/tests/fakes/platform.rs
@@ -0,0 +1,150 @@
+//! The platform's conditional writes, watches and switches.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hemlockwind_protocol::platform::Object;
+use hemlockwind_protocol::platform::Precondition;
+use hemlockwind_protocol::platform::WatchLine;
+use hemlockwind_protocol::platform::Write;
+use hemlockwind_protocol::platform::Written;
+use hemlockwind_standin::platform;
+use hemlockwind_standin::platform::Faults;
+use hemlockwind_standin::platform::Options;
+use hemlockwind_standin::platform::Outage;
+use http::Method;
+use http::StatusCode;
+use http_body_util::BodyExt as _;
+use http_body_util::Empty;
+use hyper_util::client::legacy::Client as Http;
+use hyper_util::rt::TokioExecutor;
+
+use crate::client::Client;
+
+async fn write(
+    client: &Client,
+    name: &str,
+    when: Precondition,
+) -> Result<(StatusCode, Bytes), String> {
+    let value = "AAAA".to_owned();
+    let path = format!("/v1/objects/{name}");
+    client
+        .json(Method::PUT, &path, &Write { value, when })
+        .await
+}
+
+#[tokio::test]
+async fn write_precondition_decides() {
+    let platform = platform::start(Options::default()).await.unwrap();
+    let client = Client::new(platform.addr);
+    let first = write(&client, "a/b", Precondition::Absent).await.unwrap();
+    let first: Written = serde_json::from_slice(&first.1).unwrap();
+    write(&client, "c", Precondition::None).await.unwrap();
+    let tries = [
+        (Precondition::Absent, StatusCode::CONFLICT),
+        (
+            Precondition::Version(first.version + 1),
+            StatusCode::CONFLICT,
+        ),
+        (Precondition::Version(first.version), StatusCode::OK),
+        (Precondition::Version(first.version), StatusCode::CONFLICT),
+    ];
+    for (when, expected) in tries {
+        assert_eq!(write(&client, "a/b", when).await.unwrap().0, expected);
+    }
+    let object: Object = client.get("/v1/objects/a/b").await;
+    assert_eq!(object.version, 3);
+}
+
+#[tokio::test]
+async fn write_answer_lost_took_effect() {
+    let platform = platform::start(Options::default()).await.unwrap();
+    let client = Client::new(platform.addr);
+    platform.state.set_faults(Faults {
+        lose_answers: 1,
+        ..Faults::default()
+    });
+    let lost = write(&client, "lease", Precondition::Absent).await;
+    assert!(lost.is_err(), "{lost:?}");
+    let object: Object = client.get("/v1/objects/lease").await;
+    assert_eq!(object.version, 1);
+    let again = write(&client, "lease", Precondition::Absent).await;
+    assert_eq!(again.unwrap().0, StatusCode::CONFLICT);
+}
+
+#[tokio::test]
+async fn call_outage_or_over_rate_no_effect() {
+    let platform = platform::start(Options::default()).await.unwrap();
+    let client = Client::new(platform.addr);
+    let expected = [
+        (
+            Some(Outage::Refuse),
+            None,
+            Some(StatusCode::SERVICE_UNAVAILABLE),
+        ),
+        (Some(Outage::Reset), None, None),
+        (None, Some(0), Some(StatusCode::TOO_MANY_REQUESTS)),
+    ];
+    for (outage, writes_per_s, status) in expected {
+        platform.state.set_faults(Faults {
+            outage,
+            writes_per_s,
+            ..Faults::default()
+        });
+        let answer = write(&client, "x", Precondition::None).await;
+        assert_eq!(answer.ok().map(|(status, _)| status), status);
+    }
+    assert_eq!(platform.state.get("x"), None);
+    let calls = platform.state.calls();
+    assert_eq!((calls.writes >= 3, calls.over_rate), (true, 1));
+}
+
+/// Reads the puts of a watch until version `last` and a bookmark.
+async fn watch(at: SocketAddr, from: u64, last: u64) -> Vec<u64> {
+    let http = Http::builder(TokioExecutor::new()).build_http::<Empty<Bytes>>();
+    let uri = format!("http://{at}/v1/watch?prefix=w/&from={from}");
+    let mut body = http.get(uri.parse().unwrap()).await.unwrap().into_body();
+    let mut text = Vec::new();
+    loop {
+        let whole = text.iter().rposition(|&byte| byte == b'\n');
+        let lines = text[..whole.unwrap_or(0)].split(|&byte| byte == b'\n');
+        let lines = lines.filter(|line| !line.is_empty());
+        let lines: Vec<WatchLine> = lines
+            .map(|line| serde_json::from_slice(line).unwrap())
+            .collect();
+        let marked = lines.contains(&WatchLine::Bookmark);
+        let puts = lines.into_iter().filter_map(|line| match line {
+            WatchLine::Put(object) => Some(object.version),
+            WatchLine::Delete(_) | WatchLine::Bookmark => None,
+        });
+        let puts: Vec<u64> = puts.collect();
+        if marked && puts.contains(&last) {
+            return puts;
+        }
+        let frame = body.frame().await.expect("the watch goes on").unwrap();
+        text.extend_from_slice(&frame.into_data().unwrap());
+    }
+}
+
+#[tokio::test]
+async fn watch_tells_all_but_dropped() {
+    let platform = platform::start(Options::default()).await.unwrap();
+    let client = Client::new(platform.addr);
+    for name in ["w/1", "w/2", "v/3"] {
+        write(&client, name, Precondition::None).await.unwrap();
+    }
+    let watching = tokio::spawn(watch(platform.addr, 1, 5));
+    while platform.state.calls().watches_open == 0 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let watch_drop = 1;
+    platform.state.set_faults(Faults {
+        watch_drop,
+        ..Faults::default()
+    });
+    for name in ["w/4", "w/5", "v/6"] {
+        write(&client, name, Precondition::None).await.unwrap();
+    }
+    assert_eq!(watching.await.unwrap(), [2, 5]);
+}
--- /dev/null
+++ b/crates/standin/tests/fakes/service.rs
@@ -0,0 +1,71 @@
+//! What a service ran, and the relay before it.
+
+use std::time::Duration;
+
+use hemlockwind_standin::relay::Mode;
+use hemlockwind_standin::relay::Modes;
+use hemlockwind_standin::relay::Relay;
+use hemlockwind_standin::service;
+use hemlockwind_standin::service::Faults;
+use hemlockwind_standin::service::Options;
+use hemlockwind_standin::service::Ran;
+use http::Method;
+use http::StatusCode;
+
+use crate::client::Client;
+
+const KEY: &[(&str, &str)] = &[("idempotency-key", "k1")];
+
+#[tokio::test]
+async fn call_answer_lost_was_run() {
+    let service = service::start(Options::default()).await.unwrap();
+    let client = Client::new(service.addr);
+    service.state.set_faults(Faults {
+        lose_answers: 1,
+        ..Faults::default()
+    });
+    let lost = client
+        .send(Method::POST, "/loans?x=1", KEY, b"lamp".to_vec())
+        .await;
+    assert!(lost.is_err(), "{lost:?}");
+    let again = client
+        .send(Method::POST, "/loans?x=1", KEY, b"lamp".to_vec())
+        .await;
+    assert_eq!(again.unwrap().0, StatusCode::OK);
+    service.state.set_faults(Faults {
+        refuse: true,
+        ..Faults::default()
+    });
+    let refused = client.send(Method::POST, "/loans", KEY, vec![]).await;
+    assert_eq!(refused.unwrap().0, StatusCode::SERVICE_UNAVAILABLE);
+    let ran: Ran = client.get("/_standin/ran").await;
+    assert_eq!((ran.total, ran.calls.len(), ran.calls[0].count), (2, 1, 2));
+    assert_eq!(ran.calls[0].call.key.as_deref(), Some("k1"));
+}
+
+#[tokio::test]
+async fn relay_silence_then_new_connection() {
+    let service = service::start(Options::default()).await.unwrap();
+    let relay = Relay::start(service.addr).await.unwrap();
+    let client = Client::new(relay.addr);
+    let call = || client.send(Method::GET, "/", &[], vec![]);
+    let short = Duration::from_millis(200);
+    assert!(call().await.is_ok());
+    // The answer is lost, but the call arrived.
+    relay.set_open(Modes {
+        from_target: Mode::Silence,
+        ..Modes::default()
+    });
+    assert!(tokio::time::timeout(short, call()).await.is_err());
+    assert_eq!(service.state.ran().total, 2);
+    let fresh = Client::new(relay.addr);
+    assert!(fresh.send(Method::GET, "/", &[], vec![]).await.is_ok());
+
+    relay.set(Modes::both(Mode::Delay(Duration::from_millis(50))));
+    let begin = std::time::Instant::now();
+    assert!(fresh.send(Method::GET, "/", &[], vec![]).await.is_ok());
+    assert!(begin.elapsed() >= Duration::from_millis(100));
+    relay.refuse(true);
+    relay.cut();
+    assert!(fresh.send(Method::GET, "/", &[], vec![]).await.is_err());
+}
