--- a/crates/transport/telemetry/src/histograms.rs
+++ b/crates/transport/telemetry/src/histograms.rs
@@ -12,6 +12,8 @@
 
 /// Significant digits that a histogram keeps.
 const DIGITS: u8 = 1;
+/// The longest time that a histogram keeps apart, in milliseconds: a day.
+const TIME_LIMIT_MS: u64 = 86_400_000;
 /// Pairs of organisation and rank with histograms of their own; the rest share one.
 const PAIR_LIMIT: usize = 1_024;
 /// Shards of the table, each under its own lock.
@@ -68,7 +70,8 @@
             key.1 = OTHERS.into();
         }
         let histogram = shard.entry(key).or_insert_with(|| {
-            Histogram::new(DIGITS).expect("the number of digits is between 0 and 5")
+            Histogram::new_with_bounds(1, TIME_LIMIT_MS, DIGITS)
+                .expect("the bounds and the number of digits are within the library's")
         });
         histogram.saturating_record(ms);
     }
