--- /dev/null
+++ b/crates/transport/peer/tests/peers.rs
@@ -0,0 +1,144 @@
+//! Who gets an answer from an instance, and who does not.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_trait::async_trait;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+use hemlockwind_core::Error;
+use hemlockwind_core::attempt::Attempt;
+use hemlockwind_peer::H2Peer;
+use hemlockwind_peer::SharedKey;
+use hemlockwind_peer::server;
+use hemlockwind_protocol::peer::Handler;
+use hemlockwind_protocol::peer::Peer;
+use hemlockwind_protocol::peer::Reply;
+use hemlockwind_protocol::peer::Request;
+use hemlockwind_protocol::peer::configuration::Exchange;
+
+/// `Echo` answers with the same message and counts them.
+#[derive(Default)]
+struct Echo {
+    handled: AtomicUsize,
+}
+
+#[async_trait]
+impl Handler for Echo {
+    async fn handle(&self, _from: &str, req: Request) -> Reply {
+        self.handled.fetch_add(1, Ordering::SeqCst);
+        match req {
+            Request::Configuration(exchange) => Reply::Configuration(exchange),
+            Request::Probe(_)
+            | Request::Tickets(_)
+            | Request::Grants(_)
+            | Request::Dispatch(_) => Reply::Done,
+        }
+    }
+}
+
+/// A server with the key `right`.
+async fn serve() -> (SocketAddr, Arc<Echo>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let echo = Arc::new(Echo::default());
+    let handler: Arc<dyn Handler> = echo.clone();
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    tokio::spawn(server::serve(
+        listener,
+        SharedKey::new("right"),
+        handler,
+        log,
+    ));
+    (addr, echo)
+}
+
+/// A message of `len` bytes and a little.
+fn message(len: usize) -> Request {
+    Request::Configuration(Exchange {
+        version: 7,
+        document: Some(vec![1; len]),
+    })
+}
+
+#[tokio::test]
+async fn call_right_key() {
+    let (addr, echo) = serve().await;
+    let peer = H2Peer::new("a", SharedKey::new("right"));
+    // One message that fills many frames of the transport, too.
+    for len in [0, 10, 3_000_000] {
+        let reply = peer.call(addr, message(len)).await.unwrap();
+        let Reply::Configuration(exchange) = reply else {
+            panic!("the reply is of another kind");
+        };
+        assert_eq!(exchange.document.unwrap().len(), len);
+    }
+    assert_eq!(echo.handled.load(Ordering::SeqCst), 3);
+}
+
+#[tokio::test]
+async fn call_wrong_key() {
+    let (addr, echo) = serve().await;
+    let peer = H2Peer::new("a", SharedKey::new("wrong"));
+    let (attempt, error) = peer.call(addr, message(1)).await.unwrap_err();
+    assert_eq!((attempt, error), (Attempt::Unsent, Error::PeerKey));
+    assert_eq!(echo.handled.load(Ordering::SeqCst), 0);
+}
+
+#[tokio::test]
+async fn call_without_proof() {
+    let (addr, echo) = serve().await;
+    let tcp = TcpStream::connect(addr).await.unwrap();
+    let (send, connection) = h2::client::handshake(tcp).await.unwrap();
+    let connection = tokio::spawn(connection);
+    for path in ["/call", "/call", "/call"] {
+        let Ok(mut send) = send.clone().ready().await else {
+            break;
+        };
+        let req = http::Request::post(format!("http://peer{path}"))
+            .body(())
+            .unwrap();
+        let Ok((answer, mut stream)) = send.send_request(req, false) else {
+            break;
+        };
+        let frame = hemlockwind_protocol::peer::encode(&message(1)).unwrap();
+        let _ = stream.send_data(bytes::Bytes::from(frame), true);
+        let _ = answer.await;
+    }
+    connection.abort();
+    assert_eq!(echo.handled.load(Ordering::SeqCst), 0);
+}
+
+#[tokio::test]
+async fn connect_garbage() {
+    let (addr, echo) = serve().await;
+    let mut tcp = TcpStream::connect(addr).await.unwrap();
+    tcp.write_all(b"GET / HTTP/1.1\r\n\r\n").await.unwrap();
+    let mut buf = Vec::new();
+    let _ = tokio::time::timeout(Duration::from_secs(5), tcp.read_to_end(&mut buf))
+        .await
+        .unwrap();
+    // The process lives and serves others.
+    let peer = H2Peer::new("a", SharedKey::new("right"));
+    assert!(peer.call(addr, message(1)).await.is_ok());
+    assert_eq!(echo.handled.load(Ordering::SeqCst), 1);
+}
+
+#[tokio::test]
+async fn connect_silent() {
+    // It accepts and never answers.
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let peer = H2Peer::new("a", SharedKey::new("right"));
+    let begin = Instant::now();
+    let (attempt, _) = peer.call(addr, message(1)).await.unwrap_err();
+    assert_eq!(attempt, Attempt::Unsent);
+    assert!(begin.elapsed() < Duration::from_secs(2));
+}
