--- a/crates/state/stream/src/avoid.rs
+++ b/crates/state/stream/src/avoid.rs
@@ -26,6 +26,11 @@
         new
     }
 
+    /// Whether `server` is known to be leaving.
+    pub fn is_leaving(&self, server: BackendServerKey) -> bool {
+        self.leaving.contains(&server)
+    }
+
     /// Allows the servers that failed again. Used when no path is left without
     /// them: whether they are dead is for the probe to judge, not for one stream.
     pub fn forgive(&mut self) {
@@ -34,7 +39,7 @@
 
     /// Whether a path over `server` is unwanted.
     pub fn contains(&self, server: BackendServerKey) -> bool {
-        self.failed.contains(&server) || self.leaving.contains(&server)
+        self.failed.contains(&server) || self.is_leaving(server)
     }
 
     /// All unwanted servers.
--- a/crates/state/stream/src/stream.rs
+++ b/crates/state/stream/src/stream.rs
@@ -452,6 +452,11 @@
             return;
         }
         let Hop { stage, incarnation } = self.path[hop];
+        if prefill && self.avoid.is_leaving(stage.server) {
+            let why = format!("stage {} is leaving", stage.layers);
+            self.recover(now, Error::backend_refused(why), actions);
+            return;
+        }
         let id = StepId {
             request: self.options.request,
             incarnation,
