--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod engine;
 mod lagged;
+pub mod load;
 pub mod model;
 pub mod oracle;
 pub mod platform;
