Watch of load reports and of the platform's list; leaving servers get no new work

Cause: an engine or the list says that a server leaves; until now only the configuration did. A server of which no source says so for 30 s is taken back, so that a name can be used again.

--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -28,6 +28,7 @@
 use hemlockwind_telemetry::histograms::Measure;
 
 use crate::instance::Instance;
+use crate::watch;
 
 /// `Progress` is what a caller's side hears of a stream.
 #[derive(Clone, Debug)]
@@ -335,7 +336,7 @@
             match instance.edges.engine.load(place.addr, true).await {
                 Ok(load) => {
                     if load.leaving {
-                        instance.fleet.leave(server);
+                        watch::leave(&instance, server, "its load report");
                     }
                     instance.fleet.set_available(server, true);
                     break;
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -9,9 +9,9 @@
 use tokio::sync::broadcast;
 
 use hemlockwind_core::collections::HashMap;
-use hemlockwind_core::collections::HashSet;
 use hemlockwind_core::config::Config;
 use hemlockwind_core::config::Role;
+use hemlockwind_core::engine::LoadReport;
 use hemlockwind_core::names::BackendServerKey;
 use hemlockwind_core::names::DataCentreKey;
 use hemlockwind_core::names::ModelKey;
@@ -19,6 +19,7 @@
 use hemlockwind_core::time::Instant;
 use hemlockwind_routing::Graph;
 use hemlockwind_routing::Path;
+use hemlockwind_routing::Report;
 use hemlockwind_routing::Server;
 use hemlockwind_routing::Stage;
 
@@ -29,6 +30,8 @@
 /// Weight of a new measurement of a step's time, in parts of this number.
 const SMOOTHING: u32 = 8;
 
+/// The time after the last word of a leaving server in which it gets no new work.
+const LEAVING_LIFETIME: Duration = Duration::from_secs(30);
 /// News of leaving servers that a slow stream may have waiting.
 const NEWS: usize = 256;
 
@@ -38,7 +41,7 @@
     graphs: ArcSwap<HashMap<ModelKey, Arc<Mutex<Graph>>>>,
     servers: ArcSwap<HashMap<BackendServerKey, Place>>,
     doubted: Mutex<HashMap<BackendServerKey, Instant>>,
-    leaving: Mutex<HashSet<BackendServerKey>>,
+    leaving: Mutex<HashMap<BackendServerKey, Instant>>,
     left: broadcast::Sender<BackendServerKey>,
 }
 
@@ -100,7 +103,7 @@
                 continue;
             };
             let mut graph = graph.lock();
-            let available = !server.leaving && !self.leaving.lock().contains(&key);
+            let available = !server.leaving && !self.leaving.lock().contains_key(&key);
             let is_known = graph.update(key, |known| {
                 known.layers = layers;
                 known.limit = server.limit;
@@ -182,29 +185,55 @@
         });
     }
 
+    /// Takes in a server's own report of its load.
+    pub fn reported(&self, key: BackendServerKey, now: Instant, report: LoadReport) {
+        self.with(key, |graph| {
+            graph.update(key, |server| {
+                server.report = Some(Report::new(now, report.streams, server.in_flight));
+            });
+        });
+    }
+
     /// Makes a server available or not for new streams.
     pub fn set_available(&self, key: BackendServerKey, available: bool) {
-        let is_leaving = self.leaving.lock().contains(&key);
+        let is_leaving = self.leaving.lock().contains_key(&key);
         let is_leaving = is_leaving || self.place(key).is_some_and(|place| place.leaving);
         self.with(key, |graph| {
             graph.update(key, |server| server.available = available && !is_leaving);
         });
     }
 
-    /// Notes that a server is leaving. Returns whether that is news.
-    pub fn leave(&self, key: BackendServerKey) -> bool {
-        let is_news = self.leaving.lock().insert(key);
-        self.set_available(key, false);
+    /// Notes that a server is leaving, until no source says so any more. Returns
+    /// whether that is news.
+    pub fn leave(&self, key: BackendServerKey, now: Instant) -> bool {
+        let expires_at = now + LEAVING_LIFETIME;
+        let is_news = self.leaving.lock().insert(key, expires_at).is_none();
         if is_news {
+            self.set_available(key, false);
             // Without streams nobody listens.
             let _ = self.left.send(key);
         }
         is_news
     }
 
+    /// Takes back servers of which no source said for long that they are leaving.
+    pub fn expire(&self, now: Instant) {
+        let mut returned = Vec::new();
+        self.leaving.lock().retain(|&key, expires_at| {
+            let stays = now < *expires_at;
+            if !stays {
+                returned.push(key);
+            }
+            stays
+        });
+        for key in returned {
+            self.set_available(key, true);
+        }
+    }
+
     /// The servers that are leaving.
     pub fn leaving(&self) -> Vec<BackendServerKey> {
-        self.leaving.lock().iter().copied().collect()
+        self.leaving.lock().keys().copied().collect()
     }
 
     /// Begins a probe of a server in doubt, unless one is under way.
@@ -225,7 +254,7 @@
             .iter()
             .filter(|(key, place)| {
                 let serves = matches!(place.role, Role::Service { service: s } if s == service);
-                serves && !place.leaving && !leaving.contains(*key)
+                serves && !place.leaving && !leaving.contains_key(*key)
             })
             .map(|(&key, place)| (place.data_centre != self.data_centre, key, place.addr))
             .collect();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod peers;
 pub mod problem;
 pub mod start;
+pub mod watch;
 
 pub use crate::instance::Instance;
 pub use crate::start::Running;
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -26,6 +26,7 @@
 use crate::instance::Instance;
 use crate::listener;
 use crate::peers::Peers;
+use crate::watch;
 
 /// `Running` is an instance with open sockets.
 pub struct Running {
@@ -92,6 +93,8 @@
         tokio::spawn(admin_task),
         tokio::spawn(peer_task),
         tokio::spawn(configuration::follow(Arc::clone(&instance))),
+        tokio::spawn(watch::loads(Arc::clone(&instance))),
+        tokio::spawn(watch::list(Arc::clone(&instance))),
     ];
     info!(instance.log, "started"; "callers" => %callers, "peers" => %peers, "admin" => %admin_addr);
     Ok(Running {
--- /dev/null
+++ b/crates/daemon/src/watch.rs
@@ -0,0 +1,95 @@
+//! News of backend servers: their own load reports and the platform's list.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::info;
+
+use hemlockwind_core::config::Role;
+use hemlockwind_core::edges::ListKind;
+use hemlockwind_core::edges::ListState;
+use hemlockwind_core::names::BackendServerKey;
+
+use crate::driver::probe;
+use crate::fleet::Place;
+use crate::instance::Instance;
+
+/// Time between two reports of one engine.
+const LOAD_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Time between two readings of the platform's list.
+const LIST_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Asks the engines that this instance watches for their load, again and again.
+pub async fn loads(instance: Arc<Instance>) {
+    loop {
+        instance.fleet.expire(instance.edges.clock.now());
+        let watched = watched(&instance);
+        // Spread over the interval, so that no burst of calls comes about.
+        let pause = LOAD_INTERVAL / u32::try_from(watched.len().max(1)).unwrap_or(u32::MAX);
+        for (server, place) in &watched {
+            let asking = Arc::clone(&instance);
+            let (server, place) = (*server, *place);
+            tokio::spawn(async move { load(&asking, server, place).await });
+            tokio::time::sleep(pause).await;
+        }
+        if watched.is_empty() {
+            tokio::time::sleep(LOAD_INTERVAL).await;
+        }
+    }
+}
+
+/// The engines of the own data centre that this instance has the duty to watch.
+fn watched(instance: &Instance) -> Vec<(BackendServerKey, Place)> {
+    let places = instance.fleet.places();
+    let near = places.iter().filter(|(_, place)| {
+        let is_engine = matches!(place.role, Role::Engine { .. });
+        is_engine && place.data_centre == instance.data_centre
+    });
+    near.map(|(&key, &place)| (key, place)).collect()
+}
+
+/// Takes one engine's report.
+async fn load(instance: &Arc<Instance>, server: BackendServerKey, place: Place) {
+    let report = instance.edges.engine.load(place.addr, false).await;
+    let now = instance.edges.clock.now();
+    match report {
+        Ok(report) => {
+            instance.fleet.reported(server, now, report);
+            if report.leaving {
+                leave(instance, server, "its load report");
+            }
+        }
+        // A probe over a new connection judges, not one lost report.
+        Err(_) => probe(instance, server),
+    }
+}
+
+/// Reads the platform's list, again and again.
+pub async fn list(instance: Arc<Instance>) {
+    loop {
+        // In an outage the other sources go on.
+        if let Ok(list) = instance.edges.platform.instances().await {
+            let leaving = list.into_iter().filter(|listed| match listed.kind {
+                ListKind::BackendServer => listed.state == ListState::Leaving,
+                ListKind::Instance => false,
+            });
+            for listed in leaving {
+                let directory = instance.directory.read();
+                let key = directory.backend_servers.key(&listed.name);
+                drop(directory);
+                if let Some(key) = key {
+                    leave(&instance, key, "the platform's list");
+                }
+            }
+        }
+        tokio::time::sleep(LIST_INTERVAL).await;
+    }
+}
+
+/// Notes that a server is leaving.
+pub fn leave(instance: &Instance, server: BackendServerKey, source: &str) {
+    if instance.fleet.leave(server, instance.edges.clock.now()) {
+        let name = instance.directory.read().backend_servers.name(server);
+        info!(instance.log, "a backend server is leaving"; "backend_server" => &*name, "source" => source);
+    }
+}
