--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod oracle;
 pub mod platform;
 pub mod relay;
+pub mod sample;
 pub mod server;
 pub mod service;
--- /dev/null
+++ b/crates/standin/src/sample.rs
@@ -0,0 +1,147 @@
+//! A small deployment for the demo and for tests with real processes.
+
+use std::net::SocketAddr;
+use std::ops::Range;
+
+use serde_json::Value;
+use serde_json::json;
+
+use hemlockwind_protocol::document::BackendServer;
+use hemlockwind_protocol::document::Document;
+use hemlockwind_protocol::document::Model;
+use hemlockwind_protocol::document::Organisation;
+use hemlockwind_protocol::document::Pipeline;
+use hemlockwind_protocol::document::Rank;
+use hemlockwind_protocol::document::Service;
+
+use crate::oracle;
+
+/// The API key of the sample's organisation.
+pub const API_KEY: &str = "lamp-agent-key";
+/// The SHA-256 of [`API_KEY`].
+const API_KEY_SHA256: &str = "3ff39ba642789d330e0a49e966de491ffe2c0dae2ffad8e8be6b69833ff20e31";
+/// The admin token.
+pub const ADMIN_TOKEN: &str = "sample-admin-token";
+/// The pipeline that callers name.
+pub const PIPELINE: &str = "assistant";
+/// The plain service.
+pub const SERVICE: &str = "ledger";
+/// The layers of the model.
+pub const MODEL_LAYERS: u16 = 12;
+/// The layers of each stage.
+pub const STAGES: [Range<u16>; 3] = [0..4, 4..9, 9..MODEL_LAYERS];
+/// The data centres.
+pub const DATA_CENTRES: [&str; 2] = ["kariakoo", "mikocheni"];
+const MODEL: &str = "swahili";
+const PEER_KEY: &str = "sample-peer-key-1";
+const MAX_TOKENS: u32 = 4_096;
+/// Streams or calls in flight that each runner takes.
+pub const LIMIT: u32 = 256;
+
+/// `Runner` is a backend server of the sample.
+#[derive(Clone, Debug)]
+pub struct Runner {
+    /// Its data centre.
+    pub data_centre: &'static str,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// The layers that an engine holds; `None` for the plain service.
+    pub layers: Option<Range<u16>>,
+}
+
+/// `Instance` is an instance of the sample.
+#[derive(Clone, Debug)]
+pub struct Instance {
+    /// Its name.
+    pub name: String,
+    /// Its data centre.
+    pub data_centre: &'static str,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Where other instances reach it.
+    pub peers: SocketAddr,
+    /// Where operators reach it.
+    pub admin: SocketAddr,
+}
+
+/// The configuration with these runners.
+pub fn document(runners: &[Runner]) -> Document {
+    let rank = |name: &str, floor| Rank {
+        name: name.into(),
+        first_token_ms: 1_000,
+        between_tokens_ms: 200,
+        deadline_ms: 60_000,
+        floor,
+    };
+    Document {
+        models: vec![Model {
+            name: MODEL.into(),
+            layers: MODEL_LAYERS,
+        }],
+        pipelines: vec![Pipeline {
+            name: PIPELINE.into(),
+            model: MODEL.into(),
+            max_tokens: MAX_TOKENS,
+        }],
+        ranks: vec![rank("urgent", 0.0), rank("normal", 0.1)],
+        organisations: vec![Organisation {
+            name: "lamps".into(),
+            share: 1.0,
+            rank: "urgent".into(),
+            home: DATA_CENTRES[0].into(),
+            api_keys_sha256: vec![API_KEY_SHA256.into()],
+        }],
+        services: vec![Service {
+            name: SERVICE.into(),
+            idempotent_methods: vec!["GET".into(), "HEAD".into()],
+        }],
+        backend_servers: runners.iter().enumerate().map(backend_server).collect(),
+        sheet_day: None,
+    }
+}
+
+fn backend_server((index, runner): (usize, &Runner)) -> BackendServer {
+    let layers = runner.layers.clone();
+    BackendServer {
+        name: format!("runner-{index}"),
+        data_centre: runner.data_centre.into(),
+        addr: runner.addr,
+        model: layers.is_some().then(|| MODEL.into()),
+        service: layers.is_none().then(|| SERVICE.into()),
+        layers: layers.map(|range| (range.start, range.end)),
+        limit: LIMIT,
+        checks_fencing: true,
+        leaving: false,
+    }
+}
+
+/// The settings of instances, with `limits` of their own.
+pub fn settings(platform: SocketAddr, instances: &[Instance], limits: &Value) -> String {
+    let instances = instances.iter().map(|instance| {
+        json!({
+            "name": instance.name,
+            "data_centre": instance.data_centre,
+            "callers": instance.callers,
+            "peers": instance.peers,
+            "admin": instance.admin,
+        })
+    });
+    let settings = json!({
+        "platform": platform,
+        "peer_key": PEER_KEY,
+        "admin_token": ADMIN_TOKEN,
+        "limits": limits,
+        "instances": instances.collect::<Vec<_>>(),
+    });
+    settings.to_string()
+}
+
+/// A prompt that starts with `topic` and whose answer has `tokens` tokens at least.
+pub fn long_prompt(topic: &str, tokens: u32) -> String {
+    let prompts = (0u32..).map(|n| format!("{topic} {n}"));
+    let is_long =
+        |prompt: &String| oracle::answer(MODEL_LAYERS, prompt, tokens).len() == tokens as usize;
+    let mut long = prompts.filter(is_long);
+    long.next()
+        .expect("about one answer in five has 100 tokens")
+}
