--- a/programs/src/bin/hemlockwind-standin.rs
+++ b/programs/src/bin/hemlockwind-standin.rs
@@ -119,7 +119,7 @@
     LayerRange::new(parse(start)?, parse(end)?).map_err(|e| e.to_string())
 }
 
-#[tokio::main]
+#[tokio::main(worker_threads = 2)]
 async fn main() -> ExitCode {
     let args: Args = argh::from_env();
     match run(args.command).await {
--- a/programs/tests/process/site.rs
+++ b/programs/tests/process/site.rs
@@ -16,6 +16,8 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use serde_json::json;
+use tokio::sync::Semaphore;
+use tokio::sync::SemaphorePermit;
 
 use crate::caller::Caller;
 use crate::process::Process;
@@ -29,7 +31,11 @@
 /// Milliseconds of an iteration of an engine's batch.
 const ITERATION_MS: &str = "4";
 
+/// Sites that run at once, so that they don't starve each other of processor time.
+const AT_ONCE: usize = 2;
+
 static SITES: AtomicU8 = AtomicU8::new(1);
+static TURN: Semaphore = Semaphore::const_new(AT_ONCE);
 
 /// `Engine` is one engine of the site.
 pub struct Engine {
@@ -53,11 +59,13 @@
     pub service_addr: SocketAddr,
     pub instances: Vec<Instance>,
     dir: PathBuf,
+    _turn: SemaphorePermit<'static>,
 }
 
 impl Site {
     /// Starts all processes, and waits until both instances are ready.
     pub async fn start(name: &str) -> Self {
+        let turn = TURN.acquire().await.unwrap();
         let number = SITES.fetch_add(1, Ordering::Relaxed);
         let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
         let dir = dir.join(format!("{name}-{}", std::process::id()));
@@ -96,6 +104,7 @@
             _service: service,
             service_addr,
             dir,
+            _turn: turn,
         };
         site.configure().await;
         site
