Routing: hold the choice of a path and the bound against brute force

Random graphs are built by a history of inserts, removals, updates and streams that begin and end. The chosen path must cost what the cheapest of all paths costs, full servers only as the last resort; a sampled choice must find a path whenever there is one; the flow must equal the least of all cuts.

Ruled out: the dynamic programming and the sample, whose paths were right for the costs given. The bonus now saves work only, and the case passes.

--- a/crates/state/routing/src/graph.rs
+++ b/crates/state/routing/src/graph.rs
@@ -295,7 +295,7 @@
         let kept = kept.filter(|stage| !preferences.avoid.contains(&stage.server));
         let servers = kept.filter_map(|stage| self.get(stage.server));
         let servers = servers.filter(|s| s.available && s.layers == group.layers);
-        let costs = servers.map(|server| (server.key, 2 * server.link_time));
+        let costs = servers.map(|server| (server.key, server.link_both_ways()));
         costs.min_by_key(|&(_, cost)| cost)
     }
 
@@ -333,11 +333,11 @@
         if preferences.avoid.contains(&key) {
             return None;
         }
-        let time = self.get(key)?.expected_time(now);
+        let server = self.get(key)?;
         let mut affinity = preferences.affinity.iter();
         let bonus = affinity.find(|&&(server, _)| server == key);
         let bonus = bonus.map_or(Duration::ZERO, |&(_, bonus)| bonus);
-        Some((key, time.saturating_sub(bonus)))
+        Some((key, server.expected_time(now, bonus)))
     }
 
     /// The index of a layer range's group, or where it would be.
--- a/crates/state/routing/src/server.rs
+++ b/crates/state/routing/src/server.rs
@@ -74,14 +74,21 @@
         self.in_flight >= self.limit
     }
 
-    /// The time that one step is expected to take, with queueing and the link both ways.
-    pub fn expected_time(&self, now: Instant) -> Duration {
+    /// The time that one step is expected to take, with queueing and the link both
+    /// ways. A cached prefix saves up to `bonus` of the work, nothing of the link.
+    pub fn expected_time(&self, now: Instant, bonus: Duration) -> Duration {
         let others = match self.report {
             Some(report) if now < report.expires_at => report.others,
             Some(_) | None => 0,
         };
         let load = f64::from(self.in_flight) + f64::from(others);
         let wait = load / f64::from(self.limit.max(1));
-        self.step_time.mul_f64(1.0 + wait) + 2 * self.link_time
+        let work = self.step_time.mul_f64(1.0 + wait);
+        work.saturating_sub(bonus) + self.link_both_ways()
+    }
+
+    /// The time that the link takes to the server and back.
+    pub fn link_both_ways(&self) -> Duration {
+        2 * self.link_time
     }
 }
