--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod oracle;
 pub mod platform;
 pub mod relay;
+pub mod sample;
 pub mod server;
 pub mod service;
