Peers: a message that may carry a document has 5 s

Cause: call_right_key failed once on a busy machine: 3 MB took longer than the 800 ms of control messages. Ruled out: the server's body limit of 2 s (it answered). Conclusion: the time follows the kind of message.

--- a/crates/transport/peer/src/client.rs
+++ b/crates/transport/peer/src/client.rs
@@ -35,6 +35,8 @@
 const OPEN_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time in which a message of control must have been answered.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time in which a message that may carry a document must have been answered.
+const DOCUMENT_TIMEOUT: Duration = Duration::from_millis(5_000);
 /// Time beyond a dispatch's deadline for the owner's word that it passed.
 const DISPATCH_GRACE: Duration = Duration::from_millis(300);
 /// Time between pings.
@@ -196,10 +198,8 @@
         Request::Dispatch(dispatch) => {
             Duration::from_millis(dispatch.deadline_ms.into()) + DISPATCH_GRACE
         }
-        Request::Probe(_)
-        | Request::Tickets(_)
-        | Request::Grants(_)
-        | Request::Configuration(_) => CALL_TIMEOUT,
+        Request::Configuration(_) => DOCUMENT_TIMEOUT,
+        Request::Probe(_) | Request::Tickets(_) | Request::Grants(_) => CALL_TIMEOUT,
     }
 }
 
