Callers' and operators' bad input: numbered errors, shown by tests

Headers over the limit got a bare 431 from the library; the listener now takes twice the limit and the router answers 1002. Ruled out: a parser of our own.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -4,8 +4,12 @@
 
 use axum::Json;
 use axum::Router;
+use axum::extract::Request;
 use axum::extract::State;
 use axum::http::StatusCode;
+use axum::middleware;
+use axum::middleware::Next;
+use axum::response::Response;
 use axum::routing::get;
 use axum::routing::post;
 use serde_json::Value;
@@ -30,9 +34,28 @@
         .route("/healthz", get(|| async { "ok" }))
         .route("/readyz", get(ready))
         .fallback(unknown)
+        .layer(middleware::from_fn_with_state(
+            Arc::clone(&instance),
+            bound_headers,
+        ))
         .with_state(instance)
 }
 
+/// Refuses requests whose headers are larger than the limit.
+async fn bound_headers(
+    State(instance): State<Arc<Instance>>,
+    req: Request,
+    next: Next,
+) -> Result<Response, Failure> {
+    let limit = instance.settings.limits.header_bytes;
+    let fields = req.headers().iter();
+    let size: usize = fields.map(|(k, v)| k.as_str().len() + v.len()).sum();
+    if size + req.uri().path().len() > limit {
+        return Err(Error::header(format!("they have {size} bytes, {limit} are the limit")).into());
+    }
+    Ok(next.run(req).await)
+}
+
 /// Tells the balancer whether to send requests here.
 async fn ready(State(instance): State<Arc<Instance>>) -> StatusCode {
     if instance.is_ready() {
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -70,7 +70,8 @@
 ) -> Result<Running> {
     let key = SharedKey::new(settings.peer_key.as_bytes());
     let options = listener::Options {
-        header_bytes: settings.limits.header_bytes,
+        // Room beyond the limit, so that a request over it still gets a numbered error.
+        header_bytes: 2 * settings.limits.header_bytes,
         header_timeout: Duration::from_millis(settings.limits.receive_ms),
     };
     let (callers_socket, callers) = open(me.callers).await?;
--- /dev/null
+++ b/programs/tests/callers.rs
@@ -0,0 +1,247 @@
+//! Bad input from callers and operators: a numbered error, and the process lives on.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hemlockwind_standin::platform;
+use hemlockwind_standin::sample;
+use hemlockwind_standin::server::Handle;
+use http::Request;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use serde_json::Value;
+use serde_json::json;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+use hemlockwind::daemon::Running;
+use hemlockwind::daemon::start;
+use hemlockwind::settings::Settings;
+use hemlockwind::telemetry::logs;
+
+/// Bytes of the largest body that the instance takes.
+const BODY_LIMIT: usize = 4_096;
+/// Bytes of the largest headers that it takes.
+const HEADER_LIMIT: usize = 8_192;
+/// Milliseconds in which a request must have arrived.
+const RECEIVE_MS: u64 = 300;
+
+/// `Site` is a platform and one instance inside this process.
+struct Site {
+    running: Running,
+    _platform: Handle<platform::Platform>,
+}
+
+impl Site {
+    /// Starts the site and puts a configuration without backend servers in force.
+    async fn start() -> Self {
+        let platform = platform::start(platform::Options::default()).await.unwrap();
+        let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+        let instance = sample::Instance {
+            name: "a".into(),
+            data_centre: sample::DATA_CENTRES[0],
+            callers: any,
+            peers: any,
+            admin: any,
+        };
+        let limits = json!({
+            "body_bytes": BODY_LIMIT, "header_bytes": HEADER_LIMIT, "receive_ms": RECEIVE_MS,
+        });
+        let text = sample::settings(platform.addr, &[instance], &limits);
+        let settings = Settings::parse(&text).unwrap();
+        let running = start(settings, None, logs::discard()).await.unwrap();
+        let site = Self {
+            running,
+            _platform: platform,
+        };
+        let document = serde_json::to_vec(&sample::document(&[])).unwrap();
+        let put = Request::put(site.admin("/v1/configuration"))
+            .header("authorization", format!("Bearer {}", sample::ADMIN_TOKEN));
+        let (status, _) = send(put, document).await;
+        assert_eq!(status, 200);
+        while !site.running.instance.is_ready() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        site
+    }
+
+    /// The URL of a path for callers.
+    fn callers(&self, path: &str) -> String {
+        format!("http://{}{path}", self.running.callers)
+    }
+
+    /// The URL of a path for operators.
+    fn admin(&self, path: &str) -> String {
+        format!("http://{}{path}", self.running.admin)
+    }
+
+    /// Sends a completion and gives its status, code and what ran.
+    async fn complete(&self, key: &str, body: impl Into<Bytes>) -> (u16, u64, String) {
+        let req = Request::post(self.callers("/v1/completions"))
+            .header("authorization", format!("Bearer {key}"));
+        problem(send(req, body).await)
+    }
+}
+
+/// Sends a request; its status and JSON.
+async fn send(req: http::request::Builder, body: impl Into<Bytes>) -> (u16, Value) {
+    let client = Client::builder(TokioExecutor::new()).build_http();
+    let req = req.body(Full::<Bytes>::from(body.into())).unwrap();
+    let response = client.request(req).await.unwrap();
+    let status = response.status().as_u16();
+    let body = response.into_body().collect().await.unwrap().to_bytes();
+    (status, serde_json::from_slice(&body).unwrap_or_default())
+}
+
+/// Status, code and what ran.
+fn problem((status, json): (u16, Value)) -> (u16, u64, String) {
+    let code = json["code"].as_u64().unwrap_or_default();
+    let ran = json["ran"].as_str().unwrap_or_default();
+    (status, code, ran.into())
+}
+
+/// What a caller is told of a request that did not run.
+fn not_run(status: u16, code: u64) -> (u16, u64, String) {
+    (status, code, "no".into())
+}
+
+#[tokio::test]
+async fn completion_bad_input() {
+    let site = Site::start().await;
+    let key = sample::API_KEY;
+    let good = json!({"model": sample::PIPELINE, "prompt": "x"}).to_string();
+    let cases: Vec<(&str, Bytes, u16, u64)> = vec![
+        (key, "{".into(), 400, 1001),
+        (
+            key,
+            Bytes::from_static(b"{\"model\": \"\xff\xfe\"}"),
+            400,
+            1001,
+        ),
+        (key, "[]".into(), 400, 1001),
+        (key, vec![b' '; BODY_LIMIT + 1].into(), 413, 1006),
+        (
+            key,
+            json!({"model": "nobody", "prompt": "x"}).to_string().into(),
+            404,
+            1005,
+        ),
+        (
+            key,
+            json!({"model": sample::PIPELINE, "prompt": "x", "max_tokens": 0})
+                .to_string()
+                .into(),
+            400,
+            1001,
+        ),
+        (
+            key,
+            json!({"model": sample::PIPELINE, "prompt": "x", "n": 2})
+                .to_string()
+                .into(),
+            400,
+            1001,
+        ),
+        ("another organisation's", good.clone().into(), 401, 1003),
+        // No backend server joins to a pipeline here.
+        (key, good.into(), 503, 3001),
+    ];
+    for (key, body, status, code) in cases {
+        let seen = site.complete(key, body.clone()).await;
+        assert_eq!(seen, not_run(status, code), "{body:?}");
+    }
+}
+
+#[tokio::test]
+async fn completion_bad_headers() {
+    let site = Site::start().await;
+    let body = json!({"model": sample::PIPELINE, "prompt": "x"}).to_string();
+    let cases = [
+        ("x-hemlockwind-rank", "nobody".to_string(), 400, 1002),
+        ("x-hemlockwind-deadline-ms", "soon".into(), 400, 1002),
+        ("x-hemlockwind-deadline-ms", "0".into(), 400, 1002),
+        ("x-large", "x".repeat(HEADER_LIMIT), 400, 1002),
+    ];
+    for (name, value, status, code) in cases {
+        let req = Request::post(site.callers("/v1/completions"))
+            .header("authorization", format!("Bearer {}", sample::API_KEY))
+            .header(name, value);
+        let seen = problem(send(req, body.clone()).await);
+        assert_eq!(seen, not_run(status, code), "{name}");
+    }
+    let req = Request::post(site.callers("/v1/completions"));
+    assert_eq!(problem(send(req, body).await), not_run(401, 1003));
+}
+
+#[tokio::test]
+async fn completion_slow_sender() {
+    let site = Site::start().await;
+    let mut tcp = TcpStream::connect(site.running.callers).await.unwrap();
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\ncontent-length: 100\r\nauthorization: Bearer {}\r\n\r\n{{",
+        sample::API_KEY
+    );
+    tcp.write_all(head.as_bytes()).await.unwrap();
+    let mut buf = vec![0; 4_096];
+    let len = tokio::time::timeout(Duration::from_secs(5), tcp.read(&mut buf));
+    let len = len.await.unwrap().unwrap();
+    let text = String::from_utf8_lossy(&buf[..len]);
+    assert!(text.starts_with("HTTP/1.1 408"), "{text}");
+    assert!(text.contains("\"code\":1007"), "{text}");
+
+    // Headers that never end close the connection.
+    let mut tcp = TcpStream::connect(site.running.callers).await.unwrap();
+    tcp.write_all(b"POST / HTTP/1.1\r\nx: ").await.unwrap();
+    let end = tokio::time::timeout(Duration::from_secs(5), tcp.read_to_end(&mut buf));
+    end.await.unwrap().unwrap();
+    assert_eq!(
+        site.complete(sample::API_KEY, "{").await,
+        not_run(400, 1001)
+    );
+}
+
+#[tokio::test]
+async fn admin_without_token() {
+    let site = Site::start().await;
+    for path in ["/metrics", "/v1/status", "/v1/configuration"] {
+        for token in [
+            "",
+            "Bearer wrong",
+            "Bearer sample-admin-token2",
+            "sample-admin-token",
+        ] {
+            let req = Request::get(site.admin(path)).header("authorization", token);
+            let (status, json) = send(req, "").await;
+            assert_eq!(
+                (status, json["code"].as_u64()),
+                (401, Some(7002)),
+                "{path} {token}"
+            );
+        }
+    }
+    let (status, _) = send(Request::post(site.admin("/v1/drain")), "").await;
+    assert_eq!(status, 401);
+    assert!(!site.running.instance.stopping.is_cancelled());
+    let (status, _) = send(Request::get(site.admin("/healthz")), "").await;
+    assert_eq!(status, 200);
+}
+
+#[tokio::test]
+async fn configuration_racing_operators() {
+    let site = Site::start().await;
+    let document = serde_json::to_vec(&sample::document(&[])).unwrap();
+    let put = |base: u64| {
+        Request::put(site.admin("/v1/configuration"))
+            .header("authorization", format!("Bearer {}", sample::ADMIN_TOKEN))
+            .header("if-match", format!("\"{base}\""))
+    };
+    let base = site.running.instance.config.load().version.0;
+    let (one, two) = tokio::join!(send(put(base), document.clone()), send(put(base), document));
+    let mut statuses = [one.0, two.0];
+    statuses.sort_unstable();
+    assert_eq!(statuses, [200, 409]);
+}
