Configuration: head and chunks in the platform, spread by tree and exchange

Cause: an accepted document must be in force everywhere within 3 s and never revert; at 23,000 organisations it is larger than one value of the platform, and a change may cost an instance 2 KB/s.

Chunks named by digest and cut by content, one head that is updated on condition, two watchers in each data centre, a push along a tree, and an exchange of versions that closes gaps. Publish settles lost answers by nonce. Ruled out: one object, parts of fixed size, a log of changes, watches of all instances, both watchers pushing; see docs/design/configuration.md.

Proof: 8 instances, 3 data centres, loss, lateness, repeats, cuts, restarts, outages, stale reads, lost and late effects, dropped watch events, 1 to 3 racing operators. Failing first, each with its mechanism taken out: - older versions taken: "Version(1) after Version(2)" - no read-back after a conflict, or no look for the nonce: "told of a conflict and yet kept" - update without precondition: versions not rising - no exchange, no re-read by watchers, no telling of other data centres: instances below the highest version after 3 s - head before chunks: "accepted before it was whole" Not seen to fail by its own oracle: the count of updates in doubt (that run met the stalled fetch first), the timer that asks again for chunks, and the condition that stays the same over tries, which the fake platform can't tell from a fresh one.

The peer messages for configuration and membership change with it.

--- /dev/null
+++ b/crates/coordination/configuration/src/chunk.rs
@@ -0,0 +1,187 @@
+//! Splits a document into chunks named by digest, and joins them again.
+//!
+//! Leaves are cut where a rolling hash of the content says so, hence a change
+//! in one place leaves the other chunks as they were. The digests of the leaves
+//! form nodes, cut by the digests themselves, up to a single root.
+
+use bytes::Bytes;
+
+use hemlockwind_core::collections::HashMap;
+use hemlockwind_core::collections::HashSet;
+
+use crate::digest::Digest;
+use crate::head::Head;
+
+/// The size of a chunk at most, in bytes.
+pub const CHUNK_LIMIT_BYTES: usize = 16 << 10;
+/// The size of a leaf at least, in bytes, but for the last one.
+const LEAF_MIN_BYTES: usize = 512;
+/// A leaf ends where these bits of the rolling hash are zero: 1 KiB after
+/// the least size, on average.
+const LEAF_MASK: u64 = 0x3ff << 54;
+/// The size of a digest, in bytes.
+const DIGEST_BYTES: usize = 32;
+/// A node ends after a digest with these bits zero: 16 digests on average.
+const NODE_MASK: u8 = 0x0f;
+/// The levels of nodes above the leaves at most.
+const DEPTH_LIMIT: u8 = 6;
+
+/// `Tree` is a document cut into chunks.
+#[derive(Clone, Debug)]
+pub struct Tree {
+    /// The digest of the chunk at the top.
+    pub root: Digest,
+    /// The levels of nodes above the leaves.
+    pub depth: u8,
+    /// All chunks, leaves first.
+    pub chunks: Vec<(Digest, Bytes)>,
+}
+
+impl Tree {
+    /// Cuts `body`.
+    pub fn new(body: &Bytes) -> Self {
+        let mut chunks = Vec::new();
+        let mut level = add(&mut chunks, leaves(body));
+        let mut depth = 0;
+        while level.len() > 1 {
+            level = add(&mut chunks, nodes(&level));
+            depth += 1;
+        }
+        Self {
+            root: level[0],
+            depth,
+            chunks,
+        }
+    }
+}
+
+/// Names `parts` and appends them to `chunks`.
+fn add(chunks: &mut Vec<(Digest, Bytes)>, parts: Vec<Bytes>) -> Vec<Digest> {
+    let named = parts.into_iter().map(|part| (Digest::of(&part), part));
+    let first = chunks.len();
+    chunks.extend(named);
+    chunks[first..].iter().map(|(digest, _)| *digest).collect()
+}
+
+/// Cuts `body` by content; an empty body is one empty leaf.
+fn leaves(body: &Bytes) -> Vec<Bytes> {
+    let mut parts = Vec::new();
+    let mut start = 0;
+    let mut hash = 0_u64;
+    for (at, &byte) in body.iter().enumerate() {
+        hash = (hash << 1).wrapping_add(mix(u64::from(byte)));
+        let len = at + 1 - start;
+        let cut = hash & LEAF_MASK == 0 && len >= LEAF_MIN_BYTES;
+        if cut || len == CHUNK_LIMIT_BYTES {
+            parts.push(body.slice(start..=at));
+            start = at + 1;
+            hash = 0;
+        }
+    }
+    if start < body.len() || parts.is_empty() {
+        parts.push(body.slice(start..));
+    }
+    parts
+}
+
+/// Joins the digests of one level into the nodes above it.
+fn nodes(level: &[Digest]) -> Vec<Bytes> {
+    let mut parts = Vec::new();
+    let mut part = Vec::new();
+    for digest in level {
+        let pair = part.len() >= 2 * DIGEST_BYTES;
+        let cut = part.last().is_some_and(|&byte: &u8| byte & NODE_MASK == 0);
+        if pair && cut || part.len() + DIGEST_BYTES > CHUNK_LIMIT_BYTES {
+            parts.push(Bytes::from(std::mem::take(&mut part)));
+        }
+        part.extend_from_slice(&digest.0);
+    }
+    parts.push(Bytes::from(part));
+    parts
+}
+
+/// Spreads the bits of `x` (the finaliser of SplitMix64).
+pub(crate) const fn mix(x: u64) -> u64 {
+    let x = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+/// `Chunks` holds the chunks that an instance knows.
+#[derive(Clone, Debug, Default)]
+pub struct Chunks {
+    map: HashMap<Digest, Bytes>,
+}
+
+impl Chunks {
+    /// Adds a chunk under its digest; one over the limit is ignored.
+    pub fn insert(&mut self, chunk: Bytes) {
+        if chunk.len() <= CHUNK_LIMIT_BYTES {
+            self.map.insert(Digest::of(&chunk), chunk);
+        }
+    }
+
+    /// The chunk of this digest.
+    pub fn get(&self, digest: &Digest) -> Option<&Bytes> {
+        self.map.get(digest)
+    }
+
+    /// Digests of at most `limit` chunks of `head`'s tree that are not here.
+    /// Chunks below a missing node are not known yet.
+    pub fn missing(&self, head: &Head, limit: usize) -> Vec<Digest> {
+        let mut missing = Vec::new();
+        self.visit(head, &mut |digest, chunk, _| {
+            if chunk.is_none() && missing.len() < limit && !missing.contains(&digest) {
+                missing.push(digest);
+            }
+        });
+        missing
+    }
+
+    /// The document of `head`, when all its chunks are here and fit its length.
+    pub fn assemble(&self, head: &Head) -> Option<Bytes> {
+        let mut body = Vec::new();
+        let mut whole = true;
+        self.visit(head, &mut |_, chunk, depth| match chunk {
+            Some(chunk) if depth == 0 => body.extend_from_slice(chunk),
+            Some(_) => {}
+            None => whole = false,
+        });
+        (whole && body.len() as u64 == head.len).then(|| Bytes::from(body))
+    }
+
+    /// Digests of all chunks of `head`'s tree.
+    pub fn digests(&self, head: &Head) -> HashSet<Digest> {
+        let mut digests = HashSet::default();
+        self.visit(head, &mut |digest, _, _| {
+            digests.insert(digest);
+        });
+        digests
+    }
+
+    /// Forgets all chunks that are not in `keep`.
+    pub fn retain(&mut self, keep: &HashSet<Digest>) {
+        self.map.retain(|digest, _| keep.contains(digest));
+    }
+
+    /// Calls `f` with each digest of the tree, its chunk and its level, in the
+    /// order of the document, as far as nodes are here.
+    fn visit(&self, head: &Head, f: &mut impl FnMut(Digest, Option<&Bytes>, u8)) {
+        // A stack instead of recursion: the depth comes from outside.
+        let mut budget = head.chunk_limit();
+        let mut stack = vec![(head.root, head.depth.min(DEPTH_LIMIT))];
+        while let Some((digest, depth)) = stack.pop() {
+            budget = budget.saturating_sub(1);
+            if budget == 0 {
+                return;
+            }
+            let chunk = self.map.get(&digest);
+            f(digest, chunk, depth);
+            if let (Some(node), true) = (chunk, depth > 0) {
+                let (below, _) = node.as_chunks::<DIGEST_BYTES>();
+                stack.extend(below.iter().rev().map(|&child| (Digest(child), depth - 1)));
+            }
+        }
+    }
+}
--- a/crates/coordination/configuration/src/lib.rs
+++ b/crates/coordination/configuration/src/lib.rs
@@ -1,1 +1,34 @@
 //! Versions of the configuration and their spread.
+//!
+//! The platform holds a small [`Head`] that names a tree of chunks by their
+//! digests. [`Publish`] is an operator's change on its way into the platform;
+//! [`Replica`] is what one instance has in force and how it hears of more.
+//! Documents are opaque bytes here.
+
+mod chunk;
+mod digest;
+mod head;
+mod peers;
+mod publish;
+mod replica;
+
+pub use crate::chunk::CHUNK_LIMIT_BYTES;
+pub use crate::chunk::Chunks;
+pub use crate::chunk::Tree;
+pub use crate::digest::Digest;
+pub use crate::head::AUTHOR_LIMIT_BYTES;
+pub use crate::head::BODY_LIMIT_BYTES;
+pub use crate::head::Entry;
+pub use crate::head::Head;
+pub use crate::head::RECENT_LIMIT;
+pub use crate::peers::Peer;
+pub use crate::peers::Peers;
+pub use crate::publish::Change;
+pub use crate::publish::Outcome;
+pub use crate::publish::Publish;
+pub use crate::publish::PublishAction;
+pub use crate::publish::PublishEvent;
+pub use crate::replica::Action;
+pub use crate::replica::Event;
+pub use crate::replica::Message;
+pub use crate::replica::Replica;
--- /dev/null
+++ b/crates/coordination/configuration/src/publish.rs
@@ -0,0 +1,358 @@
+//! An operator's change on its way into the platform.
+//!
+//! The head is read, the chunks are written, then the head is updated on
+//! condition that nobody changed it since. Whenever the fate of that update is
+//! in doubt, the head is read again and the writer's nonce looked for. The
+//! condition stays the same over all tries, so at most one of them takes effect.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use hemlockwind_core::collections::HashMap;
+use hemlockwind_core::collections::HashSet;
+use hemlockwind_core::config::Version;
+use hemlockwind_core::edges::ObjectVersion;
+use hemlockwind_core::edges::Precondition;
+use hemlockwind_core::edges::Put;
+use hemlockwind_core::time::Instant;
+use hemlockwind_core::time::WallTime;
+
+use crate::chunk::Tree;
+use crate::chunk::mix;
+use crate::digest::Digest;
+use crate::head::Entry;
+use crate::head::Head;
+use crate::head::RECENT_LIMIT;
+
+/// Chunks in flight to the platform at most.
+const CHUNKS_IN_FLIGHT: usize = 16;
+/// The time that the platform has for an answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// The wait before the first retry, doubled for each later one.
+const RETRY_MIN: Duration = Duration::from_millis(50);
+/// Doublings of the wait at most: up to 3.2 s, plus half of it as jitter.
+const RETRY_DOUBLINGS_MAX: u32 = 6;
+
+/// `Change` is what an operator wants in force.
+#[derive(Clone, Debug)]
+pub struct Change {
+    /// Who asks.
+    pub author: Arc<str>,
+    /// A random number that no other change has.
+    pub nonce: u64,
+    /// The version that the change was made from; 0 when there was none.
+    pub base: Version,
+    /// The highest version known; the new one is above it.
+    pub floor: Version,
+    /// The document.
+    pub body: Bytes,
+    /// The wall time, for those who read of the change later.
+    pub at: WallTime,
+    /// When to give up.
+    pub deadline: Instant,
+}
+
+/// `Outcome` is what became of a change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The platform holds it for good.
+    Accepted(Version),
+    /// The document of this version is the same; nothing was written.
+    Unchanged(Version),
+    /// Another change came first; `None` when it is too long ago to be named.
+    Conflict(Option<Entry>),
+    /// The platform could not be reached in time, and nothing changed.
+    Refused,
+    /// The platform could not be reached in time, and the change may yet be
+    /// accepted.
+    Unknown,
+}
+
+/// `PublishEvent` is what the platform answers, or a timer.
+#[derive(Clone, Debug)]
+pub enum PublishEvent {
+    /// The head was read; `None` when there is none.
+    HeadRead(Option<(Head, ObjectVersion)>),
+    /// The head could not be read.
+    ReadFailed,
+    /// The answer to the write of a chunk.
+    ChunkPut(Digest, Put),
+    /// The answer to the update of the head.
+    HeadPut(Put),
+    /// The start, or [`Publish::next_deadline`] has come.
+    Timer,
+}
+
+/// `PublishAction` is what to do next.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PublishAction {
+    /// Read the head.
+    ReadHead,
+    /// Write a chunk, if it is absent.
+    PutChunk(Digest, Bytes),
+    /// Write the head, if the precondition holds.
+    PutHead(Head, Precondition),
+    /// Tell the operator.
+    Finish(Outcome),
+}
+
+/// `Step` is where a change stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Step {
+    Read,
+    PutChunks,
+    PutHead,
+    Done,
+}
+
+/// `Publish` brings one change into the platform.
+#[derive(Clone, Debug)]
+pub struct Publish {
+    change: Change,
+    root: Digest,
+    depth: u8,
+    chunks: HashMap<Digest, Bytes>,
+    in_flight: HashSet<Digest>,
+    update: Option<(Head, Precondition)>,
+    /// Updates of the head that were sent and may yet take effect.
+    doubtful: u32,
+    step: Step,
+    waiting: bool,
+    wake_at: Instant,
+    retries: u32,
+}
+
+impl Publish {
+    /// A change, where the platform is known to hold the chunks `known`.
+    pub fn new(now: Instant, change: Change, known: &HashSet<Digest>) -> Self {
+        let tree = Tree::new(&change.body);
+        let chunks = tree.chunks.into_iter();
+        Self {
+            root: tree.root,
+            depth: tree.depth,
+            chunks: chunks
+                .filter(|(digest, _)| !known.contains(digest))
+                .collect(),
+            in_flight: HashSet::default(),
+            update: None,
+            doubtful: 0,
+            step: Step::Read,
+            waiting: false,
+            wake_at: now,
+            retries: 0,
+            change,
+        }
+    }
+
+    /// When [`PublishEvent::Timer`] is due.
+    pub fn next_deadline(&self) -> Instant {
+        match self.step {
+            Step::Done => Instant::NEVER,
+            Step::Read | Step::PutChunks | Step::PutHead => self.wake_at.min(self.change.deadline),
+        }
+    }
+
+    /// Takes an event and tells what to do.
+    pub fn on_event(&mut self, now: Instant, event: PublishEvent) -> Vec<PublishAction> {
+        if self.step == Step::Done {
+            return Vec::new();
+        }
+        match event {
+            PublishEvent::HeadRead(found) => self.on_head(now, found),
+            PublishEvent::ReadFailed => self.on_read_failed(now),
+            PublishEvent::ChunkPut(digest, put) => self.on_chunk_put(now, digest, &put),
+            PublishEvent::HeadPut(put) => self.on_head_put(now, &put),
+            PublishEvent::Timer => self.on_timer(now),
+        }
+    }
+
+    fn on_timer(&mut self, now: Instant) -> Vec<PublishAction> {
+        if now >= self.change.deadline {
+            return self.give_up();
+        }
+        if now < self.wake_at {
+            return Vec::new();
+        }
+        if self.waiting && self.step == Step::PutHead {
+            // The update may have taken effect without an answer.
+            self.step = Step::Read;
+        }
+        if self.waiting {
+            self.in_flight.clear();
+            self.back_off(now);
+            return Vec::new();
+        }
+        self.act(now)
+    }
+
+    fn on_head(
+        &mut self,
+        now: Instant,
+        found: Option<(Head, ObjectVersion)>,
+    ) -> Vec<PublishAction> {
+        if self.step != Step::Read || !self.waiting {
+            return Vec::new();
+        }
+        let version = found.as_ref().map_or(Version(0), |(head, _)| head.version);
+        if let Some((head, _)) = &found {
+            if let Some(entry) = head.recent.iter().find(|e| e.nonce == self.change.nonce) {
+                return self.finish(Outcome::Accepted(entry.version));
+            }
+            if version > self.change.base {
+                return self.overtaken(head);
+            }
+        }
+        if version < self.change.base {
+            // A stale read: the base was seen by its author.
+            self.back_off(now);
+            return Vec::new();
+        }
+        if let Some((head, _)) = &found
+            && head.root == self.root
+            && self.update.is_none()
+        {
+            return self.finish(Outcome::Unchanged(version));
+        }
+        if self.update.is_none() {
+            self.update = Some(self.next_head(found));
+        }
+        self.step = Step::PutChunks;
+        self.act(now)
+    }
+
+    /// The head that the change makes of the one found, and its precondition.
+    fn next_head(&self, found: Option<(Head, ObjectVersion)>) -> (Head, Precondition) {
+        let change = &self.change;
+        let (mut recent, when) = match found {
+            Some((head, version)) => (head.recent, Precondition::Version(version)),
+            None => (Vec::new(), Precondition::Absent),
+        };
+        let version = Version(change.base.max(change.floor).0 + 1);
+        recent.push(Entry {
+            version,
+            nonce: change.nonce,
+            author: Arc::clone(&change.author),
+            at: change.at,
+        });
+        recent.drain(..recent.len().saturating_sub(RECENT_LIMIT));
+        let head = Head {
+            version,
+            root: self.root,
+            depth: self.depth,
+            len: change.body.len() as u64,
+            recent,
+        };
+        (head, when)
+    }
+
+    /// The head is past the base without this change, so it never takes effect.
+    fn overtaken(&mut self, head: &Head) -> Vec<PublishAction> {
+        let base = self.change.base;
+        if head.covers(base) {
+            return self.finish(Outcome::Conflict(head.after(base).cloned()));
+        }
+        if self.doubtful > 0 {
+            return self.finish(Outcome::Unknown);
+        }
+        self.finish(Outcome::Conflict(None))
+    }
+
+    fn on_read_failed(&mut self, now: Instant) -> Vec<PublishAction> {
+        if self.step == Step::Read && self.waiting {
+            self.back_off(now);
+        }
+        Vec::new()
+    }
+
+    fn on_chunk_put(&mut self, now: Instant, digest: Digest, put: &Put) -> Vec<PublishAction> {
+        self.in_flight.remove(&digest);
+        match put {
+            // A conflict says that the chunk is there already.
+            Put::Done(_) | Put::Conflict => {
+                self.chunks.remove(&digest);
+            }
+            Put::Refused(_) | Put::Unknown(_) => {
+                if self.step == Step::PutChunks && self.in_flight.is_empty() {
+                    self.back_off(now);
+                }
+                return Vec::new();
+            }
+        }
+        if self.step == Step::PutChunks {
+            return self.act(now);
+        }
+        Vec::new()
+    }
+
+    fn on_head_put(&mut self, now: Instant, put: &Put) -> Vec<PublishAction> {
+        let version = self.update.as_ref().map(|(head, _)| head.version);
+        match put {
+            Put::Done(_) => {
+                let version = version.unwrap_or_default();
+                return self.finish(Outcome::Accepted(version));
+            }
+            Put::Conflict | Put::Refused(_) => self.doubtful = self.doubtful.saturating_sub(1),
+            Put::Unknown(_) => {}
+        }
+        if self.step == Step::PutHead {
+            self.step = Step::Read;
+            self.back_off(now);
+        }
+        Vec::new()
+    }
+
+    /// Sends what the present step asks for.
+    fn act(&mut self, now: Instant) -> Vec<PublishAction> {
+        if self.step == Step::PutChunks && self.chunks.is_empty() {
+            self.step = Step::PutHead;
+        }
+        self.waiting = true;
+        self.wake_at = now + ANSWER_TIMEOUT;
+        match (self.step, &self.update) {
+            (Step::PutHead, Some((head, when))) => {
+                self.doubtful += 1;
+                vec![PublishAction::PutHead(head.clone(), *when)]
+            }
+            (Step::PutChunks, Some(_)) => self.put_chunks(),
+            (Step::Read | Step::PutHead | Step::PutChunks, _) => vec![PublishAction::ReadHead],
+            (Step::Done, _) => Vec::new(),
+        }
+    }
+
+    fn put_chunks(&mut self) -> Vec<PublishAction> {
+        let free = CHUNKS_IN_FLIGHT.saturating_sub(self.in_flight.len());
+        let idle = self.chunks.iter();
+        let idle = idle.filter(|(digest, _)| !self.in_flight.contains(*digest));
+        let batch: Vec<_> = idle
+            .take(free)
+            .map(|(digest, chunk)| (*digest, chunk.clone()))
+            .collect();
+        self.in_flight
+            .extend(batch.iter().map(|(digest, _)| *digest));
+        let puts = batch.into_iter();
+        puts.map(|(digest, chunk)| PublishAction::PutChunk(digest, chunk))
+            .collect()
+    }
+
+    fn back_off(&mut self, now: Instant) {
+        let wait = RETRY_MIN * (1 << self.retries.min(RETRY_DOUBLINGS_MAX));
+        let jitter = mix(self.change.nonce ^ u64::from(self.retries)) % 1_024;
+        self.retries += 1;
+        self.waiting = false;
+        self.wake_at = now + wait + wait * u32::try_from(jitter).unwrap_or(0) / 2_048;
+    }
+
+    fn give_up(&mut self) -> Vec<PublishAction> {
+        if self.doubtful > 0 {
+            return self.finish(Outcome::Unknown);
+        }
+        self.finish(Outcome::Refused)
+    }
+
+    fn finish(&mut self, outcome: Outcome) -> Vec<PublishAction> {
+        self.step = Step::Done;
+        vec![PublishAction::Finish(outcome)]
+    }
+}
--- /dev/null
+++ b/crates/coordination/configuration/tests/world/mod.rs
@@ -0,0 +1,468 @@
+//! Replicas, operators and a platform in virtual time, with faults.
+
+#![allow(dead_code, reason = "each test uses a part")]
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hemlockwind_configuration::*;
+use hemlockwind_core::Error;
+use hemlockwind_core::config::Version;
+use hemlockwind_core::edges::ObjectVersion;
+use hemlockwind_core::edges::Precondition;
+use hemlockwind_core::edges::Put;
+use hemlockwind_core::names::InstanceKey;
+use hemlockwind_core::names::Names;
+use hemlockwind_core::time::Instant;
+use hemlockwind_core::time::WallTime;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+/// Bytes of framing that each message costs beside its content.
+pub const FRAME_BYTES: usize = 64;
+
+enum Happening {
+    Deliver(usize, u32, InstanceKey, Message),
+    Stored(usize, u32, Head),
+    Chunk(usize, u32, Bytes),
+    Timer(usize, u32),
+    Operator(usize, PublishEvent),
+    OperatorTimer(usize),
+    LateUpdate(Head, Precondition),
+}
+
+pub struct Node {
+    pub replica: Replica,
+    pub key: InstanceKey,
+    pub dc: usize,
+    pub up: bool,
+    pub life: u32,
+    pub watch: bool,
+    pub bytes_out: usize,
+    pub messages_out: usize,
+    pub in_force_at: Instant,
+    timer_at: Instant,
+}
+
+pub struct Operator {
+    pub publish: Publish,
+    pub base: Version,
+    pub nonce: u64,
+    pub dc: usize,
+    pub outcome: Option<Outcome>,
+    pub done_at: Instant,
+}
+
+#[derive(Clone, Copy, Default)]
+pub struct Faults {
+    pub loss: f64,
+    pub late: f64,
+    pub twice: f64,
+    pub stale: f64,
+    pub lost_answer: f64,
+    pub dropped_watch: f64,
+    pub outage: bool,
+}
+
+pub struct World {
+    pub now: Instant,
+    pub rng: SmallRng,
+    pub nodes: Vec<Node>,
+    pub faults: Faults,
+    pub cuts: Vec<Vec<bool>>,
+    pub platform_cuts: Vec<bool>,
+    pub history: Vec<(ObjectVersion, Head)>,
+    pub bodies: BTreeMap<u64, Bytes>,
+    pub operators: Vec<Operator>,
+    pub platform_calls: usize,
+    stored_chunks: BTreeMap<Digest, Bytes>,
+    queue: BinaryHeap<Reverse<(Instant, u64)>>,
+    happenings: BTreeMap<u64, Happening>,
+    sent: u64,
+}
+
+impl World {
+    pub fn new(seed: u64, sizes: &[usize]) -> Self {
+        let mut names = Names::default();
+        let dcs = sizes.iter().enumerate();
+        let dcs = dcs.flat_map(|(dc, &n)| std::iter::repeat_n(dc, n));
+        let nodes = dcs.enumerate().map(|(i, dc)| {
+            let key: InstanceKey = names.intern(&format!("instance-{i}"));
+            Node {
+                replica: Replica::new(Instant::ZERO, key, seed ^ i as u64),
+                key,
+                dc,
+                up: true,
+                life: 0,
+                watch: false,
+                bytes_out: 0,
+                messages_out: 0,
+                in_force_at: Instant::ZERO,
+                timer_at: Instant::NEVER,
+            }
+        });
+        let mut world = Self {
+            now: Instant::ZERO,
+            rng: SmallRng::seed_from_u64(seed),
+            nodes: nodes.collect(),
+            faults: Faults::default(),
+            cuts: vec![vec![false; sizes.len()]; sizes.len()],
+            platform_cuts: vec![false; sizes.len()],
+            history: Vec::new(),
+            bodies: BTreeMap::new(),
+            operators: Vec::new(),
+            platform_calls: 0,
+            stored_chunks: BTreeMap::new(),
+            queue: BinaryHeap::new(),
+            happenings: BTreeMap::new(),
+            sent: 0,
+        };
+        world.refresh_peers();
+        (0..world.nodes.len()).for_each(|node| world.event(node, Event::Timer));
+        world
+    }
+
+    /// Tells every live instance who is live, as membership would.
+    pub fn refresh_peers(&mut self) {
+        let dcs = self.cuts.len();
+        let mut order = vec![Vec::new(); dcs];
+        for (i, node) in self.nodes.iter().enumerate().filter(|(_, n)| n.up) {
+            order[node.dc].push((i * 7_919 % 101, node.key));
+        }
+        order.iter_mut().for_each(|of| of.sort());
+        for i in 0..self.nodes.len() {
+            if !self.nodes[i].up {
+                continue;
+            }
+            let dc = self.nodes[i].dc;
+            let keys = |of: &Vec<(usize, InstanceKey)>, n| -> Vec<_> {
+                of.iter().take(n).map(|(_, key)| *key).collect()
+            };
+            let live = self.nodes.iter().enumerate();
+            let live = live.filter(|(_, n)| n.up && n.dc == dc);
+            let local = live.map(|(i, n)| Peer {
+                key: n.key,
+                hash: i as u64,
+            });
+            let remote = (0..dcs).filter(|&of| of != dc);
+            let peers = Peers {
+                local: local.collect(),
+                watchers: keys(&order[dc], 2),
+                remote: remote.map(|of| keys(&order[of], 4)).collect(),
+            };
+            self.event(i, Event::Peers(peers));
+        }
+    }
+
+    pub fn head(&self) -> Option<&Head> {
+        self.history.last().map(|(_, head)| head)
+    }
+
+    pub fn restart(&mut self, node: usize, up: bool) {
+        let seed = self.rng.random();
+        let n = &mut self.nodes[node];
+        n.up = up;
+        n.life += 1;
+        n.watch = false;
+        n.in_force_at = Instant::ZERO;
+        n.timer_at = Instant::NEVER;
+        n.replica = Replica::new(self.now, n.key, seed);
+        self.refresh_peers();
+        if up {
+            self.event(node, Event::Timer);
+        }
+    }
+
+    /// An operator in `dc` changes what `base` holds.
+    pub fn publish(&mut self, dc: usize, base: Version, floor: Version, body: Bytes) {
+        let nonce = self.rng.random();
+        let change = Change {
+            author: format!("operator-{}", self.operators.len()).into(),
+            nonce,
+            base,
+            floor,
+            body: body.clone(),
+            at: WallTime::default(),
+            deadline: self.now + Duration::from_secs(6),
+        };
+        self.bodies.insert(nonce, body);
+        let known = self.nodes[0].replica.digests();
+        self.operators.push(Operator {
+            publish: Publish::new(self.now, change, &known),
+            base,
+            nonce,
+            dc,
+            outcome: None,
+            done_at: Instant::NEVER,
+        });
+        self.operator_event(self.operators.len() - 1, PublishEvent::Timer);
+    }
+
+    pub fn run_until(&mut self, end: Instant) {
+        while let Some(&Reverse((at, id))) = self.queue.peek()
+            && at <= end
+        {
+            self.queue.pop();
+            self.now = at;
+            let happening = self.happenings.remove(&id).expect("queued once");
+            self.happen(happening);
+        }
+        self.now = end;
+    }
+
+    pub fn run_for(&mut self, ms: u64) {
+        self.run_until(self.now + Duration::from_millis(ms));
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Deliver(to, life, from, message) if self.alive(to, life) => {
+                self.event(to, Event::Message { from, message });
+            }
+            Happening::Stored(to, life, head) if self.alive(to, life) => {
+                self.event(to, Event::Stored(head));
+            }
+            Happening::Chunk(to, life, chunk) if self.alive(to, life) => {
+                self.event(to, Event::Chunk(chunk));
+            }
+            Happening::Timer(to, life) if self.alive(to, life) => {
+                self.nodes[to].timer_at = Instant::NEVER;
+                self.event(to, Event::Timer);
+            }
+            Happening::Deliver(..)
+            | Happening::Stored(..)
+            | Happening::Chunk(..)
+            | Happening::Timer(..) => {}
+            Happening::Operator(op, event) => self.operator_event(op, event),
+            Happening::OperatorTimer(op) => self.operator_event(op, PublishEvent::Timer),
+            Happening::LateUpdate(head, when) => {
+                self.update(head, when);
+            }
+        }
+    }
+
+    fn alive(&self, node: usize, life: u32) -> bool {
+        self.nodes[node].up && self.nodes[node].life == life
+    }
+
+    fn after(&mut self, us: u64, happening: Happening) {
+        self.sent += 1;
+        let at = self.now + Duration::from_micros(us);
+        self.queue.push(Reverse((at, self.sent)));
+        self.happenings.insert(self.sent, happening);
+    }
+
+    fn event(&mut self, node: usize, event: Event) {
+        let now = self.now;
+        let actions = self.nodes[node].replica.on_event(now, event);
+        for action in actions {
+            self.act(node, action);
+        }
+        let due = self.nodes[node].replica.next_deadline();
+        if due < self.nodes[node].timer_at {
+            self.nodes[node].timer_at = due;
+            let wait = due.since(now).as_micros() as u64;
+            let life = self.nodes[node].life;
+            self.after(wait, Happening::Timer(node, life));
+        }
+    }
+
+    fn act(&mut self, node: usize, action: Action) {
+        let (dc, life) = (self.nodes[node].dc, self.nodes[node].life);
+        match action {
+            Action::Send { to, message } => self.send(node, to, message),
+            Action::ReadHead => {
+                if let Some(head) = self.read_head(dc).flatten() {
+                    let delay = self.platform_delay();
+                    self.after(delay, Happening::Stored(node, life, head.1));
+                }
+            }
+            Action::ReadChunk(digest) => {
+                let stale = self.rng.random_bool(self.faults.stale);
+                let chunk = self.stored_chunks.get(&digest).cloned();
+                self.platform_calls += 1;
+                if let (Some(chunk), false, true) = (chunk, stale, self.platform_answers(dc)) {
+                    let delay = self.platform_delay();
+                    self.after(delay, Happening::Chunk(node, life, chunk));
+                }
+            }
+            Action::Watch(on) => self.nodes[node].watch = on,
+            Action::PutInForce { head, body } => self.check_in_force(node, &head, &body),
+        }
+    }
+
+    /// What is in force was accepted, is whole, and never goes back.
+    fn check_in_force(&mut self, node: usize, head: &Head, body: &Bytes) {
+        let nonce = head.recent.last().expect("one made it").nonce;
+        assert!(
+            self.history.iter().any(|(_, h)| h == head),
+            "in force but never accepted: {head:?}"
+        );
+        assert_eq!(&self.bodies[&nonce], body, "in force but not whole");
+        self.nodes[node].in_force_at = self.now;
+    }
+
+    fn send(&mut self, node: usize, to: InstanceKey, message: Message) {
+        self.nodes[node].bytes_out += FRAME_BYTES + message_bytes(&message);
+        self.nodes[node].messages_out += 1;
+        // Keys are interned in order.
+        let to = (slotmap_index(to) - 1) as usize;
+        let (a, b) = (self.nodes[node].dc, self.nodes[to].dc);
+        if self.cuts[a][b] || self.rng.random_bool(self.faults.loss) {
+            return;
+        }
+        let copies = 1 + usize::from(self.rng.random_bool(self.faults.twice));
+        for _ in 0..copies {
+            let (life, from) = (self.nodes[to].life, self.nodes[node].key);
+            let late = self.rng.random_bool(self.faults.late);
+            let most = if late { 4_000_000 } else { 1_500 };
+            let delay = self.rng.random_range(300..most);
+            self.after(delay, Happening::Deliver(to, life, from, message.clone()));
+        }
+    }
+
+    fn platform_answers(&self, dc: usize) -> bool {
+        !self.faults.outage && !self.platform_cuts[dc]
+    }
+
+    fn platform_delay(&mut self) -> u64 {
+        let late = self.rng.random_bool(self.faults.late);
+        self.rng
+            .random_range(1_000..if late { 3_000_000 } else { 5_000 })
+    }
+
+    fn read_head(&mut self, dc: usize) -> Option<Option<(ObjectVersion, Head)>> {
+        self.platform_calls += 1;
+        if !self.platform_answers(dc) {
+            return None;
+        }
+        let stale = self.rng.random_bool(self.faults.stale);
+        let back = if stale {
+            self.rng.random_range(1..4)
+        } else {
+            1
+        };
+        let at = self.history.len().checked_sub(back);
+        Some(at.map(|at| self.history[at].clone()))
+    }
+
+    /// A conditional update of the head.
+    fn update(&mut self, head: Head, when: Precondition) -> Put {
+        let at = self.history.last().map(|(version, _)| *version);
+        let holds = match when {
+            Precondition::Absent => at.is_none(),
+            Precondition::Version(version) => at == Some(version),
+            Precondition::None => true,
+        };
+        if !holds {
+            return Put::Conflict;
+        }
+        let version = ObjectVersion(at.map_or(17, |at| at.0 + 3));
+        let chunks = head.clone();
+        let mut known = Chunks::default();
+        let stored = self.stored_chunks.values();
+        stored.for_each(|chunk| known.insert(chunk.clone()));
+        assert!(
+            known.assemble(&chunks).is_some(),
+            "accepted before it was whole"
+        );
+        self.history.push((version, head.clone()));
+        for node in 0..self.nodes.len() {
+            let n = &self.nodes[node];
+            let (dc, life) = (n.dc, n.life);
+            let told = n.watch && n.up && self.platform_answers(dc);
+            if told && !self.rng.random_bool(self.faults.dropped_watch) {
+                let delay = self.platform_delay();
+                self.after(delay, Happening::Stored(node, life, head.clone()));
+            }
+        }
+        Put::Done(version)
+    }
+
+    fn operator_event(&mut self, op: usize, event: PublishEvent) {
+        let now = self.now;
+        let actions = self.operators[op].publish.on_event(now, event);
+        for action in actions {
+            self.operator_act(op, action);
+        }
+        let due = self.operators[op].publish.next_deadline();
+        if due != Instant::NEVER {
+            let wait = due.since(now).as_micros() as u64;
+            self.after(wait.max(1), Happening::OperatorTimer(op));
+        }
+    }
+
+    fn operator_act(&mut self, op: usize, action: PublishAction) {
+        let dc = self.operators[op].dc;
+        let doubt = self.rng.random_bool(self.faults.lost_answer);
+        let delay = self.platform_delay();
+        let answer = match action {
+            PublishAction::ReadHead => match self.read_head(dc) {
+                Some(found) => PublishEvent::HeadRead(found.map(|(v, head)| (head, v))),
+                None => PublishEvent::ReadFailed,
+            },
+            PublishAction::PutChunk(digest, chunk) => {
+                let put = if !self.platform_answers(dc) {
+                    Put::Refused(Error::platform_unavailable("outage"))
+                } else if doubt && self.rng.random() {
+                    Put::Unknown(Error::platform_unknown("lost"))
+                } else {
+                    self.stored_chunks.insert(digest, chunk);
+                    Put::Done(ObjectVersion(1))
+                };
+                PublishEvent::ChunkPut(digest, put)
+            }
+            PublishAction::PutHead(head, when) => {
+                let unknown = PublishEvent::HeadPut(Put::Unknown(Error::platform_unknown("lost")));
+                if !self.platform_answers(dc) {
+                    let refused = Put::Refused(Error::platform_unavailable("outage"));
+                    PublishEvent::HeadPut(refused)
+                } else if !doubt {
+                    PublishEvent::HeadPut(self.update(head, when))
+                } else {
+                    match self.rng.random_range(0..4) {
+                        // The effect without, or after, or long after the answer.
+                        0 => drop(self.update(head, when)),
+                        1 => self.after(2_000_000, Happening::LateUpdate(head, when)),
+                        2 => {
+                            self.update(head, when);
+                            return;
+                        }
+                        _ => {}
+                    }
+                    unknown
+                }
+            }
+            PublishAction::Finish(outcome) => {
+                self.operators[op].outcome = Some(outcome);
+                self.operators[op].done_at = self.now;
+                return;
+            }
+        };
+        self.after(delay, Happening::Operator(op, answer));
+    }
+}
+
+fn slotmap_index(key: InstanceKey) -> u64 {
+    use slotmap::Key;
+    key.data().as_ffi() & 0xffff_ffff
+}
+
+pub fn head_bytes(head: &Head) -> usize {
+    let recent = head.recent.iter().map(|entry| 26 + entry.author.len());
+    48 + recent.sum::<usize>()
+}
+
+fn message_bytes(message: &Message) -> usize {
+    let sizes = |chunks: &[Bytes]| chunks.iter().map(|c| c.len() + 3).sum::<usize>();
+    match message {
+        Message::Version(_) => 9,
+        Message::Push { head, chunks, .. } => head_bytes(head) + sizes(chunks) + 2,
+        Message::Want(digests) => digests.len() * 32 + 2,
+        Message::Chunks(chunks) => sizes(chunks) + 2,
+    }
+}
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -21,7 +21,7 @@
 impl Handler for Peers {
     async fn handle(&self, _from: &str, req: Request) -> Reply {
         match req {
-            Request::Probe(_)
+            Request::Membership(_)
             | Request::Tickets(_)
             | Request::Grants(_)
             | Request::Configuration(_)
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -28,14 +28,14 @@
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub enum Request {
-    /// Are you there, and what do you know of others?
-    Probe(membership::Probe),
+    /// Who is live, suspected, dead or leaving.
+    Membership(membership::Message),
     /// Tickets for the home of a pool.
     Tickets(queueing::Tickets),
     /// Grants from the home of a pool to a driver.
     Grants(queueing::Grants),
-    /// Which configuration do you have, and here is mine.
-    Configuration(configuration::Exchange),
+    /// Versions and pieces of the configuration.
+    Configuration(configuration::Message),
     /// A non-idempotent request for the owner of its key's slot.
     Dispatch(claims::Dispatch),
 }
@@ -46,10 +46,10 @@
 pub enum Reply {
     /// The message was taken.
     Done,
-    /// The answer to a probe.
-    Probe(membership::Probe),
-    /// The answer to an exchange.
-    Configuration(configuration::Exchange),
+    /// The answer about members, where there is one.
+    Membership(membership::Message),
+    /// The answer about the configuration, where there is one.
+    Configuration(configuration::Message),
     /// The answer to a dispatch.
     Dispatch(claims::Dispatched),
     /// The message was refused, with the code's number and a sentence.
--- a/crates/protocol/src/peer/configuration.rs
+++ b/crates/protocol/src/peer/configuration.rs
@@ -1,14 +1,187 @@
-//! The periodic exchange of configuration versions, and the push of new ones.
+//! Versions and pieces of the configuration, between instances and as stored.
 
+use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
 
-/// `Exchange` tells which version an instance has, and may carry a document.
+use hemlockwind_configuration as domain;
+use hemlockwind_configuration::Digest;
+use hemlockwind_core::Error;
+use hemlockwind_core::Result;
+use hemlockwind_core::config::Version;
+use hemlockwind_core::time::WallTime;
+
+/// The levels of nodes in a tree at most.
+const DEPTH_LIMIT: u8 = 6;
+/// Chunks or digests in one message at most.
+const LIST_LIMIT: usize = 256;
+
+/// `Message` is the wire form of [`domain::Message`].
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
-pub struct Exchange {
+pub enum Message {
     /// The version in force at the sender.
+    Version(u64),
+    /// A head with some of its chunks.
+    Push {
+        /// The head.
+        head: Head,
+        /// Chunks that are new in it.
+        chunks: Vec<Vec<u8>>,
+        /// Whether to push it on along the tree.
+        tree: bool,
+    },
+    /// Digests of chunks that the sender lacks.
+    Want(Vec<[u8; 32]>),
+    /// Chunks that were wanted.
+    Chunks(Vec<Vec<u8>>),
+}
+
+/// `Head` names one accepted configuration; it is also what the platform holds.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Head {
+    /// The version.
     pub version: u64,
-    /// The whole document, when the sender believes that the other lacks it.
-    pub document: Option<Vec<u8>>,
+    /// The digest of the top of the tree.
+    pub root: [u8; 32],
+    /// The levels of nodes above the leaves.
+    pub depth: u8,
+    /// The size of the document, in bytes.
+    pub len: u64,
+    /// The latest changes, oldest first.
+    pub recent: Vec<Entry>,
+}
+
+/// `Entry` names one accepted change.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Entry {
+    /// The version that the change made.
+    pub version: u64,
+    /// The writer's random number.
+    pub nonce: u64,
+    /// Who made it.
+    pub author: String,
+    /// When, in milliseconds since the Unix epoch.
+    pub at_ms: u64,
+}
+
+impl From<domain::Head> for Head {
+    fn from(head: domain::Head) -> Self {
+        Self {
+            version: head.version.0,
+            root: head.root.0,
+            depth: head.depth,
+            len: head.len,
+            recent: head.recent.into_iter().map(Entry::from).collect(),
+        }
+    }
+}
+
+impl From<domain::Entry> for Entry {
+    fn from(entry: domain::Entry) -> Self {
+        Self {
+            version: entry.version.0,
+            nonce: entry.nonce,
+            author: entry.author.as_ref().into(),
+            at_ms: entry.at.as_millis(),
+        }
+    }
+}
+
+impl TryFrom<Head> for domain::Head {
+    type Error = Error;
+
+    fn try_from(head: Head) -> Result<Self> {
+        if head.depth > DEPTH_LIMIT || head.len > domain::BODY_LIMIT_BYTES {
+            return Err(Error::peer_frame("a document over the limit"));
+        }
+        if head.recent.len() > domain::RECENT_LIMIT {
+            return Err(Error::peer_frame("too many changes in a head"));
+        }
+        if head.recent.last().map(|entry| entry.version) != Some(head.version) {
+            return Err(Error::peer_frame("a head without its own change"));
+        }
+        let recent = head.recent.into_iter().map(domain::Entry::try_from);
+        Ok(Self {
+            version: Version(head.version),
+            root: Digest(head.root),
+            depth: head.depth,
+            len: head.len,
+            recent: recent.collect::<Result<_>>()?,
+        })
+    }
+}
+
+impl TryFrom<Entry> for domain::Entry {
+    type Error = Error;
+
+    fn try_from(entry: Entry) -> Result<Self> {
+        if entry.author.len() > domain::AUTHOR_LIMIT_BYTES {
+            return Err(Error::peer_frame("an author's name over the limit"));
+        }
+        Ok(Self {
+            version: Version(entry.version),
+            nonce: entry.nonce,
+            author: entry.author.into(),
+            at: WallTime::from_millis(entry.at_ms),
+        })
+    }
+}
+
+impl From<domain::Message> for Message {
+    fn from(message: domain::Message) -> Self {
+        let bytes = |chunks: Vec<Bytes>| chunks.into_iter().map(Vec::from).collect();
+        match message {
+            domain::Message::Version(version) => Self::Version(version.0),
+            domain::Message::Push { head, chunks, tree } => Self::Push {
+                head: head.into(),
+                chunks: bytes(chunks),
+                tree,
+            },
+            domain::Message::Want(digests) => {
+                Self::Want(digests.into_iter().map(|digest| digest.0).collect())
+            }
+            domain::Message::Chunks(chunks) => Self::Chunks(bytes(chunks)),
+        }
+    }
+}
+
+impl TryFrom<Message> for domain::Message {
+    type Error = Error;
+
+    fn try_from(message: Message) -> Result<Self> {
+        Ok(match message {
+            Message::Version(version) => Self::Version(Version(version)),
+            Message::Push { head, chunks, tree } => Self::Push {
+                head: head.try_into()?,
+                chunks: read_chunks(chunks)?,
+                tree,
+            },
+            Message::Want(digests) => {
+                bounded(digests.len())?;
+                Self::Want(digests.into_iter().map(Digest).collect())
+            }
+            Message::Chunks(chunks) => Self::Chunks(read_chunks(chunks)?),
+        })
+    }
+}
+
+fn read_chunks(chunks: Vec<Vec<u8>>) -> Result<Vec<Bytes>> {
+    bounded(chunks.len())?;
+    if chunks
+        .iter()
+        .any(|chunk| chunk.len() > domain::CHUNK_LIMIT_BYTES)
+    {
+        return Err(Error::peer_frame("a chunk over the limit"));
+    }
+    Ok(chunks.into_iter().map(Bytes::from).collect())
+}
+
+fn bounded(len: usize) -> Result<()> {
+    if len > LIST_LIMIT {
+        return Err(Error::peer_frame("a list over the limit"));
+    }
+    Ok(())
 }
--- a/crates/protocol/src/peer/membership.rs
+++ b/crates/protocol/src/peer/membership.rs
@@ -5,16 +5,43 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// `Probe` asks whether an instance is there, and carries news.
-#[derive(Clone, Debug, Default, PartialEq)]
+use hemlockwind_core::Error;
+use hemlockwind_core::Result;
+use hemlockwind_membership as domain;
+
+/// The size of a name at most, in bytes.
+const NAME_LIMIT_BYTES: usize = 128;
+/// Entries in one message at most.
+const LIST_LIMIT: usize = 8_192;
+
+/// `Message` is the wire form of [`domain::Message`].
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub enum Message {
+    /// Are you there?
+    Probe(u64, Told),
+    /// The probe of this number was answered.
+    Ack(u64, Told),
+    /// Probe the instance of this name, and acknowledge with this number.
+    ProbeFor(u64, String, Told),
+    /// News without a question.
+    Tell(Told),
+    /// The whole table; the answer is one as well when asked for.
+    Sync(Told, bool),
+}
+
+/// `Told` goes with every message.
+#[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
-pub struct Probe {
+pub struct Told {
+    /// The sender, as it believes of itself.
+    pub me: News,
+    /// A number that is the same where the same is believed.
+    pub digest: u64,
     /// News of instances.
-    pub instances: Vec<News>,
-    /// Names of backend servers that are leaving.
-    pub leaving: Vec<String>,
-    /// The version of the configuration in force.
-    pub config: u64,
+    pub news: Vec<News>,
+    /// News of backend servers.
+    pub departures: Vec<Departure>,
 }
 
 /// `News` is what one instance believes of another.
@@ -27,7 +54,7 @@
     pub data_centre: String,
     /// Its address for peers.
     pub addr: SocketAddr,
-    /// The count of its starts and of its own denials of death; higher wins.
+    /// Orders what is said of one instance; higher wins.
     pub incarnation: u64,
     /// What it is believed to be.
     pub state: State,
@@ -39,10 +66,161 @@
 pub enum State {
     /// It answers.
     Live,
-    /// It did not answer; others are asked.
+    /// It did not answer and may deny its death.
     Suspect,
     /// It is stopping.
     Leaving,
     /// It is gone.
     Dead,
 }
+
+/// `Departure` tells whether a backend server is leaving.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Departure {
+    /// The backend server's name.
+    pub name: String,
+    /// Orders what is said of one backend server; higher wins.
+    pub incarnation: u64,
+    /// Whether it is leaving, or back again.
+    pub leaving: bool,
+}
+
+impl From<domain::State> for State {
+    fn from(state: domain::State) -> Self {
+        match state {
+            domain::State::Live => Self::Live,
+            domain::State::Suspect => Self::Suspect,
+            domain::State::Leaving => Self::Leaving,
+            domain::State::Dead => Self::Dead,
+        }
+    }
+}
+
+impl From<State> for domain::State {
+    fn from(state: State) -> Self {
+        match state {
+            State::Live => Self::Live,
+            State::Suspect => Self::Suspect,
+            State::Leaving => Self::Leaving,
+            State::Dead => Self::Dead,
+        }
+    }
+}
+
+impl From<domain::News> for News {
+    fn from(news: domain::News) -> Self {
+        Self {
+            name: news.identity.name.as_ref().into(),
+            data_centre: news.identity.data_centre.as_ref().into(),
+            addr: news.identity.addr,
+            incarnation: news.incarnation.0,
+            state: news.state.into(),
+        }
+    }
+}
+
+impl TryFrom<News> for domain::News {
+    type Error = Error;
+
+    fn try_from(news: News) -> Result<Self> {
+        Ok(Self {
+            identity: domain::Identity {
+                name: read_name(news.name)?.into(),
+                data_centre: read_name(news.data_centre)?.into(),
+                addr: news.addr,
+            },
+            incarnation: domain::Incarnation(news.incarnation),
+            state: news.state.into(),
+        })
+    }
+}
+
+impl From<domain::Departure> for Departure {
+    fn from(departure: domain::Departure) -> Self {
+        Self {
+            name: departure.name.as_ref().into(),
+            incarnation: departure.incarnation,
+            leaving: departure.leaving,
+        }
+    }
+}
+
+impl TryFrom<Departure> for domain::Departure {
+    type Error = Error;
+
+    fn try_from(departure: Departure) -> Result<Self> {
+        Ok(Self {
+            name: read_name(departure.name)?.into(),
+            incarnation: departure.incarnation,
+            leaving: departure.leaving,
+        })
+    }
+}
+
+impl From<domain::Told> for Told {
+    fn from(told: domain::Told) -> Self {
+        Self {
+            me: told.me.into(),
+            digest: told.digest,
+            news: told.news.into_iter().map(News::from).collect(),
+            departures: told.departures.into_iter().map(Departure::from).collect(),
+        }
+    }
+}
+
+impl TryFrom<Told> for domain::Told {
+    type Error = Error;
+
+    fn try_from(told: Told) -> Result<Self> {
+        if told.news.len().max(told.departures.len()) > LIST_LIMIT {
+            return Err(Error::peer_frame("a list over the limit"));
+        }
+        let news = told.news.into_iter().map(domain::News::try_from);
+        let departures = told.departures.into_iter();
+        let departures = departures.map(domain::Departure::try_from);
+        Ok(Self {
+            me: told.me.try_into()?,
+            digest: told.digest,
+            news: news.collect::<Result<_>>()?,
+            departures: departures.collect::<Result<_>>()?,
+        })
+    }
+}
+
+impl From<domain::Message> for Message {
+    fn from(message: domain::Message) -> Self {
+        match message {
+            domain::Message::Probe(number, told) => Self::Probe(number, told.into()),
+            domain::Message::Ack(number, told) => Self::Ack(number, told.into()),
+            domain::Message::ProbeFor(number, target, told) => {
+                Self::ProbeFor(number, target.as_ref().into(), told.into())
+            }
+            domain::Message::Tell(told) => Self::Tell(told.into()),
+            domain::Message::Sync(told, reply) => Self::Sync(told.into(), reply),
+        }
+    }
+}
+
+impl TryFrom<Message> for domain::Message {
+    type Error = Error;
+
+    fn try_from(message: Message) -> Result<Self> {
+        Ok(match message {
+            Message::Probe(number, told) => Self::Probe(number, told.try_into()?),
+            Message::Ack(number, told) => Self::Ack(number, told.try_into()?),
+            Message::ProbeFor(number, target, told) => {
+                Self::ProbeFor(number, read_name(target)?.into(), told.try_into()?)
+            }
+            Message::Tell(told) => Self::Tell(told.try_into()?),
+            Message::Sync(told, reply) => Self::Sync(told.try_into()?, reply),
+        })
+    }
+}
+
+fn read_name(name: String) -> Result<String> {
+    if name.is_empty() || name.len() > NAME_LIMIT_BYTES {
+        return Err(Error::peer_frame("a name that is empty or over the limit"));
+    }
+    Ok(name)
+}
--- a/crates/transport/peer/src/client.rs
+++ b/crates/transport/peer/src/client.rs
@@ -196,7 +196,7 @@
         Request::Dispatch(dispatch) => {
             Duration::from_millis(dispatch.deadline_ms.into()) + DISPATCH_GRACE
         }
-        Request::Probe(_)
+        Request::Membership(_)
         | Request::Tickets(_)
         | Request::Grants(_)
         | Request::Configuration(_) => CALL_TIMEOUT,
--- a/crates/transport/peer/tests/peers.rs
+++ b/crates/transport/peer/tests/peers.rs
@@ -22,7 +22,7 @@
 use hemlockwind_protocol::peer::Peer;
 use hemlockwind_protocol::peer::Reply;
 use hemlockwind_protocol::peer::Request;
-use hemlockwind_protocol::peer::configuration::Exchange;
+use hemlockwind_protocol::peer::configuration::Message;
 
 /// `Echo` answers with the same message and counts them.
 #[derive(Default)]
@@ -35,8 +35,8 @@
     async fn handle(&self, _from: &str, req: Request) -> Reply {
         self.handled.fetch_add(1, Ordering::SeqCst);
         match req {
-            Request::Configuration(exchange) => Reply::Configuration(exchange),
-            Request::Probe(_)
+            Request::Configuration(message) => Reply::Configuration(message),
+            Request::Membership(_)
             | Request::Tickets(_)
             | Request::Grants(_)
             | Request::Dispatch(_) => Reply::Done,
@@ -62,10 +62,7 @@
 
 /// A message of `len` bytes and a little.
 fn message(len: usize) -> Request {
-    Request::Configuration(Exchange {
-        version: 7,
-        document: Some(vec![1; len]),
-    })
+    Request::Configuration(Message::Chunks(vec![vec![1; len]]))
 }
 
 #[tokio::test]
@@ -75,10 +72,10 @@
     // One message that fills many frames of the transport, too.
     for len in [0, 10, 3_000_000] {
         let reply = peer.call(addr, message(len)).await.unwrap();
-        let Reply::Configuration(exchange) = reply else {
+        let Reply::Configuration(Message::Chunks(chunks)) = reply else {
             panic!("the reply is of another kind");
         };
-        assert_eq!(exchange.document.unwrap().len(), len);
+        assert_eq!(chunks, [vec![1; len]]);
     }
     assert_eq!(echo.handled.load(Ordering::SeqCst), 3);
 }
