--- a/crates/protocol/src/peer/queueing.rs
+++ b/crates/protocol/src/peer/queueing.rs
@@ -1,51 +1,310 @@
 //! Tickets from drivers to a pool's home, and grants back.
+//!
+//! Instants don't travel: a message carries the milliseconds that remain.
+
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
 use uuid::Uuid;
 
-/// `Tickets` is a batch of news from one driver to a pool's home.
-#[derive(Clone, Debug, PartialEq)]
+use hemlockwind_core::Error;
+use hemlockwind_core::Result;
+use hemlockwind_core::engine::RequestId;
+use hemlockwind_core::names::OrganisationKey;
+use hemlockwind_core::names::Rank;
+use hemlockwind_core::time::Instant;
+use hemlockwind_queueing::message;
+use hemlockwind_queueing::ticket;
+
+/// The cost of one ticket at most, in tokens times layers.
+const COST_LIMIT: u64 = 1 << 40;
+/// Ticket and grants in one message at most.
+const LIST_LIMIT: usize = 1 << 16;
+/// Credits in one message at most.
+const CREDIT_LIMIT: u32 = 1 << 10;
+
+/// `Stamp` is the wire form of [`message::Stamp`].
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Stamp {
+    /// The start of the sender.
+    pub session: u64,
+    /// The number in the session.
+    pub number: u64,
+}
+
+/// `Tickets` is a report from one driver to a pool's home.
+#[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct Tickets {
     /// The pool's name: model and data centre.
     pub pool: String,
-    /// New tickets, or all waiting ones when the home is new.
-    pub waiting: Vec<Ticket>,
-    /// Tickets that were granted and have ended.
-    pub finished: Vec<Uuid>,
+    /// The stamp of this report.
+    pub stamp: Stamp,
+    /// The last stamp of the home that the driver has taken.
+    pub seen: Stamp,
+    /// Whether these are all tickets of the driver.
+    pub whole: bool,
+    /// Whether the driver now has another home.
+    pub leaving: bool,
+    /// New tickets, or all of them.
+    pub tickets: Vec<Ticket>,
+    /// Running requests that ended, with the cost that they had.
+    pub finished: Vec<(Uuid, u64)>,
     /// Tickets withdrawn before a grant.
     pub withdrawn: Vec<Uuid>,
+    /// Unused credits.
+    pub credits: u32,
+    /// Waiting tickets in all.
+    pub waiting: u32,
+    /// Running tickets in all.
+    pub running: u32,
 }
 
-/// `Ticket` asks for one slot of a pool.
+/// `Ticket` is the wire form of [`ticket::Ticket`].
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct Ticket {
     /// The request.
     pub request: Uuid,
-    /// The organisation's name.
+    /// The organisation's name; its share is in the receiver's configuration.
     pub organisation: String,
     /// The rank, 0 the most urgent.
     pub rank: u8,
     /// The expected cost, tokens times layers.
     pub cost: u64,
-    /// Milliseconds that remain until the deadline.
-    pub deadline_ms: u32,
-    /// Whether the request already runs on a credit or a former home's grant.
+    /// Milliseconds that remain until the latest useful start.
+    pub deadline_ms: u64,
+    /// Whether the request runs already.
     pub running: bool,
 }
 
-/// `Grants` is a batch of grants and refusals for one driver.
-#[derive(Clone, Debug, PartialEq)]
+/// `Grants` is an answer from a pool's home to one driver.
+#[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct Grants {
     /// The pool's name.
     pub pool: String,
+    /// The stamp of this message.
+    pub stamp: Stamp,
     /// Requests that may start now.
     pub granted: Vec<Uuid>,
-    /// Requests refused, with milliseconds after which a retry may succeed.
-    pub refused: Vec<(Uuid, u32)>,
+    /// Requests that will not be granted.
+    pub refused: Vec<Refusal>,
     /// Requests that the driver may start in advance of a ticket.
     pub credits: u32,
+    /// Whether the driver must give up its unused credits first.
+    pub revoke: bool,
+    /// Whether the driver must report all its tickets.
+    pub resend: bool,
+    /// The estimated wait of a new ticket by rank, in milliseconds.
+    pub waits_ms: Vec<u32>,
+}
+
+/// `Refusal` is the wire form of [`ticket::Refusal`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Refusal {
+    /// The request.
+    pub request: Uuid,
+    /// Why.
+    pub reason: Reason,
+    /// Milliseconds after which a retry may succeed.
+    pub retry_ms: u32,
+}
+
+/// `Reason` is the wire form of [`ticket::Reason`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub enum Reason {
+    /// The queue of the organisation and rank is full.
+    QueueFull,
+    /// The estimated wait passes the deadline.
+    DeadlineUnmeetable,
+    /// The deadline passed while the ticket waited.
+    DeadlinePassed,
+}
+
+impl From<message::Stamp> for Stamp {
+    fn from(stamp: message::Stamp) -> Self {
+        Self {
+            session: stamp.session,
+            number: stamp.number,
+        }
+    }
+}
+
+impl From<Stamp> for message::Stamp {
+    fn from(stamp: Stamp) -> Self {
+        Self {
+            session: stamp.session,
+            number: stamp.number,
+        }
+    }
+}
+
+impl From<ticket::Reason> for Reason {
+    fn from(reason: ticket::Reason) -> Self {
+        match reason {
+            ticket::Reason::QueueFull => Self::QueueFull,
+            ticket::Reason::DeadlineUnmeetable => Self::DeadlineUnmeetable,
+            ticket::Reason::DeadlinePassed => Self::DeadlinePassed,
+        }
+    }
+}
+
+impl From<Reason> for ticket::Reason {
+    fn from(reason: Reason) -> Self {
+        match reason {
+            Reason::QueueFull => Self::QueueFull,
+            Reason::DeadlineUnmeetable => Self::DeadlineUnmeetable,
+            Reason::DeadlinePassed => Self::DeadlinePassed,
+        }
+    }
+}
+
+impl Tickets {
+    /// The message for `report`, sent at `now`; `name` names organisations.
+    pub fn from_report(
+        pool: String,
+        now: Instant,
+        report: message::Report,
+        name: impl Fn(OrganisationKey) -> String,
+    ) -> Self {
+        let ticket = |ticket: &ticket::Ticket| Ticket {
+            request: ticket.request.0,
+            organisation: name(ticket.organisation),
+            rank: ticket.rank.0,
+            cost: ticket.cost,
+            deadline_ms: millis(ticket.deadline.since(now)),
+            running: ticket.running,
+        };
+        let finished = report.finished.iter();
+        Self {
+            pool,
+            stamp: report.stamp.into(),
+            seen: report.seen.into(),
+            whole: report.whole,
+            leaving: report.leaving,
+            tickets: report.tickets.iter().map(ticket).collect(),
+            finished: finished.map(|f| (f.request.0, f.cost)).collect(),
+            withdrawn: report.withdrawn.iter().map(|r| r.0).collect(),
+            credits: report.credits,
+            waiting: report.waiting,
+            running: report.running,
+        }
+    }
+
+    /// The report in this message, received at `now`; `organisation` gives the key
+    /// and share of a name. Tickets of unknown organisations are left out: the
+    /// configuration that knows them has not arrived, and counts that differ make
+    /// the home ask again.
+    ///
+    /// # Errors
+    ///
+    /// `Error::PeerFrame` when a list, a cost or a count is beyond its limit.
+    pub fn into_report(
+        self,
+        now: Instant,
+        organisation: impl Fn(&str) -> Option<(OrganisationKey, f64)>,
+    ) -> Result<message::Report> {
+        let lists = self.tickets.len() + self.finished.len() + self.withdrawn.len();
+        let costs = self.tickets.iter().map(|t| t.cost);
+        let mut costs = costs.chain(self.finished.iter().map(|f| f.1));
+        check(lists <= LIST_LIMIT, "too many tickets")?;
+        check(self.credits <= CREDIT_LIMIT, "too many credits")?;
+        check(costs.all(|c| c <= COST_LIMIT), "a cost is too high")?;
+        let ticket = |wire: Ticket| {
+            let (organisation, share) = organisation(&wire.organisation)?;
+            Some(ticket::Ticket {
+                request: RequestId(wire.request),
+                organisation,
+                share,
+                rank: Rank(wire.rank),
+                cost: wire.cost,
+                deadline: now + Duration::from_millis(wire.deadline_ms),
+                running: wire.running,
+            })
+        };
+        let finished = |(request, cost)| message::Finished {
+            request: RequestId(request),
+            cost,
+        };
+        Ok(message::Report {
+            stamp: self.stamp.into(),
+            seen: self.seen.into(),
+            whole: self.whole,
+            leaving: self.leaving,
+            tickets: self.tickets.into_iter().filter_map(ticket).collect(),
+            finished: self.finished.into_iter().map(finished).collect(),
+            withdrawn: self.withdrawn.into_iter().map(RequestId).collect(),
+            credits: self.credits,
+            waiting: self.waiting,
+            running: self.running,
+        })
+    }
+}
+
+impl Grants {
+    /// The message for `grants`, sent at `now`.
+    pub fn from_grants(pool: String, now: Instant, grants: message::Grants) -> Self {
+        let refusal = |refusal: &ticket::Refusal| Refusal {
+            request: refusal.request.0,
+            reason: refusal.reason.into(),
+            retry_ms: short_millis(refusal.retry_at.since(now)),
+        };
+        Self {
+            pool,
+            stamp: grants.stamp.into(),
+            granted: grants.granted.iter().map(|r| r.0).collect(),
+            refused: grants.refused.iter().map(refusal).collect(),
+            credits: grants.credits,
+            revoke: grants.revoke,
+            resend: grants.resend,
+            waits_ms: grants.waits.into_iter().map(short_millis).collect(),
+        }
+    }
+
+    /// The grants in this message, received at `now`.
+    ///
+    /// # Errors
+    ///
+    /// `Error::PeerFrame` when a list or a count is beyond its limit.
+    pub fn into_grants(self, now: Instant) -> Result<message::Grants> {
+        let lists = self.granted.len() + self.refused.len() + self.waits_ms.len();
+        check(lists <= LIST_LIMIT, "too many grants")?;
+        check(self.credits <= CREDIT_LIMIT, "too many credits")?;
+        let refusal = |wire: Refusal| ticket::Refusal {
+            request: RequestId(wire.request),
+            reason: wire.reason.into(),
+            retry_at: now + Duration::from_millis(wire.retry_ms.into()),
+        };
+        let wait = |ms| Duration::from_millis(u64::from(ms));
+        Ok(message::Grants {
+            stamp: self.stamp.into(),
+            granted: self.granted.into_iter().map(RequestId).collect(),
+            refused: self.refused.into_iter().map(refusal).collect(),
+            credits: self.credits,
+            revoke: self.revoke,
+            resend: self.resend,
+            waits: self.waits_ms.into_iter().map(wait).collect(),
+        })
+    }
+}
+
+fn check(holds: bool, why: &str) -> Result<()> {
+    if holds {
+        Ok(())
+    } else {
+        Err(Error::peer_frame(why))
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn short_millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/protocol/tests/hostile.rs
+++ b/crates/protocol/tests/hostile.rs
@@ -66,9 +66,8 @@
     fn decode_wrong_length(pool in ".{0,20}", cut in 0..12_usize, more in 1..12_usize) {
         let req = Request::Tickets(Tickets {
             pool,
-            waiting: Vec::new(),
-            finished: vec![uuid::Uuid::nil()],
-            withdrawn: Vec::new(),
+            withdrawn: vec![uuid::Uuid::nil()],
+            ..Tickets::default()
         });
         let frame = peer::encode(&req).unwrap();
         prop_assert_eq!(peer::decode::<Request>(&frame).unwrap(), req);
