--- /dev/null
+++ b/crates/hemlockwind/benches/policy/run.rs
@@ -0,0 +1,693 @@
+//! One run in virtual time: arrivals, streams on fixed service times, and the
+//! policy that decides who starts when and where.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use uuid::Uuid;
+
+use hemlockwind::core::engine::RequestId;
+use hemlockwind::core::names::BackendServerKey;
+use hemlockwind::core::names::Names;
+use hemlockwind::core::names::OrganisationKey;
+use hemlockwind::core::names::Rank;
+use hemlockwind::core::time::Instant;
+use hemlockwind::queueing::Home;
+use hemlockwind::queueing::Ticket;
+use hemlockwind::queueing::driver;
+use hemlockwind::queueing::home;
+use hemlockwind::queueing::message::Finished;
+use hemlockwind::queueing::message::Grants;
+use hemlockwind::queueing::message::Report;
+use hemlockwind::routing;
+use hemlockwind::routing::Graph;
+
+use crate::deployment::BALANCER;
+use crate::deployment::DATA_CENTRES;
+use crate::deployment::Deployment;
+use crate::deployment::INSTANCES;
+use crate::deployment::LARGE;
+use crate::deployment::LAYERS;
+use crate::deployment::ORGANISATIONS;
+use crate::deployment::RANKS;
+use crate::deployment::Situation;
+use crate::deployment::fleet;
+use crate::engines::BETWEEN_DATA_CENTRES;
+use crate::engines::Engines;
+use crate::metrics::Outcome;
+use crate::pools::Pools;
+
+/// When counting begins and ends, and when the run ends.
+const COUNT_FROM: Instant = Instant::from_millis(20_000);
+const COUNT_TO: Instant = Instant::from_millis(80_000);
+const END: Instant = Instant::from_millis(95_000);
+/// When a stage is killed, and how long it takes until that is known.
+const KILL_AT: Instant = Instant::from_millis(40_000);
+const DETECTION: Duration = Duration::from_millis(400);
+/// The time between load reports of an engine.
+const REPORT_PERIOD: Duration = Duration::from_millis(500);
+/// The time between two looks of an entry instance for a free slot (baselines).
+const POLL: Duration = Duration::from_millis(20);
+/// Requests that wait in one entry instance at most (baselines).
+const QUEUE_LIMIT: usize = 4_096;
+/// Paths that are tried for one start.
+const PATH_TRIES: usize = 12;
+/// The time of a message inside a data centre.
+const INSIDE: Duration = Duration::from_micros(250);
+
+/// `Policy` is what decides.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Policy {
+    /// Tickets at a home for each pool.
+    Home,
+    /// First come first served at each entry instance alone.
+    Fifo,
+    /// Strict rank at each entry instance alone.
+    StrictRank,
+    /// Round robin over fixed chains.
+    Chains,
+}
+
+enum Event {
+    Arrive(usize),
+    Token(usize, u32),
+    Poll(usize),
+    Report(usize, usize, Report),
+    Grants(usize, usize, Grants),
+    HomeTick(usize),
+    DriverTick(usize, usize),
+    Measure,
+    Loads(Vec<u32>),
+    Kill,
+    Detect,
+}
+
+struct Stream {
+    instance: usize,
+    pool: usize,
+    rank: usize,
+    organisation: usize,
+    arrived: Instant,
+    deadline: Instant,
+    tokens: u32,
+    done: u32,
+    first_at: Instant,
+    path: Vec<usize>,
+    epoch: u32,
+    tried: [bool; DATA_CENTRES],
+}
+
+/// `Run` is the state of one run.
+pub struct Run<'a> {
+    deployment: &'a Deployment,
+    situation: &'a Situation,
+    policy: Policy,
+    now: Instant,
+    rng: SmallRng,
+    heap: BinaryHeap<Reverse<(Instant, u64, usize)>>,
+    events: Vec<Option<Event>>,
+    spare: Vec<usize>,
+    count: u64,
+    engines: Engines,
+    graphs: Vec<Vec<Graph>>,
+    streams: Vec<Stream>,
+    organisations: Vec<OrganisationKey>,
+    pools: Pools,
+    ticks: BTreeMap<(usize, usize), Instant>,
+    queues: Vec<BTreeMap<(usize, usize), usize>>,
+    chains: Vec<Vec<usize>>,
+    next_chain: Vec<usize>,
+    rates: [f64; RANKS],
+    killed: Option<usize>,
+    tokens: u64,
+    requests: u64,
+    outcome: Outcome,
+}
+
+/// Runs one situation under one policy.
+pub fn run(deployment: &Deployment, situation: &Situation, policy: Policy, seed: u64) -> Outcome {
+    let mut run = Run::new(deployment, situation, policy, seed);
+    run.start();
+    while let Some(Reverse((at, _, index))) = run.heap.pop() {
+        if at > END {
+            break;
+        }
+        run.now = at;
+        let event = run.events[index].take();
+        run.spare.push(index);
+        run.handle(event.expect("an event is handled once"));
+    }
+    run.finish()
+}
+
+impl<'a> Run<'a> {
+    fn new(
+        deployment: &'a Deployment,
+        situation: &'a Situation,
+        policy: Policy,
+        seed: u64,
+    ) -> Self {
+        let engines = Engines::new(fleet(situation.slow_links));
+        let graphs: Vec<Vec<Graph>> = INSTANCES
+            .iter()
+            .map(|_| (0..DATA_CENTRES).map(|dc| engines.graph(dc)).collect())
+            .collect();
+        let capacities: Vec<_> = graphs[0].iter().map(|g| g.bound_streams() as u32).collect();
+        let mut names = Names::<OrganisationKey>::default();
+        let organisations = (0..ORGANISATIONS).map(|i| names.intern(&i.to_string()));
+        Self {
+            deployment,
+            situation,
+            policy,
+            now: Instant::ZERO,
+            rng: SmallRng::seed_from_u64(seed),
+            heap: BinaryHeap::new(),
+            events: Vec::new(),
+            spare: Vec::new(),
+            count: 0,
+            graphs,
+            streams: Vec::new(),
+            organisations: organisations.collect(),
+            pools: Pools::new(deployment, &capacities),
+            ticks: BTreeMap::new(),
+            queues: vec![BTreeMap::new(); INSTANCES.len().max(engines.chains().len())],
+            chains: engines.chains(),
+            next_chain: vec![0; INSTANCES.len()],
+            rates: [0.0; RANKS],
+            killed: None,
+            tokens: 0,
+            requests: 0,
+            outcome: Outcome::default(),
+            engines,
+        }
+    }
+
+    fn start(&mut self) {
+        let weight = self.weights().iter().sum::<f64>() / 16.0;
+        for (rank, setting) in self.deployment.ranks.iter().enumerate() {
+            let tokens = f64::from(setting.tokens);
+            let requests = self.engines.bound(tokens) / tokens;
+            let load = self.situation.load * self.situation.factors[rank] * weight;
+            self.rates[rank] = requests * setting.load * load;
+            self.arrive_later(rank);
+        }
+        self.at(self.now, Event::Measure);
+        if self.situation.kill {
+            self.at(KILL_AT, Event::Kill);
+        }
+        if matches!(self.policy, Policy::Fifo | Policy::StrictRank) {
+            for instance in 0..INSTANCES.len() {
+                self.at(self.now + POLL, Event::Poll(instance));
+            }
+        }
+        if self.policy == Policy::Home {
+            for instance in 0..INSTANCES.len() {
+                for pool in 0..DATA_CENTRES {
+                    let home = Some(self.pools.home_of(pool));
+                    self.tell_driver(instance, pool, driver::Event::Home(home));
+                }
+            }
+        }
+    }
+
+    /// The demand of each organisation, where a small one has a weight of one.
+    fn weights(&self) -> [f64; ORGANISATIONS] {
+        let mut weights = [1.0; ORGANISATIONS];
+        weights[..LARGE].fill(self.situation.large);
+        weights
+    }
+
+    fn at(&mut self, at: Instant, event: Event) {
+        let index = self.spare.pop().unwrap_or(self.events.len());
+        if index == self.events.len() {
+            self.events.push(None);
+        }
+        self.events[index] = Some(event);
+        self.count += 1;
+        self.heap.push(Reverse((at, self.count, index)));
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive(rank) => {
+                self.arrive_later(rank);
+                self.arrive(rank);
+            }
+            Event::Token(stream, epoch) => self.token(stream, epoch),
+            Event::Poll(instance) => {
+                self.poll(instance);
+                self.at(self.now + POLL, Event::Poll(instance));
+            }
+            Event::Report(pool, from, report) => {
+                let from = self.pools.instances[from];
+                self.tell_home(pool, home::Event::Report(from, report));
+            }
+            Event::Grants(instance, pool, grants) => {
+                let home = self.pools.home_of(pool);
+                self.tell_driver(instance, pool, driver::Event::Grants(home, grants));
+            }
+            Event::HomeTick(pool) => {
+                self.ticks.remove(&(usize::MAX, pool));
+                self.tell_home(pool, home::Event::Tick);
+            }
+            Event::DriverTick(instance, pool) => {
+                self.ticks.remove(&(instance, pool));
+                self.tell_driver(instance, pool, driver::Event::Tick);
+            }
+            Event::Measure => {
+                let loads = Event::Loads(self.engines.streams.clone());
+                self.at(self.now + self.situation.report_age, loads);
+                self.at(self.now + REPORT_PERIOD, Event::Measure);
+            }
+            Event::Loads(streams) => self.take_loads(&streams),
+            Event::Kill => self.kill(),
+            Event::Detect => self.detect(),
+        }
+    }
+
+    fn arrive_later(&mut self, rank: usize) {
+        let gap = -self.rng.random::<f64>().max(1e-12).ln() / self.rates[rank].max(1e-9);
+        self.at(self.now + Duration::from_secs_f64(gap), Event::Arrive(rank));
+    }
+
+    fn arrive(&mut self, rank: usize) {
+        let weights = self.weights();
+        let organisation = self.draw(&weights);
+        // Half of a flood comes through one instance.
+        let flood = self.situation.factors[rank] > 1.0 && self.rng.random_bool(0.5);
+        let instance = if flood { 0 } else { self.draw(&BALANCER) };
+        let setting = &self.deployment.ranks[rank];
+        let low = setting.tokens / 2;
+        let tokens = self.rng.random_range(low..=setting.tokens + low);
+        let stream = self.streams.len();
+        self.streams.push(Stream {
+            instance,
+            pool: INSTANCES[instance],
+            rank,
+            organisation,
+            arrived: self.now,
+            // What is left of the target is for the prefill.
+            deadline: self.now + setting.first_token.mul_f64(0.8),
+            tokens,
+            done: 0,
+            first_at: Instant::NEVER,
+            path: Vec::new(),
+            epoch: 0,
+            tried: [false; DATA_CENTRES],
+        });
+        self.tally(stream, |t| t.offered += 1);
+        match self.policy {
+            Policy::Home => {
+                let keys = &self.engines.data_centres;
+                let pool = self.pools.choose(instance, rank, keys);
+                self.submit(stream, pool);
+            }
+            Policy::Fifo | Policy::StrictRank => self.enqueue(instance, stream),
+            Policy::Chains => {
+                let chain = self.next_up_chain(instance);
+                self.enqueue(chain, stream);
+            }
+        }
+    }
+
+    fn draw(&mut self, weights: &[f64]) -> usize {
+        let mut left = self.rng.random::<f64>() * weights.iter().sum::<f64>();
+        for (i, weight) in weights.iter().enumerate() {
+            if left < *weight {
+                return i;
+            }
+            left -= weight;
+        }
+        weights.len() - 1
+    }
+
+    /// Counts for the request's rank and, if it is a small caller's, for those.
+    fn tally(&mut self, stream: usize, count: impl Fn(&mut crate::metrics::Tally)) {
+        let s = &self.streams[stream];
+        if s.arrived < COUNT_FROM || s.arrived >= COUNT_TO {
+            return;
+        }
+        count(&mut self.outcome.ranks[s.rank]);
+        if s.organisation >= LARGE {
+            count(&mut self.outcome.small[s.rank]);
+        }
+    }
+
+    fn refuse(&mut self, stream: usize) {
+        self.tally(stream, |t| t.refused += 1);
+        if self.policy == Policy::Home && self.any_pool_idle() {
+            self.outcome.refused_idle += 1;
+        }
+    }
+
+    /// Whether a pool has free slots beyond its headroom.
+    fn any_pool_idle(&self) -> bool {
+        let homes = self.pools.homes.iter().zip(&self.graphs[0]);
+        let idle = |(home, graph): (&Home, &Graph)| {
+            let headroom = self.deployment.headroom * graph.bound_streams() as f64;
+            f64::from(home.free()) > headroom.ceil()
+        };
+        homes.into_iter().any(idle)
+    }
+
+    // The design.
+
+    fn submit(&mut self, stream: usize, pool: usize) {
+        let s = &mut self.streams[stream];
+        s.pool = pool;
+        s.tried[pool] = true;
+        let ticket = Ticket {
+            request: RequestId(Uuid::from_u128(stream as u128)),
+            organisation: self.organisations[s.organisation],
+            share: 1.0,
+            rank: Rank(s.rank as u8),
+            cost: u64::from(self.deployment.ranks[s.rank].tokens) * u64::from(LAYERS),
+            deadline: s.deadline,
+            running: false,
+        };
+        let instance = s.instance;
+        self.tell_driver(instance, pool, driver::Event::Submit(ticket));
+    }
+
+    fn tell_driver(&mut self, instance: usize, pool: usize, event: driver::Event) {
+        let driver = &mut self.pools.drivers[instance][pool];
+        let actions = driver.on_event(self.now, event);
+        let next = driver.next_deadline();
+        self.tick((instance, pool), next, Event::DriverTick(instance, pool));
+        for action in actions {
+            match action {
+                driver::Action::Start(request) => self.start_granted(index(request)),
+                driver::Action::Refuse(refusal) => self.refused(index(refusal.request)),
+                driver::Action::Send(_, report) => {
+                    let at = self.now + delay(instance, pool);
+                    self.at(at, Event::Report(pool, instance, report));
+                }
+            }
+        }
+    }
+
+    fn tell_home(&mut self, pool: usize, event: home::Event) {
+        let home = &mut self.pools.homes[pool];
+        let actions = home.on_event(self.now, event);
+        let next = home.next_deadline();
+        self.tick((usize::MAX, pool), next, Event::HomeTick(pool));
+        for home::Action::Send(to, grants) in actions {
+            let instance = self.pools.index(to);
+            let at = self.now + delay(instance, pool);
+            self.at(at, Event::Grants(instance, pool, grants));
+        }
+    }
+
+    fn tick(&mut self, key: (usize, usize), next: Instant, event: Event) {
+        if self.ticks.get(&key).is_none_or(|&at| next < at) {
+            self.ticks.insert(key, next);
+            self.at(next.max(self.now), event);
+        }
+    }
+
+    fn refused(&mut self, stream: usize) {
+        let s = &self.streams[stream];
+        let left = s.deadline.since(self.now);
+        match self.pools.retry(s.instance, s.rank, s.tried, left) {
+            Some(pool) => self.submit(stream, pool),
+            None => self.refuse(stream),
+        }
+    }
+
+    fn start_granted(&mut self, stream: usize) {
+        let s = &self.streams[stream];
+        let path = self.find_path(s.instance, s.pool, &[], true);
+        match path {
+            Some(path) => self.begin(stream, path),
+            None => self.end(stream),
+        }
+    }
+
+    // The baselines.
+
+    fn enqueue(&mut self, queue: usize, stream: usize) {
+        if self.queues[queue].len() >= QUEUE_LIMIT {
+            return self.refuse(stream);
+        }
+        let rank = match self.policy {
+            Policy::StrictRank => self.streams[stream].rank,
+            Policy::Home | Policy::Fifo | Policy::Chains => 0,
+        };
+        let was_empty = self.queues[queue].is_empty();
+        self.queues[queue].insert((rank, stream), stream);
+        if was_empty {
+            self.poll(queue);
+        }
+    }
+
+    /// Starts what can start from one queue.
+    fn poll(&mut self, queue: usize) {
+        while let Some((&key, &stream)) = self.queues[queue].first_key_value() {
+            if self.streams[stream].deadline <= self.now {
+                self.queues[queue].remove(&key);
+                self.refuse(stream);
+                continue;
+            }
+            let path = match self.policy {
+                Policy::Chains => self.open_chain(queue),
+                Policy::Home | Policy::Fifo | Policy::StrictRank => self.open_path(queue),
+            };
+            let Some((pool, path)) = path else {
+                return;
+            };
+            self.queues[queue].remove(&key);
+            self.streams[stream].pool = pool;
+            self.begin(stream, path);
+        }
+    }
+
+    fn open_path(&mut self, instance: usize) -> Option<(usize, Vec<usize>)> {
+        let local = INSTANCES[instance];
+        let pools = (0..DATA_CENTRES).map(|i| (local + i) % DATA_CENTRES);
+        for pool in pools {
+            if let Some(path) = self.find_path(instance, pool, &[], false) {
+                return Some((pool, path));
+            }
+        }
+        None
+    }
+
+    fn open_chain(&mut self, chain: usize) -> Option<(usize, Vec<usize>)> {
+        let path = &self.chains[chain];
+        let open = |&i: &usize| self.engines.up[i] && !self.engines.is_full(i);
+        let pool = self.engines.servers[path[0]].data_centre;
+        path.iter().all(open).then(|| (pool, path.clone()))
+    }
+
+    fn next_up_chain(&mut self, instance: usize) -> usize {
+        loop {
+            let next = &mut self.next_chain[instance];
+            *next = (*next + 1) % self.chains.len();
+            let known_dead = |i: &usize| self.killed == Some(*i);
+            if !self.chains[*next].iter().any(known_dead) {
+                return *next;
+            }
+        }
+    }
+
+    // Streams.
+
+    /// A path with room in all its servers. Engines that are full refuse, and others
+    /// are tried; with `must`, the last path is taken though it is full.
+    fn find_path(
+        &mut self,
+        instance: usize,
+        pool: usize,
+        keep: &[usize],
+        must: bool,
+    ) -> Option<Vec<usize>> {
+        let stage = |&i: &usize| routing::Stage {
+            server: self.engines.keys[i],
+            layers: self.engines.servers[i].layers,
+        };
+        let kept: Vec<_> = keep.iter().map(stage).collect();
+        let mut avoid: Vec<BackendServerKey> = Vec::new();
+        let mut last = None;
+        for _ in 0..PATH_TRIES {
+            let graph = &self.graphs[instance][pool];
+            let Some(path) = graph.choose(self.now, &mut self.rng, &avoid, &kept) else {
+                break;
+            };
+            let path = self.engines.indices(&path);
+            let full = path
+                .iter()
+                .find(|i| self.engines.is_full(**i) && !keep.contains(i));
+            let Some(&full) = full else {
+                return Some(path);
+            };
+            avoid.push(self.engines.keys[full]);
+            last = Some(path);
+        }
+        last.filter(|_| must)
+    }
+
+    fn begin(&mut self, stream: usize, path: Vec<usize>) {
+        let (instance, pool) = (self.streams[stream].instance, self.streams[stream].pool);
+        for &i in &path {
+            self.engines.streams[i] += 1;
+            self.graphs[instance][pool].begin(self.engines.keys[i]);
+        }
+        let time = self.engines.prefill_time(&path, INSTANCES[instance]);
+        let s = &mut self.streams[stream];
+        s.path = path;
+        s.epoch += 1;
+        let event = Event::Token(stream, s.epoch);
+        self.at(self.now + time, event);
+    }
+
+    fn release(&mut self, stream: usize) {
+        let s = &mut self.streams[stream];
+        let (instance, pool) = (s.instance, s.pool);
+        for i in std::mem::take(&mut s.path) {
+            self.engines.streams[i] -= 1;
+            self.graphs[instance][pool].end(self.engines.keys[i]);
+        }
+    }
+
+    fn token(&mut self, stream: usize, epoch: u32) {
+        let s = &self.streams[stream];
+        // A stream whose stage is dead goes on when the death is detected.
+        if s.epoch != epoch || s.path.iter().any(|&i| !self.engines.up[i]) {
+            return;
+        }
+        let first = s.first_at == Instant::NEVER;
+        if first {
+            let target = self.deployment.ranks[s.rank].first_token;
+            let after = self.now.since(s.arrived);
+            self.tally(stream, |t| t.first_token(after, target));
+            self.streams[stream].first_at = self.now;
+        }
+        self.count_token(stream);
+        let s = &mut self.streams[stream];
+        s.done += 1;
+        if s.done >= s.tokens {
+            let time = self.now.since(s.first_at) / (s.tokens - 1).max(1);
+            self.tally(stream, |t| t.between_tokens(time));
+            return self.end(stream);
+        }
+        let time = self.engines.token_time(&s.path, INSTANCES[s.instance]);
+        self.at(self.now + time, Event::Token(stream, epoch));
+    }
+
+    fn count_token(&mut self, stream: usize) {
+        if self.now < COUNT_FROM || self.now >= COUNT_TO {
+            return;
+        }
+        self.tokens += 1;
+        self.requests += u64::from(self.streams[stream].done == 0);
+        self.outcome.ranks[self.streams[stream].rank].tokens += 1;
+    }
+
+    fn end(&mut self, stream: usize) {
+        let chain = self.streams[stream].path.first();
+        let chain = chain.map(|&i| self.engines.servers[i].chain);
+        self.release(stream);
+        let s = &self.streams[stream];
+        let (instance, pool) = (s.instance, s.pool);
+        match self.policy {
+            Policy::Home => {
+                let finished = Finished {
+                    request: RequestId(Uuid::from_u128(stream as u128)),
+                    cost: u64::from(s.tokens) * u64::from(LAYERS),
+                };
+                self.tell_driver(instance, pool, driver::Event::Finish(finished));
+            }
+            Policy::Fifo | Policy::StrictRank => self.poll(instance),
+            Policy::Chains => self.poll(chain.unwrap_or(0)),
+        }
+    }
+
+    // Faults and reports.
+
+    fn take_loads(&mut self, streams: &[u32]) {
+        for graphs in &mut self.graphs {
+            for graph in graphs {
+                for (i, &key) in self.engines.keys.iter().enumerate() {
+                    let now = self.now;
+                    graph.update(key, |s| {
+                        s.report = Some(routing::Report::new(now, streams[i], s.in_flight));
+                    });
+                }
+            }
+        }
+    }
+
+    fn kill(&mut self) {
+        self.engines.up[0] = false;
+        self.at(self.now + DETECTION, Event::Detect);
+    }
+
+    /// The death is known: no new work there, and its streams go on elsewhere.
+    fn detect(&mut self) {
+        self.killed = Some(0);
+        let key = self.engines.keys[0];
+        for graphs in &mut self.graphs {
+            graphs[0].update(key, |s| s.available = false);
+        }
+        let streams = 0..self.streams.len();
+        let lost: Vec<_> = streams
+            .filter(|&s| self.streams[s].path.contains(&0))
+            .collect();
+        for stream in lost {
+            self.recover(stream);
+        }
+        if self.policy == Policy::Home {
+            let capacity = self.graphs[0][0].bound_streams() as u32;
+            self.tell_home(0, home::Event::Capacity(capacity));
+        }
+    }
+
+    fn recover(&mut self, stream: usize) {
+        let s = &self.streams[stream];
+        let (instance, pool) = (s.instance, s.pool);
+        let keep: Vec<_> = s.path.iter().copied().filter(|&i| i != 0).collect();
+        self.release(stream);
+        if self.policy == Policy::Chains {
+            // A chain is replaced whole, and the answer begun again.
+            self.streams[stream].done = 0;
+            let chain = self.next_up_chain(instance);
+            self.streams[stream].deadline = Instant::NEVER;
+            return self.enqueue(chain, stream);
+        }
+        if let Some(path) = self.find_path(instance, pool, &keep, true) {
+            let time = self.engines.prefill_time(&path, INSTANCES[instance]);
+            self.outcome.gap = self.outcome.gap.max(time);
+            self.begin(stream, path);
+        }
+    }
+
+    fn finish(mut self) -> Outcome {
+        let seconds = COUNT_TO.since(COUNT_FROM).as_secs_f64();
+        let tokens = self.tokens as f64 / self.requests.max(1) as f64;
+        let after = self.engines.bound(tokens);
+        self.engines.up.fill(true);
+        let before = self.engines.bound(tokens);
+        let dead = COUNT_TO.since(KILL_AT).as_secs_f64() / seconds;
+        let bound = before + (after - before) * dead;
+        self.outcome.throughput = self.tokens as f64 / seconds / bound;
+        self.outcome
+    }
+}
+
+/// The time of a message between an instance and the home of a pool.
+fn delay(instance: usize, pool: usize) -> Duration {
+    if INSTANCES[instance] == pool {
+        INSIDE
+    } else {
+        BETWEEN_DATA_CENTRES
+    }
+}
+
+fn index(request: RequestId) -> usize {
+    request.0.as_u128() as usize
+}
