--- /dev/null
+++ b/crates/hemlockwind/benches/policy/homes.rs
@@ -0,0 +1,103 @@
+//! The design under test: a home for each pool, and the pools as each instance
+//! sees them.
+
+use std::time::Duration;
+
+use hemlockwind::core::names::DataCentreKey;
+use hemlockwind::core::names::InstanceKey;
+use hemlockwind::core::names::Names;
+use hemlockwind::core::time::Instant;
+use hemlockwind::queueing::Home;
+use hemlockwind::queueing::Pools;
+use hemlockwind::queueing::Spill;
+use hemlockwind::queueing::driver;
+use hemlockwind::queueing::home;
+use hemlockwind::queueing::pools;
+use hemlockwind::queueing::spill;
+
+use crate::deployment::Deployment;
+use crate::deployment::INSTANCES;
+use crate::deployment::RANKS;
+use crate::engines::BETWEEN_DATA_CENTRES;
+
+/// The wait after which another data centre's pool is looked at.
+const SPILL_TARGET: Duration = Duration::from_millis(10);
+/// What another pool must save.
+const SPILL_GAIN: Duration = Duration::from_millis(5);
+
+/// `Homes` holds the decision code of all instances.
+pub struct Homes {
+    pub instances: Vec<InstanceKey>,
+    pub homes: Vec<Home>,
+    pub pools: Vec<Pools>,
+    centres: Vec<DataCentreKey>,
+}
+
+impl Homes {
+    pub fn new(deployment: &Deployment, centres: &[DataCentreKey], capacities: &[u32]) -> Self {
+        let mut names = Names::<InstanceKey>::default();
+        let instances = (0..INSTANCES.len()).map(|i| names.intern(&i.to_string()));
+        let instances: Vec<_> = instances.collect();
+        let home = |(dc, slots): (usize, &u32)| new_home(deployment, &instances, dc, *slots);
+        Self {
+            homes: capacities.iter().enumerate().map(home).collect(),
+            pools: INSTANCES.iter().map(|&dc| new_pools(centres, dc)).collect(),
+            centres: centres.to_vec(),
+            instances,
+        }
+    }
+
+    /// The instance that is the home of a pool.
+    pub fn home_of(&self, pool: usize) -> InstanceKey {
+        let at = INSTANCES.iter().position(|&dc| dc == pool);
+        self.instances[at.expect("each data centre has instances")]
+    }
+
+    pub fn index(&self, instance: InstanceKey) -> usize {
+        let at = self.instances.iter().position(|&k| k == instance);
+        at.expect("the key is of this run")
+    }
+
+    pub fn pool(&self, centre: DataCentreKey) -> usize {
+        let at = self.centres.iter().position(|&k| k == centre);
+        at.expect("the key is of this run")
+    }
+}
+
+fn new_home(
+    deployment: &Deployment,
+    instances: &[InstanceKey],
+    data_centre: usize,
+    slots: u32,
+) -> Home {
+    let options = home::Options {
+        floors: deployment.ranks.iter().map(|r| r.floor).collect(),
+        headroom: deployment.headroom,
+        ..home::Options::default()
+    };
+    let now = Instant::ZERO;
+    let mut home = Home::new(options, 1, now);
+    let live = instances.iter().zip(INSTANCES);
+    let live = live.filter(|(_, at)| *at == data_centre).map(|(&i, _)| i);
+    home.on_event(now, home::Event::Drivers(live.collect()));
+    home.on_event(now, home::Event::Capacity(slots));
+    home
+}
+
+fn new_pools(centres: &[DataCentreKey], data_centre: usize) -> Pools {
+    let spill = Spill::new(spill::Options {
+        targets: vec![SPILL_TARGET; RANKS],
+        gain: SPILL_GAIN,
+    });
+    let options = pools::Options {
+        local: centres[data_centre],
+        ranks: RANKS as u8,
+        driver: driver::Options::default(),
+    };
+    let now = Instant::ZERO;
+    let mut pools = Pools::new(options, spill, 1, now);
+    for &centre in centres {
+        pools.insert(now, centre, 2 * BETWEEN_DATA_CENTRES);
+    }
+    pools
+}
--- a/crates/hemlockwind/benches/policy/main.rs
+++ b/crates/hemlockwind/benches/policy/main.rs
@@ -5,8 +5,8 @@
 
 mod deployment;
 mod engines;
+mod homes;
 mod metrics;
-mod pools;
 mod run;
 
 use std::time::Duration;
--- a/crates/hemlockwind/benches/policy/run.rs
+++ b/crates/hemlockwind/benches/policy/run.rs
@@ -19,11 +19,11 @@
 use hemlockwind::core::time::Instant;
 use hemlockwind::queueing::Home;
 use hemlockwind::queueing::Ticket;
-use hemlockwind::queueing::driver;
 use hemlockwind::queueing::home;
 use hemlockwind::queueing::message::Finished;
 use hemlockwind::queueing::message::Grants;
 use hemlockwind::queueing::message::Report;
+use hemlockwind::queueing::pools;
 use hemlockwind::routing;
 use hemlockwind::routing::Graph;
 
@@ -39,8 +39,8 @@
 use crate::deployment::fleet;
 use crate::engines::BETWEEN_DATA_CENTRES;
 use crate::engines::Engines;
+use crate::homes::Homes;
 use crate::metrics::Outcome;
-use crate::pools::Pools;
 
 /// When counting begins and ends, and when the run ends.
 const COUNT_FROM: Instant = Instant::from_millis(20_000);
@@ -80,7 +80,7 @@
     Report(usize, usize, Report),
     Grants(usize, usize, Grants),
     HomeTick(usize),
-    DriverTick(usize, usize),
+    PoolsTick(usize),
     Measure,
     Loads(Vec<u32>),
     Kill,
@@ -99,7 +99,6 @@
     first_at: Instant,
     path: Vec<usize>,
     epoch: u32,
-    tried: [bool; DATA_CENTRES],
 }
 
 /// `Run` is the state of one run.
@@ -117,7 +116,7 @@
     graphs: Vec<Vec<Graph>>,
     streams: Vec<Stream>,
     organisations: Vec<OrganisationKey>,
-    pools: Pools,
+    homes: Homes,
     ticks: BTreeMap<(usize, usize), Instant>,
     queues: Vec<BTreeMap<(usize, usize), usize>>,
     chains: Vec<Vec<usize>>,
@@ -173,7 +172,7 @@
             graphs,
             streams: Vec::new(),
             organisations: organisations.collect(),
-            pools: Pools::new(deployment, &capacities),
+            homes: Homes::new(deployment, &engines.data_centres, &capacities),
             ticks: BTreeMap::new(),
             queues: vec![BTreeMap::new(); INSTANCES.len().max(engines.chains().len())],
             chains: engines.chains(),
@@ -208,8 +207,9 @@
         if self.policy == Policy::Home {
             for instance in 0..INSTANCES.len() {
                 for pool in 0..DATA_CENTRES {
-                    let home = Some(self.pools.home_of(pool));
-                    self.tell_driver(instance, pool, driver::Event::Home(home));
+                    let home = Some(self.homes.home_of(pool));
+                    let centre = self.engines.data_centres[pool];
+                    self.tell_pools(instance, pools::Event::Home(centre, home));
                 }
             }
         }
@@ -244,20 +244,21 @@
                 self.at(self.now + POLL, Event::Poll(instance));
             }
             Event::Report(pool, from, report) => {
-                let from = self.pools.instances[from];
+                let from = self.homes.instances[from];
                 self.tell_home(pool, home::Event::Report(from, report));
             }
             Event::Grants(instance, pool, grants) => {
-                let home = self.pools.home_of(pool);
-                self.tell_driver(instance, pool, driver::Event::Grants(home, grants));
+                let home = self.homes.home_of(pool);
+                let centre = self.engines.data_centres[pool];
+                self.tell_pools(instance, pools::Event::Grants(centre, home, grants));
             }
             Event::HomeTick(pool) => {
                 self.ticks.remove(&(usize::MAX, pool));
                 self.tell_home(pool, home::Event::Tick);
             }
-            Event::DriverTick(instance, pool) => {
-                self.ticks.remove(&(instance, pool));
-                self.tell_driver(instance, pool, driver::Event::Tick);
+            Event::PoolsTick(instance) => {
+                self.ticks.remove(&(instance, 0));
+                self.tell_pools(instance, pools::Event::Tick);
             }
             Event::Measure => {
                 let loads = Event::Loads(self.engines.streams.clone());
@@ -298,15 +299,10 @@
             first_at: Instant::NEVER,
             path: Vec::new(),
             epoch: 0,
-            tried: [false; DATA_CENTRES],
         });
         self.tally(stream, |t| t.offered += 1);
         match self.policy {
-            Policy::Home => {
-                let keys = &self.engines.data_centres;
-                let pool = self.pools.choose(instance, rank, keys);
-                self.submit(stream, pool);
-            }
+            Policy::Home => self.submit(stream),
             Policy::Fifo | Policy::StrictRank => self.enqueue(instance, stream),
             Policy::Chains => {
                 let chain = self.next_up_chain(instance);
@@ -347,7 +343,7 @@
 
     /// Whether a pool has free slots beyond its headroom.
     fn any_pool_idle(&self) -> bool {
-        let homes = self.pools.homes.iter().zip(&self.graphs[0]);
+        let homes = self.homes.homes.iter().zip(&self.graphs[0]);
         let idle = |(home, graph): (&Home, &Graph)| {
             let headroom = self.deployment.headroom * graph.bound_streams() as f64;
             f64::from(home.free()) > headroom.ceil()
@@ -357,10 +353,8 @@
 
     // The design.
 
-    fn submit(&mut self, stream: usize, pool: usize) {
-        let s = &mut self.streams[stream];
-        s.pool = pool;
-        s.tried[pool] = true;
+    fn submit(&mut self, stream: usize) {
+        let s = &self.streams[stream];
         let ticket = Ticket {
             request: RequestId(Uuid::from_u128(stream as u128)),
             organisation: self.organisations[s.organisation],
@@ -370,20 +364,23 @@
             deadline: s.deadline,
             running: false,
         };
-        let instance = s.instance;
-        self.tell_driver(instance, pool, driver::Event::Submit(ticket));
+        self.tell_pools(s.instance, pools::Event::Submit(ticket));
     }
 
-    fn tell_driver(&mut self, instance: usize, pool: usize, event: driver::Event) {
-        let driver = &mut self.pools.drivers[instance][pool];
-        let actions = driver.on_event(self.now, event);
-        let next = driver.next_deadline();
-        self.tick((instance, pool), next, Event::DriverTick(instance, pool));
+    fn tell_pools(&mut self, instance: usize, event: pools::Event) {
+        let pools = &mut self.homes.pools[instance];
+        let actions = pools.on_event(self.now, event);
+        let next = pools.next_deadline();
+        self.tick((instance, 0), next, Event::PoolsTick(instance));
         for action in actions {
             match action {
-                driver::Action::Start(request) => self.start_granted(index(request)),
-                driver::Action::Refuse(refusal) => self.refused(index(refusal.request)),
-                driver::Action::Send(_, report) => {
+                pools::Action::Start(request, centre) => {
+                    let pool = self.homes.pool(centre);
+                    self.start_granted(index(request), pool);
+                }
+                pools::Action::Refuse(refusal) => self.refuse(index(refusal.request)),
+                pools::Action::Send(centre, _, report) => {
+                    let pool = self.homes.pool(centre);
                     let at = self.now + delay(instance, pool);
                     self.at(at, Event::Report(pool, instance, report));
                 }
@@ -392,12 +389,12 @@
     }
 
     fn tell_home(&mut self, pool: usize, event: home::Event) {
-        let home = &mut self.pools.homes[pool];
+        let home = &mut self.homes.homes[pool];
         let actions = home.on_event(self.now, event);
         let next = home.next_deadline();
         self.tick((usize::MAX, pool), next, Event::HomeTick(pool));
         for home::Action::Send(to, grants) in actions {
-            let instance = self.pools.index(to);
+            let instance = self.homes.index(to);
             let at = self.now + delay(instance, pool);
             self.at(at, Event::Grants(instance, pool, grants));
         }
@@ -410,18 +407,11 @@
         }
     }
 
-    fn refused(&mut self, stream: usize) {
-        let s = &self.streams[stream];
-        let left = s.deadline.since(self.now);
-        match self.pools.retry(s.instance, s.rank, s.tried, left) {
-            Some(pool) => self.submit(stream, pool),
-            None => self.refuse(stream),
-        }
-    }
-
-    fn start_granted(&mut self, stream: usize) {
-        let s = &self.streams[stream];
-        let path = self.find_path(s.instance, s.pool, &[], true);
+    fn start_granted(&mut self, stream: usize, pool: usize) {
+        let s = &mut self.streams[stream];
+        s.pool = pool;
+        let instance = s.instance;
+        let path = self.find_path(instance, pool, &[], true);
         match path {
             Some(path) => self.begin(stream, path),
             None => self.end(stream),
@@ -593,14 +583,14 @@
         let chain = chain.map(|&i| self.engines.servers[i].chain);
         self.release(stream);
         let s = &self.streams[stream];
-        let (instance, pool) = (s.instance, s.pool);
+        let instance = s.instance;
         match self.policy {
             Policy::Home => {
                 let finished = Finished {
                     request: RequestId(Uuid::from_u128(stream as u128)),
                     cost: u64::from(s.tokens) * u64::from(LAYERS),
                 };
-                self.tell_driver(instance, pool, driver::Event::Finish(finished));
+                self.tell_pools(instance, pools::Event::Finish(finished));
             }
             Policy::Fifo | Policy::StrictRank => self.poll(instance),
             Policy::Chains => self.poll(chain.unwrap_or(0)),
--- a/crates/state/queueing/src/driver.rs
+++ b/crates/state/queueing/src/driver.rs
@@ -173,6 +173,22 @@
         self.waiting.len()
     }
 
+    /// The waiting request that is the most urgent, and of those the oldest.
+    pub fn next_waiting(&self) -> Option<RequestId> {
+        self.waiting.first().map(|&(_, _, request)| request)
+    }
+
+    /// Whether the request waits here.
+    pub fn is_waiting(&self, request: RequestId) -> bool {
+        let entry = self.tickets.get(&request);
+        entry.is_some_and(|e| !e.ticket.running)
+    }
+
+    /// Whether a home answered lately.
+    pub fn has_home(&self, now: Instant) -> bool {
+        self.home.is_some() && now < self.silent_at
+    }
+
     /// Unused credits.
     pub fn credits(&self) -> u32 {
         self.credits
@@ -353,10 +369,6 @@
         }
     }
 
-    fn has_home(&self, now: Instant) -> bool {
-        self.home.is_some() && now < self.silent_at
-    }
-
     /// While no home answers, the most urgent waiting requests run up to the floor.
     fn start_alone(&mut self, now: Instant) {
         if self.has_home(now) {
--- a/crates/state/queueing/src/spill.rs
+++ b/crates/state/queueing/src/spill.rs
@@ -57,10 +57,10 @@
     /// slots that were free, and none while a more urgent rank has to leave too.
     pub fn choose(&mut self, rank: Rank, local: &[Duration]) -> Option<DataCentreKey> {
         let index = usize::from(rank.0);
-        if !self.waits_too_long(index, local) {
+        if !self.waits_too_long(rank, local) {
             return None;
         }
-        let urgent = (0..index).any(|r| self.waits_too_long(r, local));
+        let urgent = (0..rank.0).any(|r| self.waits_too_long(Rank(r), local));
         if urgent {
             return None;
         }
@@ -76,7 +76,9 @@
         Some(data_centre)
     }
 
-    fn waits_too_long(&self, rank: usize, local: &[Duration]) -> bool {
+    /// Whether `rank` waits longer than its target, where `local` holds the waits.
+    pub fn waits_too_long(&self, rank: Rank, local: &[Duration]) -> bool {
+        let rank = usize::from(rank.0);
         let target = self.options.targets.get(rank);
         target.is_some_and(|&t| wait_of(local, rank) > t)
     }
