--- a/crates/state/queueing/src/pools.rs
+++ b/crates/state/queueing/src/pools.rs
@@ -206,35 +206,37 @@
         }
     }
 
-    /// Uses credits of another pool for tickets that wait long here, the most
-    /// urgent first.
+    /// Moves tickets that wait long here to a pool that has just told of its room,
+    /// the most urgent first: as many as it gave credits for, or else one.
     fn move_waiting(&mut self, now: Instant, to: DataCentreKey) {
         if to == self.options.local {
             return;
         }
-        while self
-            .get(to)
-            .is_some_and(|d| d.credits() > 0 && d.has_home(now))
-        {
-            let Some(request) = self.get(self.options.local).and_then(Driver::next_waiting) else {
+        let credits = self.get(to).map_or(0, Driver::credits);
+        for _ in 0..credits.max(1) {
+            let Some(ticket) = self.next_to_move(now, to) else {
                 return;
             };
-            let Some(placed) = self.placed.get(&request).cloned() else {
-                return;
-            };
-            let alone = self
-                .get(self.options.local)
-                .is_some_and(|d| !d.has_home(now));
-            let local = self.waits(self.options.local);
-            if !alone && !self.spill.waits_too_long(placed.ticket.rank, &local) {
-                return;
-            }
-            let withdraw = driver::Event::Withdraw(request);
+            let withdraw = driver::Event::Withdraw(ticket.request);
             self.tell(now, self.options.local, withdraw);
-            self.place(now, placed.ticket, to, placed.tried);
+            let placed = self.placed.remove(&ticket.request);
+            let tried = placed.map_or_else(Vec::new, |p| p.tried);
+            self.place(now, ticket, to, tried);
         }
     }
 
+    fn next_to_move(&self, now: Instant, to: DataCentreKey) -> Option<Ticket> {
+        let here = self.get(self.options.local)?;
+        let there = self.get(to)?;
+        let ticket = self.placed.get(&here.next_waiting()?)?.ticket;
+        let long = self
+            .spill
+            .waits_too_long(ticket.rank, &self.waits(self.options.local));
+        let room = there.has_home(now) && there.wait(ticket.rank) == Duration::ZERO;
+        let move_on = room && (long || !here.has_home(now));
+        move_on.then_some(ticket)
+    }
+
     fn tick(&mut self, now: Instant) {
         let due = self
             .pools
