--- a/crates/state/queueing/src/home.rs
+++ b/crates/state/queueing/src/home.rs
@@ -33,7 +33,7 @@
 const RETRY_MIN: Duration = Duration::from_millis(50);
 /// The longest time that a caller is told to wait before a retry.
 const RETRY_MAX: Duration = Duration::from_secs(60);
-/// The wait that is told of a full pool until its speed is known.
+/// The wait that is told while tickets wait and no speed is known yet.
 const UNKNOWN_WAIT: Duration = Duration::from_secs(1);
 /// The time in which a message and its answer are expected to have passed.
 const ROUND_TRIP: Duration = Duration::from_millis(250);
@@ -232,8 +232,13 @@
         let queue = &self.queues[rank];
         let mean = queue.cost() as f64 / queue.len().max(1) as f64;
         let ahead = (mean * queue.share().max(1.0)).min(queue.cost() as f64);
-        let wait = self.estimate(now, rank, ahead);
-        wait.unwrap_or(UNKNOWN_WAIT)
+        let waiting = self.queues.iter().any(|q| q.len() > 0);
+        let unknown = if waiting {
+            UNKNOWN_WAIT
+        } else {
+            Duration::ZERO
+        };
+        self.estimate(now, rank, ahead).unwrap_or(unknown)
     }
 
     fn index(&self, rank: Rank) -> usize {
--- a/crates/state/queueing/tests/pools.rs
+++ b/crates/state/queueing/tests/pools.rs
@@ -346,3 +346,19 @@
     world.check_capacity();
     assert_eq!(world.moved, CAPACITY as usize);
 }
+
+#[test]
+fn refused_request_tries_another_pool() {
+    let mut world = World::new();
+    world.submit(0, 0, false);
+    world.deliver_all();
+    world.advance(Duration::from_millis(300));
+    world.finish(0);
+    world.deliver_all();
+    // More than the local pool can start before their deadline.
+    for _ in 0..3 * CAPACITY {
+        world.submit(0, 1, true);
+    }
+    world.deliver_all();
+    assert!(world.moved > 0, "all stay with the pool that refuses");
+}
