Pools: requests wait for slots that the pool's home grants

Cause: without a queue at one place for each pool, urgent work at one instance waits behind a flood at another. The driver's side and the home of the queueing crate are wired by h2 messages; the home falls by rendezvous hashing; pools stand in each data centre, and a request goes to another one when the own servers don't join or its rank's target is passed by the estimated wait.

Ruled out: one graph for each model over all data centres for the capacity, since a home must not grant what it does not own; a graph over all remains for paths when a range is missing at home.

--- a/crates/daemon/src/callers/caller.rs
+++ b/crates/daemon/src/callers/caller.rs
@@ -29,6 +29,8 @@
     pub organisation: OrganisationKey,
     /// The organisation's name.
     pub name: Arc<str>,
+    /// The organisation's weight in fair queueing.
+    pub share: f64,
     /// The rank of this request.
     pub rank: Rank,
     /// When the request arrived.
@@ -63,6 +65,7 @@
         Ok(Self {
             organisation: key,
             name: Arc::clone(&organisation.name),
+            share: organisation.share,
             rank,
             arrived_at: now,
             deadline: now + time,
--- a/crates/daemon/src/callers/completions.rs
+++ b/crates/daemon/src/callers/completions.rs
@@ -129,6 +129,8 @@
     Ok(Work {
         id,
         organisation: caller.name,
+        organisation_key: caller.organisation,
+        share: caller.share,
         rank: caller.rank,
         model: pipeline.model,
         model_layers: model.layers,
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -9,16 +9,22 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::sleep;
 
+use hemlockwind_core::Error;
+use hemlockwind_core::Result;
 use hemlockwind_core::attempt::Attempt;
+use hemlockwind_core::attempt::Attempts;
 use hemlockwind_core::engine::Incarnation;
 use hemlockwind_core::engine::RequestId;
 use hemlockwind_core::engine::Step;
 use hemlockwind_core::engine::StepId;
 use hemlockwind_core::engine::Token;
 use hemlockwind_core::names::BackendServerKey;
+use hemlockwind_core::names::DataCentreKey;
 use hemlockwind_core::names::ModelKey;
+use hemlockwind_core::names::OrganisationKey;
 use hemlockwind_core::names::Rank;
 use hemlockwind_core::time::Instant;
+use hemlockwind_queueing::Ticket;
 use hemlockwind_stream::Action;
 use hemlockwind_stream::Event;
 use hemlockwind_stream::Finish;
@@ -28,6 +34,8 @@
 use hemlockwind_telemetry::histograms::Measure;
 
 use crate::instance::Instance;
+use crate::pool;
+use crate::pool::Slot;
 use crate::watch;
 
 /// `Progress` is what a caller's side hears of a stream.
@@ -50,6 +58,10 @@
     pub rank: Rank,
     /// The model.
     pub model: ModelKey,
+    /// The organisation.
+    pub organisation_key: OrganisationKey,
+    /// The organisation's weight in fair queueing.
+    pub share: f64,
     /// The number of the model's layers.
     pub model_layers: u16,
     /// The prompt.
@@ -62,12 +74,80 @@
     pub deadline: Instant,
 }
 
+/// Bytes of a prompt that are taken for one token.
+const TOKEN_BYTES: usize = 4;
+
+impl Work {
+    /// The tokens that the prompt is taken for.
+    fn prompt_tokens(&self) -> u64 {
+        (self.prompt.len() / TOKEN_BYTES) as u64
+    }
+}
+
 /// Paths that a stream may be prefilled over.
 const MAX_INCARNATIONS: u32 = 8;
 
-/// Drives a stream until it ends. The stream is cancelled when nobody listens
-/// to `out` any more.
+/// Waits for a slot of a pool, then drives the stream until it ends. The stream
+/// is cancelled when nobody listens to `out` any more.
 pub async fn drive(instance: Arc<Instance>, work: Work, out: UnboundedSender<Progress>) {
+    let slot = tokio::select! {
+        slot = admit(&instance, &work) => slot,
+        () = out.closed() => return,
+    };
+    match slot {
+        Ok((slot, centre)) => run(instance, work, centre, slot, out).await,
+        Err(error) => {
+            instance.metrics.count("requests.refused", 1);
+            let ran = Attempts::default().ran();
+            // When the caller is gone, nobody needs the error.
+            let _ = out.send(Progress::End(Finish::Failed(error, ran)));
+        }
+    }
+}
+
+/// Waits for a slot of the pool in the own data centre, or in another one when
+/// the own servers don't join or keep the request waiting past its target.
+async fn admit(instance: &Arc<Instance>, work: &Work) -> Result<(Slot, DataCentreKey)> {
+    let centres = instance.fleet.centres(work.model);
+    let centre = spill(instance, work, &centres);
+    let centre =
+        centre.ok_or_else(|| Error::no_path(format!("layers 0..{}", work.model_layers)))?;
+    let layers = u64::from(work.model_layers);
+    let tokens = u64::from(work.max_tokens) + work.prompt_tokens();
+    let ticket = Ticket {
+        request: work.id,
+        organisation: work.organisation_key,
+        share: work.share,
+        rank: work.rank,
+        cost: tokens * layers,
+        deadline: work.deadline,
+        running: false,
+    };
+    let slot = pool::acquire(instance, (work.model, centre), ticket).await?;
+    Ok((slot, centre))
+}
+
+/// The data centre whose pool a request goes to: the first of `centres`, unless
+/// its wait passes the rank's target and another one's is shorter.
+fn spill(instance: &Instance, work: &Work, centres: &[DataCentreKey]) -> Option<DataCentreKey> {
+    let wait = |centre: DataCentreKey| pool::wait(instance, (work.model, centre), work.rank);
+    let &near = centres.first()?;
+    let config = instance.config.load();
+    let target = config.ranks.get(usize::from(work.rank.0));
+    if target.is_none_or(|target| wait(near) <= target.first_token) {
+        return Some(near);
+    }
+    centres.iter().copied().min_by_key(|&centre| wait(centre))
+}
+
+/// Drives a stream that has a slot.
+async fn run(
+    instance: Arc<Instance>,
+    work: Work,
+    centre: DataCentreKey,
+    slot: Slot,
+    out: UnboundedSender<Progress>,
+) {
     let limits = instance.settings.limits;
     let options = Options {
         request: work.id,
@@ -85,6 +165,8 @@
     let (tx, rx) = mpsc::unbounded_channel();
     let driver = Driver {
         last_token_at: work.arrived_at,
+        centre,
+        slot,
         instance,
         work,
         stream,
@@ -109,6 +191,8 @@
 /// `Driver` is the stream's state with its ways in and out.
 struct Driver {
     instance: Arc<Instance>,
+    centre: DataCentreKey,
+    slot: Slot,
     work: Work,
     stream: Stream,
     out: UnboundedSender<Progress>,
@@ -149,6 +233,8 @@
             actions = self.stream.on_event(self.instance.edges.clock.now(), event);
         }
         self.count(Vec::new());
+        let tokens = u64::from(self.stream.tokens()) + self.work.prompt_tokens();
+        self.slot.cost = tokens * u64::from(self.work.model_layers);
     }
 
     /// Carries out one action.
@@ -176,7 +262,7 @@
     fn choose(&mut self, avoid: &[BackendServerKey], keep: &[Stage]) {
         let now = self.instance.edges.clock.now();
         let fleet = &self.instance.fleet;
-        match fleet.choose(now, self.work.model, avoid, keep) {
+        match fleet.choose(now, (self.work.model, self.centre), avoid, keep) {
             Some(path) => {
                 self.count(path.stages.iter().map(|stage| stage.server).collect());
                 self.events.push_back(Event::Path(path));
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -9,9 +9,12 @@
 use tokio::sync::broadcast;
 
 use hemlockwind_core::collections::HashMap;
+use hemlockwind_core::collections::HashSet;
+use hemlockwind_core::config::BackendServer;
 use hemlockwind_core::config::Config;
 use hemlockwind_core::config::Role;
 use hemlockwind_core::engine::LoadReport;
+use hemlockwind_core::layers::LayerRange;
 use hemlockwind_core::names::BackendServerKey;
 use hemlockwind_core::names::DataCentreKey;
 use hemlockwind_core::names::ModelKey;
@@ -35,10 +38,14 @@
 /// News of leaving servers that a slow stream may have waiting.
 const NEWS: usize = 256;
 
-/// `Fleet` holds a graph for each model, each under its own lock.
+/// `GraphKey` names a graph: a model in one data centre, or in all of them.
+type GraphKey = (ModelKey, Option<DataCentreKey>);
+
+/// `Fleet` holds a graph for each model and data centre, and one for each model
+/// over all data centres, each under its own lock.
 pub struct Fleet {
     data_centre: DataCentreKey,
-    graphs: ArcSwap<HashMap<ModelKey, Arc<Mutex<Graph>>>>,
+    graphs: ArcSwap<HashMap<GraphKey, Arc<Mutex<Graph>>>>,
     servers: ArcSwap<HashMap<BackendServerKey, Place>>,
     doubted: Mutex<HashMap<BackendServerKey, Instant>>,
     leaving: Mutex<HashMap<BackendServerKey, Instant>>,
@@ -79,14 +86,6 @@
     /// Takes over the backend servers of `config`, and keeps what was learned of
     /// those that stay.
     pub fn apply(&self, config: &Config) {
-        let old = self.graphs.load();
-        let mut graphs: HashMap<ModelKey, Arc<Mutex<Graph>>> = HashMap::default();
-        for (&key, model) in &config.models {
-            let same = |graph: &&Arc<Mutex<Graph>>| graph.lock().model_layers() == model.layers;
-            let kept = old.get(&key).filter(same).cloned();
-            let graph = kept.unwrap_or_else(|| Arc::new(Mutex::new(Graph::new(model.layers))));
-            graphs.insert(key, graph);
-        }
         let mut places = HashMap::default();
         for (&key, server) in &config.backend_servers {
             let place = Place {
@@ -96,47 +95,67 @@
                 data_centre: server.data_centre,
             };
             places.insert(key, place);
+        }
+        let graphs = self.kept(config);
+        for (&key, server) in &config.backend_servers {
             let Role::Engine { model, layers } = server.role else {
                 continue;
             };
-            let Some(graph) = graphs.get(&model) else {
-                continue;
-            };
-            let mut graph = graph.lock();
-            let available = !server.leaving && !self.leaving.lock().contains_key(&key);
-            let is_known = graph.update(key, |known| {
-                known.layers = layers;
-                known.limit = server.limit;
-                known.available = available;
-            });
-            if !is_known {
-                let is_near = server.data_centre == self.data_centre;
-                graph.insert(Server {
-                    available,
-                    step_time: STEP_TIME,
-                    link_time: if is_near { Duration::ZERO } else { REMOTE_LINK },
-                    limit: server.limit,
-                    ..Server::new(key, layers, server.data_centre)
-                });
+            for graph in both(&graphs, model, server.data_centre) {
+                self.upsert(&mut graph.lock(), key, server, layers);
             }
         }
-        for (model, graph) in &graphs {
-            let mut graph = graph.lock();
-            let gone: Vec<_> = graph.servers().map(|server| server.key).collect();
-            for key in gone {
-                let place: Option<&Place> = places.get(&key);
-                let stays = place.is_some_and(
-                    |p| matches!(p.role, Role::Engine { model: m, .. } if m == *model),
-                );
-                if !stays {
-                    graph.remove(key);
-                }
-            }
+        for (&key, graph) in &graphs {
+            retain(key, &mut graph.lock(), &places);
         }
         self.graphs.store(Arc::new(graphs));
         self.servers.store(Arc::new(places));
     }
 
+    /// The graphs that `config` needs: the present ones where they still fit.
+    fn kept(&self, config: &Config) -> HashMap<GraphKey, Arc<Mutex<Graph>>> {
+        let old = self.graphs.load();
+        let mut graphs: HashMap<GraphKey, Arc<Mutex<Graph>>> = HashMap::default();
+        let servers = config.backend_servers.values();
+        let centres: HashSet<_> = servers.map(|server| Some(server.data_centre)).collect();
+        for (&model_key, model) in &config.models {
+            for &centre in centres.iter().chain([&None]) {
+                let key = (model_key, centre);
+                let fits = |g: &&Arc<Mutex<Graph>>| g.lock().model_layers() == model.layers;
+                let kept = old.get(&key).filter(fits).cloned();
+                let new = || Arc::new(Mutex::new(Graph::new(model.layers)));
+                graphs.insert(key, kept.unwrap_or_else(new));
+            }
+        }
+        graphs
+    }
+
+    /// Adds a server to a graph, or changes what the configuration says of it.
+    fn upsert(
+        &self,
+        graph: &mut Graph,
+        key: BackendServerKey,
+        server: &BackendServer,
+        layers: LayerRange,
+    ) {
+        let available = !server.leaving && !self.leaving.lock().contains_key(&key);
+        let is_known = graph.update(key, |known| {
+            known.layers = layers;
+            known.limit = server.limit;
+            known.available = available;
+        });
+        if !is_known {
+            let is_near = server.data_centre == self.data_centre;
+            graph.insert(Server {
+                available,
+                step_time: STEP_TIME,
+                link_time: if is_near { Duration::ZERO } else { REMOTE_LINK },
+                limit: server.limit,
+                ..Server::new(key, layers, server.data_centre)
+            });
+        }
+    }
+
     /// The place of a backend server.
     pub fn place(&self, key: BackendServerKey) -> Option<Place> {
         self.servers.load().get(&key).copied()
@@ -147,22 +166,39 @@
         self.servers.load_full()
     }
 
-    /// The graph of a model.
-    pub fn graph(&self, model: ModelKey) -> Option<Arc<Mutex<Graph>>> {
-        self.graphs.load().get(&model).cloned()
-    }
-
-    /// Chooses a path and counts the stream on its servers.
+    /// Chooses a path in the data centre `centre`, or over all of them when its
+    /// servers don't join.
     pub fn choose(
         &self,
         now: Instant,
-        model: ModelKey,
+        (model, centre): (ModelKey, DataCentreKey),
         avoid: &[BackendServerKey],
         keep: &[Stage],
     ) -> Option<Path> {
-        let graph = self.graph(model)?;
-        let graph = graph.lock();
-        graph.choose(now, &mut rand::rng(), avoid, keep)
+        let graphs = self.graphs.load();
+        let choose = |key: GraphKey| {
+            let graph = graphs.get(&key)?.lock();
+            graph.choose(now, &mut rand::rng(), avoid, keep)
+        };
+        choose((model, Some(centre))).or_else(|| choose((model, None)))
+    }
+
+    /// The streams that the servers of a model in a data centre carry at most.
+    pub fn capacity(&self, model: ModelKey, centre: DataCentreKey) -> u32 {
+        let graphs = self.graphs.load();
+        let graph = graphs.get(&(model, Some(centre)));
+        let streams = graph.map_or(0, |graph| graph.lock().bound_streams());
+        u32::try_from(streams).unwrap_or(u32::MAX)
+    }
+
+    /// The data centres whose servers of a model join to a whole path, the own one first.
+    pub fn centres(&self, model: ModelKey) -> Vec<DataCentreKey> {
+        let graphs = self.graphs.load();
+        let of_model = graphs.keys().filter(|key| key.0 == model);
+        let mut centres: Vec<_> = of_model.filter_map(|key| key.1).collect();
+        centres.retain(|&centre| self.capacity(model, centre) > 0);
+        centres.sort_unstable_by_key(|&centre| (centre != self.data_centre, centre));
+        centres
     }
 
     /// Counts a stream on a server.
@@ -265,17 +301,41 @@
             .collect()
     }
 
-    /// Runs `f` on the graph that holds a server.
-    fn with(&self, key: BackendServerKey, f: impl FnOnce(&mut Graph)) {
-        let Some(Place {
-            role: Role::Engine { model, .. },
-            ..
-        }) = self.place(key)
-        else {
+    /// Runs `f` on the graphs that hold a server.
+    fn with(&self, key: BackendServerKey, f: impl Fn(&mut Graph)) {
+        let Some(place) = self.place(key) else {
+            return;
+        };
+        let Role::Engine { model, .. } = place.role else {
             return;
         };
-        if let Some(graph) = self.graph(model) {
+        for graph in both(&self.graphs.load(), model, place.data_centre) {
             f(&mut graph.lock());
         }
     }
 }
+
+/// The graphs that hold the servers of a model in a data centre.
+fn both(
+    graphs: &HashMap<GraphKey, Arc<Mutex<Graph>>>,
+    model: ModelKey,
+    centre: DataCentreKey,
+) -> impl Iterator<Item = &Arc<Mutex<Graph>>> {
+    [(model, Some(centre)), (model, None)]
+        .into_iter()
+        .filter_map(|key| graphs.get(&key))
+}
+
+/// Removes the servers of a graph that are no longer where it looks.
+fn retain((model, centre): GraphKey, graph: &mut Graph, places: &HashMap<BackendServerKey, Place>) {
+    let stays = |key: BackendServerKey| {
+        places.get(&key).is_some_and(|place| {
+            let is_model = matches!(place.role, Role::Engine { model: of, .. } if of == model);
+            is_model && centre.is_none_or(|centre| centre == place.data_centre)
+        })
+    };
+    let keys: Vec<_> = graph.servers().map(|server| server.key).collect();
+    for key in keys.into_iter().filter(|&key| !stays(key)) {
+        graph.remove(key);
+    }
+}
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -30,8 +30,10 @@
 use hemlockwind_telemetry::Histograms;
 use hemlockwind_telemetry::Metrics;
 
+use crate::duties::Duties;
 use crate::fleet::Fleet;
 use crate::lanes::Lanes;
+use crate::pool::Pools;
 
 /// `Edges` holds the adapters to everything outside the process. Another
 /// implementation of a trait goes in here and nowhere else.
@@ -82,6 +84,10 @@
     pub config: ArcSwap<Config>,
     /// The backend servers and their load.
     pub fleet: Arc<Fleet>,
+    /// Who does what for the data centre.
+    pub duties: Duties,
+    /// The pools that this instance uses.
+    pub pools: Pools,
     /// The batches of steps on their way to engines.
     pub lanes: Arc<Lanes>,
     /// Counters and gauges.
@@ -110,6 +116,7 @@
     ) -> Result<Self> {
         let mut directory = Directory::default();
         let data_centre = directory.data_centres.intern(&me.data_centre);
+        let duties = Duties::new(&settings, &me.name, &mut directory);
         let metrics = Metrics::new(settings.statsd, &me.name)?;
         let lanes = Lanes::new(Arc::clone(&edges.engine));
         let room = Semaphore::new(settings.limits.requests);
@@ -119,6 +126,8 @@
             directory: RwLock::new(directory),
             config: ArcSwap::default(),
             fleet: Arc::new(Fleet::new(data_centre)),
+            duties,
+            pools: Pools::default(),
             lanes: Arc::new(lanes),
             metrics,
             histograms: Histograms::default(),
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -10,6 +10,7 @@
 use hemlockwind_protocol::peer::Request;
 
 use crate::instance::Instance;
+use crate::pool;
 
 /// `Peers` answers other instances for this one.
 pub struct Peers {
@@ -19,13 +20,19 @@
 
 #[async_trait]
 impl Handler for Peers {
-    async fn handle(&self, _from: &str, req: Request) -> Reply {
+    async fn handle(&self, from: &str, req: Request) -> Reply {
         match req {
-            Request::Membership(_)
-            | Request::Tickets(_)
-            | Request::Grants(_)
-            | Request::Configuration(_)
-            | Request::Dispatch(_) => refused(&Error::Stopping),
+            Request::Tickets(tickets) => {
+                pool::on_tickets(&self.instance, from, tickets);
+                Reply::Done
+            }
+            Request::Grants(grants) => {
+                pool::on_grants(&self.instance, from, grants);
+                Reply::Done
+            }
+            Request::Membership(_) | Request::Configuration(_) | Request::Dispatch(_) => {
+                refused(&Error::Stopping)
+            }
         }
     }
 }
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -26,6 +26,7 @@
 use crate::instance::Instance;
 use crate::listener;
 use crate::peers::Peers;
+use crate::pool;
 use crate::watch;
 
 /// `Running` is an instance with open sockets.
@@ -94,6 +95,7 @@
         tokio::spawn(admin_task),
         tokio::spawn(peer_task),
         tokio::spawn(configuration::follow(Arc::clone(&instance))),
+        tokio::spawn(pool::run(Arc::clone(&instance))),
         tokio::spawn(watch::loads(Arc::clone(&instance))),
         tokio::spawn(watch::list(Arc::clone(&instance))),
     ];
--- a/crates/protocol/tests/hostile.rs
+++ b/crates/protocol/tests/hostile.rs
@@ -16,7 +16,7 @@
 use hemlockwind_protocol::engine as wire;
 use hemlockwind_protocol::peer;
 use hemlockwind_protocol::peer::Request;
-use hemlockwind_protocol::peer::queueing::Tickets;
+use hemlockwind_protocol::peer::queueing::Grants;
 use hemlockwind_protocol::platform;
 
 /// A name that may or may not be known.
@@ -64,11 +64,16 @@
     /// A frame that is cut or longer than its message is refused whole.
     #[test]
     fn decode_wrong_length(pool in ".{0,20}", cut in 0..12_usize, more in 1..12_usize) {
-        let req = Request::Tickets(Tickets {
-            pool,
-            waiting: Vec::new(),
-            finished: vec![uuid::Uuid::nil()],
-            withdrawn: Vec::new(),
+        let req = Request::Grants(Grants {
+            model: pool,
+            data_centre: "x".into(),
+            stamp: (1, 2),
+            granted: vec![uuid::Uuid::nil()],
+            refused: Vec::new(),
+            credits: 1,
+            revoke: false,
+            resend: true,
+            waits_ms: vec![3],
         });
         let frame = peer::encode(&req).unwrap();
         prop_assert_eq!(peer::decode::<Request>(&frame).unwrap(), req);
