--- /dev/null
+++ b/crates/coordination/lease/tests/holder.rs
@@ -0,0 +1,373 @@
+//! Several holders of one lease before a platform that fails, against an oracle
+//! that sees real time.
+
+use std::time::Duration;
+
+use proptest::prelude::Just;
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::prop_oneof;
+use proptest::proptest;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngSeed;
+use slotmap::SlotMap;
+
+use hemlockwind_core::config::Fencing as Checks;
+use hemlockwind_core::edges::ObjectVersion;
+use hemlockwind_core::edges::Precondition;
+use hemlockwind_core::names::BackendServerKey;
+use hemlockwind_core::time::Instant;
+use hemlockwind_lease::Action;
+use hemlockwind_lease::Event;
+use hemlockwind_lease::Fencing;
+use hemlockwind_lease::Holder;
+use hemlockwind_lease::Options;
+use hemlockwind_lease::Orders;
+use hemlockwind_lease::Outcome;
+use hemlockwind_lease::Value;
+use hemlockwind_lease::orders::Permit;
+
+const INSTANCES: usize = 3;
+const DURATION: Duration = Duration::from_secs(3);
+/// How long an order is on its way at most, by the holder's clock and by real time.
+const TRANSIT: Duration = Duration::from_millis(520);
+const TRANSIT_REAL_US: u64 = 500_000;
+/// The bound on how fast or slow a monotonic clock runs, in parts per thousand.
+const DRIFT_PER_MILLE: i64 = 15;
+
+/// `Mode` is how the platform treats the next calls.
+#[derive(Clone, Copy, Debug)]
+enum Mode {
+    Up,
+    Down,
+    /// The effect happens, the answer is lost.
+    LoseAnswer,
+    /// The answer is lost, and the effect happens at some later [`Op::Land`].
+    Late,
+    /// The answer comes at some later [`Op::Deliver`].
+    Slow,
+}
+
+#[derive(Clone, Debug)]
+enum Op {
+    Advance(u32),
+    Mode(Mode),
+    Land(u8),
+    Deliver(u8),
+    Pause(usize),
+    Resume(usize),
+    Restart(usize, i64),
+    Stop(usize),
+    Order(usize),
+    Arrive(u8),
+}
+
+/// `Process` is one run of an instance.
+struct Process {
+    holder: Holder,
+    orders: Orders,
+    number: u64,
+    drift: i64,
+    paused: bool,
+    inbox: Vec<Event>,
+}
+
+/// `Sent` is an order on its way.
+struct Sent {
+    at_us: u64,
+    token: Fencing,
+    term: Fencing,
+}
+
+struct World {
+    real_us: u64,
+    mode: Mode,
+    object: Option<(Value, ObjectVersion)>,
+    processes: Vec<Process>,
+    started: u64,
+    late_writes: Vec<(Value, Precondition)>,
+    slow_answers: Vec<(usize, u64, Event)>,
+    to_checking: Vec<Sent>,
+    to_ignoring: Vec<Sent>,
+    /// The newest token and term that the engine which checks tokens took.
+    checked: (Fencing, Fencing),
+    /// The newest term whose order arrived at the engine that ignores tokens.
+    ignored: Fencing,
+    engine: BackendServerKey,
+    terms: usize,
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    let instance = 0..INSTANCES;
+    prop_oneof![
+        8 => (1_u32..1_500_000).prop_map(Op::Advance),
+        4 => (1_u32..60_000).prop_map(Op::Advance),
+        3 => prop_oneof![
+            4 => Just(Mode::Up),
+            1 => Just(Mode::Down),
+            1 => Just(Mode::LoseAnswer),
+            1 => Just(Mode::Late),
+            1 => Just(Mode::Slow),
+        ].prop_map(Op::Mode),
+        1 => any::<u8>().prop_map(Op::Land),
+        2 => any::<u8>().prop_map(Op::Deliver),
+        1 => instance.clone().prop_map(Op::Pause),
+        2 => instance.clone().prop_map(Op::Resume),
+        1 => (instance.clone(), -DRIFT_PER_MILLE..=DRIFT_PER_MILLE)
+            .prop_map(|(i, drift)| Op::Restart(i, drift)),
+        1 => instance.clone().prop_map(Op::Stop),
+        4 => instance.prop_map(Op::Order),
+        2 => any::<u8>().prop_map(Op::Arrive),
+    ]
+}
+
+impl World {
+    fn new() -> Self {
+        let mut engines: SlotMap<BackendServerKey, ()> = SlotMap::with_key();
+        let mut world = Self {
+            real_us: 0,
+            mode: Mode::Up,
+            object: None,
+            processes: Vec::new(),
+            started: 0,
+            late_writes: Vec::new(),
+            slow_answers: Vec::new(),
+            to_checking: Vec::new(),
+            to_ignoring: Vec::new(),
+            checked: (Fencing(0), Fencing(0)),
+            ignored: Fencing(0),
+            engine: engines.insert(()),
+            terms: 0,
+        };
+        for drift in [-DRIFT_PER_MILLE, 0, DRIFT_PER_MILLE] {
+            let process = world.start(drift);
+            world.processes.push(process);
+        }
+        world
+    }
+
+    fn start(&mut self, drift: i64) -> Process {
+        self.started += 1;
+        let holder = Holder::new(Options {
+            name: format!("instance-{}", self.started).into(),
+            process: u128::from(self.started),
+            duration: DURATION,
+            retry: Duration::from_millis(200),
+        });
+        Process {
+            holder,
+            orders: Orders::new(TRANSIT),
+            number: self.started,
+            drift,
+            paused: false,
+            inbox: vec![Event::Candidate(true)],
+        }
+    }
+
+    fn clock(&self, i: usize) -> Instant {
+        let us = self.real_us as i64;
+        let us = us + us * self.processes[i].drift / 1000;
+        Instant::from_micros(us as u64)
+    }
+
+    fn apply(&mut self, op: Op) {
+        match op {
+            Op::Advance(us) => self.real_us += u64::from(us),
+            Op::Mode(mode) => self.mode = mode,
+            Op::Land(pick) => {
+                if let Some(at) = place(pick, self.late_writes.len()) {
+                    let (value, when) = self.late_writes.remove(at);
+                    self.write(value, when);
+                }
+            }
+            Op::Deliver(pick) => {
+                if let Some(at) = place(pick, self.slow_answers.len()) {
+                    let (i, number, event) = self.slow_answers.remove(at);
+                    if self.processes[i].number == number {
+                        self.processes[i].inbox.push(event);
+                    }
+                }
+            }
+            Op::Pause(i) => self.processes[i].paused = true,
+            Op::Resume(i) => self.processes[i].paused = false,
+            Op::Restart(i, drift) => self.processes[i] = self.start(drift),
+            Op::Stop(i) => self.processes[i].inbox.push(Event::Stop),
+            Op::Order(i) => self.order(i),
+            Op::Arrive(pick) => {
+                if let Some(at) = place(pick, self.to_checking.len()) {
+                    let sent = self.to_checking.remove(at);
+                    self.arrive_checking(&sent);
+                }
+            }
+        }
+        self.arrive_ignoring();
+        self.run();
+        self.check();
+    }
+
+    /// Lets each process that is not paused work until it has nothing to do.
+    fn run(&mut self) {
+        for i in 0..INSTANCES {
+            if self.processes[i].paused {
+                continue;
+            }
+            self.processes[i].inbox.push(Event::Tick);
+            for turn in 0.. {
+                assert!(turn < 100, "the holder asks without end");
+                if self.processes[i].inbox.is_empty() {
+                    break;
+                }
+                let event = self.processes[i].inbox.remove(0);
+                let now = self.clock(i);
+                let before = self.processes[i].holder.term();
+                if let Some(action) = self.processes[i].holder.on_event(now, event) {
+                    self.call(i, action);
+                }
+                let after = self.processes[i].holder.term();
+                self.terms += usize::from(after.is_some() && after != before);
+            }
+        }
+    }
+
+    fn call(&mut self, i: usize, action: Action) {
+        let event = match action {
+            Action::Get => match self.mode {
+                Mode::Up | Mode::Slow => Event::Read(self.object.clone()),
+                Mode::Down | Mode::LoseAnswer | Mode::Late => Event::PlatformDown,
+            },
+            Action::Put { write, value, when } => {
+                let outcome = match self.mode {
+                    Mode::Up | Mode::Slow => self.write(value, when),
+                    Mode::Down => Outcome::Refused,
+                    Mode::LoseAnswer => {
+                        self.write(value, when);
+                        Outcome::Unknown
+                    }
+                    Mode::Late => {
+                        self.late_writes.push((value, when));
+                        Outcome::Unknown
+                    }
+                };
+                Event::Put { write, outcome }
+            }
+        };
+        match self.mode {
+            Mode::Slow => self.slow_answers.push((i, self.processes[i].number, event)),
+            Mode::Up | Mode::Down | Mode::LoseAnswer | Mode::Late => {
+                self.processes[i].inbox.push(event);
+            }
+        }
+    }
+
+    fn write(&mut self, value: Value, when: Precondition) -> Outcome {
+        let version = self.object.as_ref().map(|(_, version)| *version);
+        let holds = match when {
+            Precondition::Absent => version.is_none(),
+            Precondition::Version(expected) => version == Some(expected),
+            Precondition::None => true,
+        };
+        if !holds {
+            return Outcome::Conflict;
+        }
+        let version = ObjectVersion(version.unwrap_or_default().0 + 1);
+        self.object = Some((value, version));
+        Outcome::Done(version)
+    }
+
+    /// The instance wants to give an order to both engines.
+    fn order(&mut self, i: usize) {
+        if self.processes[i].paused {
+            return;
+        }
+        let now = self.clock(i);
+        let process = &mut self.processes[i];
+        let at_us = self.real_us;
+        let (holder, orders) = (&process.holder, &mut process.orders);
+        let term = holder.term().unwrap_or(Fencing(0));
+        if let Permit::Send(token) = orders.permit(now, holder, self.engine, Checks::Checked) {
+            self.to_checking.push(Sent { at_us, token, term });
+        }
+        match orders.permit(now, holder, self.engine, Checks::Ignored) {
+            Permit::Send(token) => self.to_ignoring.push(Sent { at_us, token, term }),
+            Permit::ReadBack => orders.read_back(now, self.engine),
+            Permit::Wait(_) | Permit::Denied => {}
+        }
+    }
+
+    /// The engine refuses a token that is older than the newest it took.
+    fn arrive_checking(&mut self, sent: &Sent) {
+        if sent.token < self.checked.0 {
+            return;
+        }
+        assert!(
+            sent.term >= self.checked.1,
+            "an earlier holder's order was taken after a later one's"
+        );
+        self.checked = (sent.token, sent.term);
+    }
+
+    /// Orders arrive at the engine that ignores tokens as late as they may.
+    fn arrive_ignoring(&mut self) {
+        let before = self.real_us.saturating_sub(TRANSIT_REAL_US);
+        while self.to_ignoring.first().is_some_and(|s| s.at_us <= before) {
+            self.ignored = self.to_ignoring.remove(0).term;
+        }
+        let one_term = self.to_ignoring.windows(2).all(|w| w[0].term == w[1].term);
+        assert!(one_term, "orders of two holders are on their way at once");
+        let first = self.to_ignoring.first();
+        assert!(first.is_none_or(|s| s.term >= self.ignored));
+    }
+
+    fn check(&self) {
+        let holders = (0..INSTANCES).filter(|&i| {
+            let process = &self.processes[i];
+            process.holder.holds(self.clock(i)).is_some()
+        });
+        let holders: Vec<usize> = holders.collect();
+        let at = self.real_us;
+        assert!(holders.len() <= 1, "held by {holders:?} at {at} us");
+    }
+}
+
+fn place(pick: u8, len: usize) -> Option<usize> {
+    (len > 0).then(|| usize::from(pick) % len)
+}
+
+fn config(cases: u32) -> Config {
+    let default = Config::default();
+    let long = std::env::var_os("PROPTEST_CASES").is_some();
+    Config {
+        cases: if long { default.cases } else { cases },
+        rng_seed: RngSeed::Fixed(0x1ea5e),
+        failure_persistence: None,
+        ..default
+    }
+}
+
+proptest! {
+    #![proptest_config(config(1_000))]
+
+    #[test]
+    fn holder_one_at_a_time(ops in proptest::collection::vec(op(), 1..200)) {
+        let mut world = World::new();
+        for op in ops {
+            world.apply(op);
+        }
+    }
+}
+
+#[test]
+fn holder_takes_over_after_a_freeze() {
+    let mut world = World::new();
+    world.apply(Op::Advance(1_000));
+    let first = (0..INSTANCES).find(|&i| world.processes[i].holder.term().is_some());
+    let first = first.expect("one instance took the lease");
+    world.apply(Op::Pause(first));
+    for _ in 0..33 {
+        world.apply(Op::Advance(100_000));
+    }
+    let held = (0..INSTANCES).filter(|&i| i != first);
+    let held = held.filter(|&i| world.processes[i].holder.holds(world.clock(i)).is_some());
+    assert_eq!(held.count(), 1);
+    assert_eq!(world.terms, 2);
+}
