--- a/crates/coordination/lease/tests/holder.rs
+++ b/crates/coordination/lease/tests/holder.rs
@@ -58,7 +58,6 @@
     Resume(usize),
     Restart(usize, i64),
     Stop(usize),
-    Order(usize),
     Arrive(u8),
 }
 
@@ -115,8 +114,7 @@
         2 => instance.clone().prop_map(Op::Resume),
         1 => (instance.clone(), -DRIFT_PER_MILLE..=DRIFT_PER_MILLE)
             .prop_map(|(i, drift)| Op::Restart(i, drift)),
-        1 => instance.clone().prop_map(Op::Stop),
-        4 => instance.prop_map(Op::Order),
+        1 => instance.prop_map(Op::Stop),
         2 => any::<u8>().prop_map(Op::Arrive),
     ]
 }
@@ -192,7 +190,6 @@
             Op::Resume(i) => self.processes[i].paused = false,
             Op::Restart(i, drift) => self.processes[i] = self.start(drift),
             Op::Stop(i) => self.processes[i].inbox.push(Event::Stop),
-            Op::Order(i) => self.order(i),
             Op::Arrive(pick) => {
                 if let Some(at) = place(pick, self.to_checking.len()) {
                     let sent = self.to_checking.remove(at);
@@ -201,6 +198,7 @@
             }
         }
         self.arrive_ignoring();
+        (0..INSTANCES).for_each(|i| self.order(i));
         self.run();
         self.check();
     }
@@ -274,7 +272,7 @@
         Outcome::Done(version)
     }
 
-    /// The instance wants to give an order to both engines.
+    /// The instance always wants to give an order to both engines.
     fn order(&mut self, i: usize) {
         if self.processes[i].paused {
             return;
