--- a/programs/tests/process/site.rs
+++ b/programs/tests/process/site.rs
@@ -81,8 +81,9 @@
                 engines.push(engine(data_centre, layers, &log));
             }
         }
-        let ip = own_ip(number);
-        let named: Vec<_> = sample::DATA_CENTRES.map(|name| instance(name, ip)).into();
+        let numbers = 2 * number..;
+        let named = numbers.zip(sample::DATA_CENTRES);
+        let named: Vec<_> = named.map(|(n, name)| instance(name, own_ip(n))).collect();
         let settings = dir.join("settings.jsonc");
         let limits = json!({"step_ms": STEP_MS, "prefill_ms": PREFILL_MS});
         let text = sample::settings(platform_addr, &named, &limits);
@@ -226,7 +227,7 @@
     Engine { process, runner }
 }
 
-/// An address of the loopback network that no other test uses.
+/// An address of the loopback network that no other instance uses.
 fn own_ip(number: u8) -> Ipv4Addr {
     let id = std::process::id().to_be_bytes();
     Ipv4Addr::new(127, 64 + (id[2] & 0x3f), id[3], number)
