--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -26,6 +26,7 @@
 use crate::instance::Instance;
 use crate::listener;
 use crate::peers::Peers;
+use crate::watch;
 
 /// `Running` is an instance with open sockets.
 pub struct Running {
@@ -69,7 +70,8 @@
 ) -> Result<Running> {
     let key = SharedKey::new(settings.peer_key.as_bytes());
     let options = listener::Options {
-        header_bytes: settings.limits.header_bytes,
+        // Room beyond the limit, so that a request over it still gets a numbered error.
+        header_bytes: 2 * settings.limits.header_bytes,
         header_timeout: Duration::from_millis(settings.limits.receive_ms),
     };
     let (callers_socket, callers) = open(me.callers).await?;
@@ -92,6 +94,8 @@
         tokio::spawn(admin_task),
         tokio::spawn(peer_task),
         tokio::spawn(configuration::follow(Arc::clone(&instance))),
+        tokio::spawn(watch::loads(Arc::clone(&instance))),
+        tokio::spawn(watch::list(Arc::clone(&instance))),
     ];
     info!(instance.log, "started"; "callers" => %callers, "peers" => %peers, "admin" => %admin_addr);
     Ok(Running {
