Process tests: a leaving backend server gets no new work after 3 s

By the word of its load report, the platform's list and an operator's drain; the stream that runs on it ends whole. Failing first: with the availability of leaving servers left true, the list's and the operator's cases were red (12 requests reached the server after the bound); the load report's case stayed green, since such an engine refuses new streams by itself. After: all three green.

--- /dev/null
+++ b/programs/tests/process/leaving.rs
@@ -0,0 +1,107 @@
+//! A leaving backend server gets no new work, whichever source says that it leaves.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use hemlockwind_standin::sample;
+use serde_json::json;
+use uuid::Uuid;
+
+use crate::caller::Caller;
+use crate::caller::Ended;
+use crate::caller::expected;
+use crate::site::Site;
+
+/// The time after which a leaving server gets no new work.
+const BOUND: Duration = Duration::from_secs(3);
+/// Tokens of the stream that runs while its server leaves.
+const TOKENS: u32 = 100;
+/// Requests after the bound.
+const REQUESTS: usize = 24;
+
+/// `Source` is who says that a server is leaving.
+#[derive(Clone, Copy, Debug)]
+enum Source {
+    Report,
+    List,
+    Configuration,
+}
+
+/// Lets an engine of the middle stage leave by the word of `source` while a
+/// stream runs on it, and checks that later requests don't reach it.
+async fn leave(name: &str, source: Source) {
+    let site = Site::start(name).await;
+    let caller = &site.instances[0].caller;
+    let prompt = sample::long_prompt("kuondoka", TOKENS);
+    let mut streamed = caller.stream(&prompt, TOKENS).await.unwrap();
+    streamed.read_tokens(2).await;
+    let index = site.engine_in_use(1).await;
+    say(&site, index, source).await;
+    tokio::time::sleep(BOUND).await;
+    assert_eq!(streamed.finish().await, Ended::Done);
+    assert_eq!(streamed.text, expected(&prompt, TOKENS));
+
+    let before = requests(&site, index).await;
+    let calls = (0..REQUESTS).map(|n| {
+        let caller = site.instances[n % 2].caller.clone();
+        async move {
+            let prompt = format!("baada ya {n}");
+            let text = caller.complete(&prompt, 4).await.unwrap();
+            assert_eq!(text, expected(&prompt, 4));
+        }
+    });
+    futures::future::join_all(calls).await;
+    let after = requests(&site, index).await;
+    assert_eq!(after.difference(&before).count(), 0, "{source:?}");
+}
+
+/// Makes `source` say that the engine at `index` is leaving.
+async fn say(site: &Site, index: usize, source: Source) {
+    let engine = &site.engines[index];
+    let name = format!("runner-{index}");
+    match source {
+        Source::Report => engine.set_faults(&json!({"leaving": true})).await,
+        Source::List => {
+            let list = json!({"instances": [{
+                "name": name, "data_centre": engine.runner.data_centre,
+                "addr": engine.runner.addr, "kind": "backend_server", "state": "leaving",
+            }]});
+            let platform = Caller::new(site.platform_addr, "");
+            let body = list.to_string().into_bytes();
+            let set = platform.json("PUT", "/_standin/instances", body).await;
+            assert!(set.is_some());
+        }
+        Source::Configuration => {
+            let status = tokio::process::Command::new(env!("CARGO_BIN_EXE_hemlockwind"))
+                .args([
+                    "drain",
+                    "--settings",
+                    site.settings.to_str().unwrap(),
+                    &name,
+                ])
+                .status();
+            assert!(status.await.unwrap().success());
+        }
+    }
+}
+
+/// The requests that ran on an engine.
+async fn requests(site: &Site, index: usize) -> HashSet<Uuid> {
+    let runs = site.engines[index].ran().await.runs;
+    runs.iter().map(|run| run.id.request).collect()
+}
+
+#[tokio::test]
+async fn leave_load_report() {
+    leave("leaving-report", Source::Report).await;
+}
+
+#[tokio::test]
+async fn leave_platform_list() {
+    leave("leaving-list", Source::List).await;
+}
+
+#[tokio::test]
+async fn leave_operator_drain() {
+    leave("leaving-drain", Source::Configuration).await;
+}
--- a/programs/tests/process/main.rs
+++ b/programs/tests/process/main.rs
@@ -3,6 +3,7 @@
 mod caller;
 mod completions;
 mod failures;
+mod leaving;
 mod process;
 mod site;
 mod stop;
--- a/programs/tests/process/site.rs
+++ b/programs/tests/process/site.rs
@@ -54,6 +54,8 @@
 /// and two instances.
 pub struct Site {
     pub platform: Process,
+    pub platform_addr: SocketAddr,
+    pub settings: PathBuf,
     pub engines: Vec<Engine>,
     _service: Process,
     pub service_addr: SocketAddr,
@@ -98,9 +100,12 @@
                 admin: Caller::new(named.admin, sample::ADMIN_TOKEN),
             }
         });
+        let instances = instances.collect();
         let site = Self {
-            instances: instances.collect(),
+            instances,
             platform,
+            platform_addr,
+            settings,
             engines,
             _service: service,
             service_addr,
