Health: doubt, ejection and the retry budget are wired

Cause: a server that answers probes but fails its steps went on being used, and every failed path was asked for again without a bound. Doubt (probe by a new connection), ejection with a cap, and the budget of the limits crate are carried out by one module; the former loop of probes goes. Ruled out: drawing on the budget for a stream's second path, since a stage that dies under hundreds of streams would then fail whole answers; the budget counts from the third path on. The learned limit is not wired: no measurement yet says that it helps beside the configured one.

--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -33,10 +33,10 @@
 use hemlockwind_stream::Stream;
 use hemlockwind_telemetry::histograms::Measure;
 
+use crate::health;
 use crate::instance::Instance;
 use crate::pool;
 use crate::pool::Slot;
-use crate::watch;
 
 /// `Progress` is what a caller's side hears of a stream.
 #[derive(Clone, Debug)]
@@ -74,6 +74,9 @@
     pub deadline: Instant,
 }
 
+/// Paths that a stream gets without drawing on the retry budget: the first, and
+/// one for a stage that failed under many streams at once.
+const FREE_INCARNATIONS: Incarnation = Incarnation(2);
 /// Bytes of a prompt that are taken for one token.
 const TOKEN_BYTES: usize = 4;
 
@@ -246,7 +249,7 @@
                 step,
                 deadline,
             } => self.send(server, step, deadline),
-            Action::Doubt(server) => probe(&self.instance, server),
+            Action::Doubt(server) => health::on_failure(&self.instance, server),
             Action::Move {
                 from,
                 to,
@@ -261,6 +264,12 @@
     /// Chooses a path and counts the stream on its servers.
     fn choose(&mut self, avoid: &[BackendServerKey], keep: &[Stage]) {
         let now = self.instance.edges.clock.now();
+        let is_late_retry = self.stream.incarnation() >= FREE_INCARNATIONS;
+        if is_late_retry && !self.instance.health.may_retry(now) {
+            self.instance.metrics.count("retries.refused", 1);
+            self.events.push_back(Event::NoPath);
+            return;
+        }
         let fleet = &self.instance.fleet;
         match fleet.choose(now, (self.work.model, self.centre), avoid, keep) {
             Some(path) => {
@@ -390,9 +399,10 @@
                 let now = self.instance.edges.clock.now();
                 let time = now.since(outstanding.sent_at);
                 self.instance.fleet.measured(outstanding.server, time);
+                health::on_success(&self.instance, outstanding.server);
             }
             Event::Failed { id, .. } if *id == outstanding.id => {
-                probe(&self.instance, outstanding.server);
+                health::on_failure(&self.instance, outstanding.server);
             }
             Event::Result(_)
             | Event::Failed { .. }
@@ -406,37 +416,3 @@
         }
     }
 }
-
-/// Probes a server in doubt over new connections, until one answers. While none
-/// does, the server gets no new streams.
-pub fn probe(instance: &Arc<Instance>, server: BackendServerKey) {
-    let now = instance.edges.clock.now();
-    if !instance.fleet.doubt(server, now) {
-        return;
-    }
-    let instance = Arc::clone(instance);
-    tokio::spawn(async move {
-        let stopping = instance.stopping.clone();
-        // Ends with the instance, or when the configuration drops the server.
-        while let Some(place) = instance.fleet.place(server) {
-            match instance.edges.engine.load(place.addr, true).await {
-                Ok(load) => {
-                    if load.leaving {
-                        watch::leave(&instance, server, "its load report");
-                    }
-                    instance.fleet.set_available(server, true);
-                    break;
-                }
-                Err(_) => instance.fleet.set_available(server, false),
-            }
-            tokio::select! {
-                () = sleep(PROBE_INTERVAL) => {}
-                () = stopping.cancelled() => break,
-            }
-        }
-        instance.fleet.settle(server);
-    });
-}
-
-/// Time between probes of a server in doubt.
-const PROBE_INTERVAL: std::time::Duration = std::time::Duration::from_millis(250);
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -47,7 +47,8 @@
     data_centre: DataCentreKey,
     graphs: ArcSwap<HashMap<GraphKey, Arc<Mutex<Graph>>>>,
     servers: ArcSwap<HashMap<BackendServerKey, Place>>,
-    doubted: Mutex<HashMap<BackendServerKey, Instant>>,
+    down: Mutex<HashSet<BackendServerKey>>,
+    ejected: Mutex<HashSet<BackendServerKey>>,
     leaving: Mutex<HashMap<BackendServerKey, Instant>>,
     left: broadcast::Sender<BackendServerKey>,
 }
@@ -72,7 +73,8 @@
             data_centre,
             graphs: ArcSwap::default(),
             servers: ArcSwap::default(),
-            doubted: Mutex::default(),
+            down: Mutex::default(),
+            ejected: Mutex::default(),
             leaving: Mutex::default(),
             left: broadcast::Sender::new(NEWS),
         }
@@ -138,7 +140,7 @@
         server: &BackendServer,
         layers: LayerRange,
     ) {
-        let available = !server.leaving && !self.leaving.lock().contains_key(&key);
+        let available = !server.leaving && self.is_available(key);
         let is_known = graph.update(key, |known| {
             known.layers = layers;
             known.limit = server.limit;
@@ -230,22 +232,48 @@
         });
     }
 
-    /// Makes a server available or not for new streams.
-    pub fn set_available(&self, key: BackendServerKey, available: bool) {
-        let is_leaving = self.leaving.lock().contains_key(&key);
-        let is_leaving = is_leaving || self.place(key).is_some_and(|place| place.leaving);
+    /// Notes whether a server was found to be down.
+    pub fn set_down(&self, key: BackendServerKey, is_down: bool) {
+        set(&self.down, key, is_down);
+        self.refresh(key);
+    }
+
+    /// Notes whether a server is left out after failures.
+    pub fn set_ejected(&self, key: BackendServerKey, is_ejected: bool) {
+        set(&self.ejected, key, is_ejected);
+        self.refresh(key);
+    }
+
+    /// Whether a server may get new streams.
+    fn is_available(&self, key: BackendServerKey) -> bool {
+        let is_out = self.down.lock().contains(&key) || self.ejected.lock().contains(&key);
+        !is_out && !self.leaving.lock().contains_key(&key)
+    }
+
+    /// Makes a server available or not in its graphs.
+    fn refresh(&self, key: BackendServerKey) {
+        let is_leaving = self.place(key).is_some_and(|place| place.leaving);
+        let available = self.is_available(key) && !is_leaving;
         self.with(key, |graph| {
-            graph.update(key, |server| server.available = available && !is_leaving);
+            graph.update(key, |server| server.available = available);
         });
     }
 
+    /// The servers that hold a range of a model's layers.
+    pub fn holders(&self, (model, layers): (ModelKey, LayerRange)) -> Vec<BackendServerKey> {
+        let places = self.servers.load();
+        let role = Role::Engine { model, layers };
+        let holders = places.iter().filter(|(_, place)| place.role == role);
+        holders.map(|(&key, _)| key).collect()
+    }
+
     /// Notes that a server is leaving, until no source says so any more. Returns
     /// whether that is news.
     pub fn leave(&self, key: BackendServerKey, now: Instant) -> bool {
         let expires_at = now + LEAVING_LIFETIME;
         let is_news = self.leaving.lock().insert(key, expires_at).is_none();
         if is_news {
-            self.set_available(key, false);
+            self.refresh(key);
             // Without streams nobody listens.
             let _ = self.left.send(key);
         }
@@ -263,7 +291,7 @@
             stays
         });
         for key in returned {
-            self.set_available(key, true);
+            self.refresh(key);
         }
     }
 
@@ -272,16 +300,6 @@
         self.leaving.lock().keys().copied().collect()
     }
 
-    /// Begins a probe of a server in doubt, unless one is under way.
-    pub fn doubt(&self, key: BackendServerKey, now: Instant) -> bool {
-        self.doubted.lock().insert(key, now).is_none()
-    }
-
-    /// Ends a probe.
-    pub fn settle(&self, key: BackendServerKey) {
-        self.doubted.lock().remove(&key);
-    }
-
     /// The servers of a service, those of the own data centre first.
     pub fn service(&self, service: ServiceKey) -> Vec<(BackendServerKey, SocketAddr)> {
         let places = self.servers.load();
@@ -315,6 +333,15 @@
     }
 }
 
+/// Adds a server to a set, or removes it.
+fn set(of: &Mutex<HashSet<BackendServerKey>>, key: BackendServerKey, is_in: bool) {
+    if is_in {
+        of.lock().insert(key);
+    } else {
+        of.lock().remove(&key);
+    }
+}
+
 /// The graphs that hold the servers of a model in a data centre.
 fn both(
     graphs: &HashMap<GraphKey, Arc<Mutex<Graph>>>,
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -32,6 +32,7 @@
 
 use crate::duties::Duties;
 use crate::fleet::Fleet;
+use crate::health::Health;
 use crate::lanes::Lanes;
 use crate::pool::Pools;
 
@@ -84,6 +85,8 @@
     pub config: ArcSwap<Config>,
     /// The backend servers and their load.
     pub fleet: Arc<Fleet>,
+    /// What is believed of the backend servers.
+    pub health: Health,
     /// Who does what for the data centre.
     pub duties: Duties,
     /// The pools that this instance uses.
@@ -126,6 +129,7 @@
             directory: RwLock::new(directory),
             config: ArcSwap::default(),
             fleet: Arc::new(Fleet::new(data_centre)),
+            health: Health::new(edges.clock.now()),
             duties,
             pools: Pools::default(),
             lanes: Arc::new(lanes),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod driver;
 pub mod duties;
 pub mod fleet;
+pub mod health;
 pub mod instance;
 pub mod lanes;
 pub mod listener;
--- a/crates/daemon/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -9,9 +9,10 @@
 use hemlockwind_core::edges::ListKind;
 use hemlockwind_core::edges::ListState;
 use hemlockwind_core::names::BackendServerKey;
+use hemlockwind_limits::doubt::Event;
 
-use crate::driver::probe;
 use crate::fleet::Place;
+use crate::health;
 use crate::instance::Instance;
 
 /// Time between two reports of one engine.
@@ -60,7 +61,7 @@
             }
         }
         // A probe over a new connection judges, not one lost report.
-        Err(_) => probe(instance, server),
+        Err(_) => health::on_doubt(instance, server, Event::StepTimedOut),
     }
 }
 
