Process tests: a planned stop answers what the balancer still sends

FAILS NOW: stop_open_connections_are_answered, each time; and stop_under_load_cuts_nothing at times (4 of 18 runs).

Cause: at the signal the listener closes at once. Connections in its backlog are reset, and open ones on which no request was read yet are closed, although the balancer has not heard of the stop. Ruled out: a request that was being run (all 10 streams were whole in all runs), and the drain time (60 s, not reached).

The callers of stop_under_load now end at the first refusal in words, as the balancer does when an instance is not ready; they are 24 instead of 6.

--- a/programs/tests/process/caller.rs
+++ b/programs/tests/process/caller.rs
@@ -13,6 +13,7 @@
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use serde_json::Value;
 use serde_json::json;
@@ -74,6 +75,13 @@
     _connection: Connection,
 }
 
+/// `Open` is an open connection for one request.
+pub struct Open {
+    sender: SendRequest<Full<Bytes>>,
+    connection: Connection,
+    token: String,
+}
+
 /// `Connection` is a task that ends when it is dropped.
 struct Connection(JoinHandle<()>);
 
@@ -89,37 +97,23 @@
         Self { to, token }
     }
 
-    /// Sends one request on a connection of its own.
-    async fn send(
-        &self,
-        method: &str,
-        path: &str,
-        headers: &[(&str, &str)],
-        body: Vec<u8>,
-    ) -> Result<(Response<Incoming>, Connection), Failure> {
+    /// Opens a connection.
+    pub async fn connect(&self) -> Result<Open, Failure> {
         let io = TcpStream::connect(self.to).await;
         let io = io.map_err(|_| Failure::Refused)?;
         io.set_nodelay(true).unwrap();
         let shaken = hyper::client::conn::http1::handshake(TokioIo::new(io)).await;
-        let (mut sender, conn) = shaken.map_err(|e| Failure::Cut(e.to_string()))?;
+        let (sender, conn) = shaken.map_err(|e| Failure::Cut(e.to_string()))?;
         let connection = Connection(tokio::spawn(async {
             // The request's own result tells how it ended.
             let _ = conn.await;
         }));
-        let mut req = Request::builder()
-            .method(method)
-            .uri(path)
-            .header("host", "hemlockwind")
-            .header("content-type", "application/json")
-            .header("authorization", format!("Bearer {}", self.token));
-        for (name, value) in headers {
-            req = req.header(*name, *value);
-        }
-        let req = req.body(Full::new(Bytes::from(body))).unwrap();
-        match tokio::time::timeout(PATIENCE, sender.send_request(req)).await {
-            Ok(res) => Ok((res.map_err(|e| Failure::Cut(e.to_string()))?, connection)),
-            Err(_) => Err(Failure::Cut("no answer for too long".into())),
-        }
+        let token = self.token.clone();
+        Ok(Open {
+            sender,
+            connection,
+            token,
+        })
     }
 
     /// The status and whole body of an answer.
@@ -130,11 +124,8 @@
         headers: &[(&str, &str)],
         body: Vec<u8>,
     ) -> Result<(StatusCode, Bytes), Failure> {
-        let (res, _connection) = self.send(method, path, headers, body).await?;
-        let status = res.status();
-        let body = res.into_body().collect().await;
-        let body = body.map_err(|e| Failure::Cut(e.to_string()))?;
-        Ok((status, body.to_bytes()))
+        let open = self.connect().await?;
+        open.call(method, path, headers, body).await
     }
 
     /// The body of a success.
@@ -159,7 +150,8 @@
     /// Opens a streamed answer.
     pub async fn stream(&self, prompt: &str, tokens: u32) -> Result<Streamed, Failure> {
         let body = request(prompt, tokens, true);
-        let (res, connection) = self.send("POST", "/v1/completions", &[], body).await?;
+        let open = self.connect().await?;
+        let (res, connection) = open.send("POST", "/v1/completions", &[], body).await?;
         let status = res.status();
         if !status.is_success() {
             let body = res.into_body().collect().await;
@@ -181,6 +173,50 @@
     }
 }
 
+impl Open {
+    /// Sends one request, and gives the head of its answer.
+    async fn send(
+        mut self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Vec<u8>,
+    ) -> Result<(Response<Incoming>, Connection), Failure> {
+        let mut req = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", "hemlockwind")
+            .header("content-type", "application/json")
+            .header("authorization", format!("Bearer {}", self.token));
+        for (name, value) in headers {
+            req = req.header(*name, *value);
+        }
+        let req = req.body(Full::new(Bytes::from(body))).unwrap();
+        match tokio::time::timeout(PATIENCE, self.sender.send_request(req)).await {
+            Ok(res) => Ok((
+                res.map_err(|e| Failure::Cut(e.to_string()))?,
+                self.connection,
+            )),
+            Err(_) => Err(Failure::Cut("no answer for too long".into())),
+        }
+    }
+
+    /// The status and whole body of an answer.
+    pub async fn call(
+        self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Vec<u8>,
+    ) -> Result<(StatusCode, Bytes), Failure> {
+        let (res, _connection) = self.send(method, path, headers, body).await?;
+        let status = res.status();
+        let body = res.into_body().collect().await;
+        let body = body.map_err(|e| Failure::Cut(e.to_string()))?;
+        Ok((status, body.to_bytes()))
+    }
+}
+
 impl Streamed {
     /// Reads until `tokens` tokens have arrived.
     pub async fn read_tokens(&mut self, tokens: usize) {
@@ -268,7 +304,8 @@
     (!text.is_empty()).then(|| Event::Token(text.into()))
 }
 
-fn request(prompt: &str, tokens: u32, stream: bool) -> Vec<u8> {
+/// The body of a request for a completion.
+pub fn request(prompt: &str, tokens: u32, stream: bool) -> Vec<u8> {
     let model = sample::PIPELINE;
     let request = json!({"model": model, "prompt": prompt, "max_tokens": tokens, "stream": stream});
     request.to_string().into_bytes()
--- a/programs/tests/process/stop.rs
+++ b/programs/tests/process/stop.rs
@@ -12,15 +12,19 @@
 use crate::caller::Ended;
 use crate::caller::Failure;
 use crate::caller::expected;
+use crate::caller::request;
 use crate::site::Site;
 use crate::site::eventually;
 
 const TOKENS: u32 = 60;
 const STREAMS: usize = 10;
-/// Callers that send request after request, each on a new connection.
-const LOOPS: usize = 6;
+/// Callers that send request after request, each on a new connection, until the
+/// instance says that it stops. The platform's balancer does no more.
+const LOOPS: usize = 24;
 /// How long the loops may take to be under way on a busy machine.
 const START: Duration = Duration::from_secs(30);
+/// The time in which the platform's balancer hears of a stop, at the least.
+const NOTICE: Duration = Duration::from_millis(100);
 /// A stop must end within the time of the answers in progress.
 const STOP: Duration = Duration::from_secs(30);
 
@@ -35,7 +39,6 @@
         streamed.read_tokens(1).await;
         streams.push(streamed);
     }
-    // These go on until the instance takes no connection any more.
     let answered = Arc::new(AtomicUsize::new(0));
     let mut loops = JoinSet::new();
     for n in 0..LOOPS {
@@ -44,20 +47,14 @@
         loops.spawn(async move {
             let mut cut = Vec::new();
             for round in 0.. {
-                let body = serde_json::json!({
-                    "model": sample::PIPELINE,
-                    "prompt": format!("mzunguko {n} {round}"),
-                    "max_tokens": 3,
-                });
-                let body = body.to_string().into_bytes();
+                let body = request(&format!("mzunguko {n} {round}"), 3, false);
                 match caller.call("POST", "/v1/completions", &[], body).await {
                     Ok((status, _)) if status.is_success() => {
                         answered.fetch_add(1, Ordering::Relaxed);
                     }
-                    // Refused in words, with nothing run.
                     Ok((_, body)) => {
-                        let problem: Value = serde_json::from_slice(&body).unwrap();
-                        assert_eq!(problem["ran"], "no", "{problem}");
+                        assert_not_run(&body);
+                        break;
                     }
                     Err(Failure::Refused) => break,
                     Err(Failure::Cut(why)) => cut.push(why),
@@ -86,6 +83,35 @@
     assert_eq!(status.code(), Some(0));
 }
 
+#[tokio::test]
+async fn stop_open_connections_are_answered() {
+    let mut site = Site::start("open").await;
+    let caller = site.instances[0].caller.clone();
+    let mut open = Vec::new();
+    for _ in 0..STREAMS {
+        open.push(caller.connect().await.unwrap());
+    }
+    site.instances[0].process.signal("TERM");
+    tokio::time::sleep(NOTICE).await;
+    // The balancer has not heard of the stop yet, so it sends what it has.
+    for open in open {
+        let body = request("mlango", 3, false);
+        let answer = open.call("POST", "/v1/completions", &[], body).await;
+        let (status, body) = answer.expect("an answer in words");
+        if !status.is_success() {
+            assert_not_run(&body);
+        }
+    }
+    let status = site.instances[0].process.wait(STOP).await;
+    assert_eq!(status.code(), Some(0));
+}
+
+/// Checks that a refusal says that nothing was run.
+fn assert_not_run(body: &[u8]) {
+    let problem: Value = serde_json::from_slice(body).unwrap();
+    assert_eq!(problem["ran"], "no", "{problem}");
+}
+
 #[tokio::test]
 async fn kill_callers_see_cut_streams_end() {
     let mut site = Site::start("kill").await;
