--- a/crates/transport/peer/src/client.rs
+++ b/crates/transport/peer/src/client.rs
@@ -199,7 +199,7 @@
             Duration::from_millis(dispatch.deadline_ms.into()) + DISPATCH_GRACE
         }
         Request::Configuration(_) => DOCUMENT_TIMEOUT,
-        Request::Probe(_) | Request::Tickets(_) | Request::Grants(_) => CALL_TIMEOUT,
+        Request::Membership(_) | Request::Tickets(_) | Request::Grants(_) => CALL_TIMEOUT,
     }
 }
 
