--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -86,7 +86,7 @@
         "instance": instance.me.name,
         "data_centre": instance.me.data_centre,
         "ready": instance.is_ready(),
-        "stopping": instance.stopping.is_cancelled(),
+        "stopping": instance.unready.is_cancelled(),
         "requests": instance.requests.len(),
         "config_version": config.version.0,
         "sheet_day": config.sheet_day,
@@ -131,6 +131,6 @@
 
 /// Begins a planned stop.
 async fn drain(State(instance): State<Arc<Instance>>) -> Json<Value> {
-    instance.stopping.cancel();
+    instance.unready.cancel();
     Json(json!({"stopping": true, "requests": instance.requests.len()}))
 }
--- a/crates/protocol/src/peer/queueing.rs
+++ b/crates/protocol/src/peer/queueing.rs
@@ -1,7 +1,6 @@
 //! Tickets from drivers to a pool's home, and grants back.
 //!
-//! Organisations travel by name and deadlines as remaining time, since keys and
-//! instants mean nothing in another process.
+//! Instants don't travel: a message carries the milliseconds that remain.
 
 use std::time::Duration;
 
@@ -9,39 +8,51 @@
 use serde::Serialize;
 use uuid::Uuid;
 
+use hemlockwind_core::Error;
+use hemlockwind_core::Result;
 use hemlockwind_core::engine::RequestId;
-use hemlockwind_core::names::Names;
 use hemlockwind_core::names::OrganisationKey;
 use hemlockwind_core::names::Rank;
 use hemlockwind_core::time::Instant;
 use hemlockwind_queueing::message;
-use hemlockwind_queueing::message::Finished;
-use hemlockwind_queueing::message::Stamp;
 use hemlockwind_queueing::ticket;
-use hemlockwind_queueing::ticket::Reason;
-use hemlockwind_queueing::ticket::Refusal;
 
-/// `Tickets` is news from one driver to a pool's home.
-#[derive(Clone, Debug, PartialEq)]
+/// The cost of one ticket at most, in tokens times layers.
+const COST_LIMIT: u64 = 1 << 40;
+/// Ticket and grants in one message at most.
+const LIST_LIMIT: usize = 1 << 16;
+/// Credits in one message at most.
+const CREDIT_LIMIT: u32 = 1 << 10;
+
+/// `Stamp` is the wire form of [`message::Stamp`].
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Stamp {
+    /// The start of the sender.
+    pub session: u64,
+    /// The number in the session.
+    pub number: u64,
+}
+
+/// `Tickets` is a report from one driver to a pool's home.
+#[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct Tickets {
-    /// The model of the pool.
-    pub model: String,
-    /// The data centre of the pool.
-    pub data_centre: String,
-    /// The stamp of this report: session and number.
-    pub stamp: (u64, u64),
+    /// The pool's name: model and data centre.
+    pub pool: String,
+    /// The stamp of this report.
+    pub stamp: Stamp,
     /// The last stamp of the home that the driver has taken.
-    pub seen: (u64, u64),
-    /// Whether `tickets` is all that the driver has.
+    pub seen: Stamp,
+    /// Whether these are all tickets of the driver.
     pub whole: bool,
     /// Whether the driver now has another home.
     pub leaving: bool,
     /// New tickets, or all of them.
     pub tickets: Vec<Ticket>,
-    /// Running requests that ended, with their cost.
+    /// Running requests that ended, with the cost that they had.
     pub finished: Vec<(Uuid, u64)>,
-    /// Waiting requests that were given up.
+    /// Tickets withdrawn before a grant.
     pub withdrawn: Vec<Uuid>,
     /// Unused credits.
     pub credits: u32,
@@ -57,205 +68,243 @@
 pub struct Ticket {
     /// The request.
     pub request: Uuid,
-    /// The organisation's name.
+    /// The organisation's name; its share is in the receiver's configuration.
     pub organisation: String,
-    /// The organisation's weight.
-    pub share: f64,
     /// The rank, 0 the most urgent.
     pub rank: u8,
-    /// The expected cost, in tokens times layers.
+    /// The expected cost, tokens times layers.
     pub cost: u64,
-    /// Milliseconds until the latest start that is of use.
-    pub start_ms: u32,
+    /// Milliseconds that remain until the latest useful start.
+    pub deadline_ms: u64,
     /// Whether the request runs already.
     pub running: bool,
 }
 
-/// `Grants` is news from the home of a pool to a driver.
-#[derive(Clone, Debug, PartialEq)]
+/// `Grants` is an answer from a pool's home to one driver.
+#[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct Grants {
-    /// The model of the pool.
-    pub model: String,
-    /// The data centre of the pool.
-    pub data_centre: String,
-    /// The stamp of this message: session and number.
-    pub stamp: (u64, u64),
+    /// The pool's name.
+    pub pool: String,
+    /// The stamp of this message.
+    pub stamp: Stamp,
     /// Requests that may start now.
     pub granted: Vec<Uuid>,
-    /// Requests refused, why, and milliseconds until a retry may succeed.
-    pub refused: Vec<(Uuid, Refused, u32)>,
-    /// Starts allowed in advance of a ticket.
+    /// Requests that will not be granted.
+    pub refused: Vec<Refusal>,
+    /// Requests that the driver may start in advance of a ticket.
     pub credits: u32,
     /// Whether the driver must give up its unused credits first.
     pub revoke: bool,
-    /// Whether the driver must send a whole report.
+    /// Whether the driver must report all its tickets.
     pub resend: bool,
     /// The estimated wait of a new ticket by rank, in milliseconds.
     pub waits_ms: Vec<u32>,
 }
 
-/// `Refused` is the wire form of [`Reason`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// `Refusal` is the wire form of [`ticket::Refusal`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Refusal {
+    /// The request.
+    pub request: Uuid,
+    /// Why.
+    pub reason: Reason,
+    /// Milliseconds after which a retry may succeed.
+    pub retry_ms: u32,
+}
+
+/// `Reason` is the wire form of [`ticket::Reason`].
+#[derive(Clone, Copy, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
-pub enum Refused {
-    /// The queue is full.
+pub enum Reason {
+    /// The queue of the organisation and rank is full.
     QueueFull,
-    /// The deadline can't be met.
+    /// The estimated wait passes the deadline.
     DeadlineUnmeetable,
-    /// The deadline passed.
+    /// The deadline passed while the ticket waited.
     DeadlinePassed,
 }
 
-/// `Pool` names a pool on the wire.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Pool {
-    /// The model.
-    pub model: String,
-    /// The data centre.
-    pub data_centre: String,
+impl From<message::Stamp> for Stamp {
+    fn from(stamp: message::Stamp) -> Self {
+        Self {
+            session: stamp.session,
+            number: stamp.number,
+        }
+    }
 }
 
-/// Milliseconds of a duration, as far as they fit.
-fn millis(time: Duration) -> u32 {
-    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+impl From<Stamp> for message::Stamp {
+    fn from(stamp: Stamp) -> Self {
+        Self {
+            session: stamp.session,
+            number: stamp.number,
+        }
+    }
 }
 
-/// The stamp of a pair.
-fn stamp((session, number): (u64, u64)) -> Stamp {
-    Stamp { session, number }
+impl From<ticket::Reason> for Reason {
+    fn from(reason: ticket::Reason) -> Self {
+        match reason {
+            ticket::Reason::QueueFull => Self::QueueFull,
+            ticket::Reason::DeadlineUnmeetable => Self::DeadlineUnmeetable,
+            ticket::Reason::DeadlinePassed => Self::DeadlinePassed,
+        }
+    }
+}
+
+impl From<Reason> for ticket::Reason {
+    fn from(reason: Reason) -> Self {
+        match reason {
+            Reason::QueueFull => Self::QueueFull,
+            Reason::DeadlineUnmeetable => Self::DeadlineUnmeetable,
+            Reason::DeadlinePassed => Self::DeadlinePassed,
+        }
+    }
 }
 
 impl Tickets {
-    /// The wire form of a report that is sent at `now`.
-    pub fn new(
-        pool: Pool,
-        report: message::Report,
+    /// The message for `report`, sent at `now`; `name` names organisations.
+    pub fn from_report(
+        pool: String,
         now: Instant,
-        names: &Names<OrganisationKey>,
+        report: message::Report,
+        name: impl Fn(OrganisationKey) -> String,
     ) -> Self {
-        let tickets = report.tickets.into_iter();
-        let finished = report.finished.into_iter();
-        let withdrawn = report.withdrawn.into_iter();
+        let ticket = |ticket: &ticket::Ticket| Ticket {
+            request: ticket.request.0,
+            organisation: name(ticket.organisation),
+            rank: ticket.rank.0,
+            cost: ticket.cost,
+            deadline_ms: millis(ticket.deadline.since(now)),
+            running: ticket.running,
+        };
+        let finished = report.finished.iter();
         Self {
-            model: pool.model,
-            data_centre: pool.data_centre,
-            stamp: (report.stamp.session, report.stamp.number),
-            seen: (report.seen.session, report.seen.number),
+            pool,
+            stamp: report.stamp.into(),
+            seen: report.seen.into(),
             whole: report.whole,
             leaving: report.leaving,
-            tickets: tickets.map(|t| Ticket::new(t, now, names)).collect(),
+            tickets: report.tickets.iter().map(ticket).collect(),
             finished: finished.map(|f| (f.request.0, f.cost)).collect(),
-            withdrawn: withdrawn.map(|request| request.0).collect(),
+            withdrawn: report.withdrawn.iter().map(|r| r.0).collect(),
             credits: report.credits,
             waiting: report.waiting,
             running: report.running,
         }
     }
 
-    /// The report, as it arrives at `now`.
-    pub fn report(self, now: Instant, names: &mut Names<OrganisationKey>) -> message::Report {
-        let tickets = self.tickets.into_iter();
-        let finished = self.finished.into_iter();
-        let withdrawn = self.withdrawn.into_iter();
-        message::Report {
-            stamp: stamp(self.stamp),
-            seen: stamp(self.seen),
+    /// The report in this message, received at `now`; `organisation` gives the key
+    /// and share of a name. Tickets of unknown organisations are left out: the
+    /// configuration that knows them has not arrived, and counts that differ make
+    /// the home ask again.
+    ///
+    /// # Errors
+    ///
+    /// `Error::PeerFrame` when a list, a cost or a count is beyond its limit.
+    pub fn into_report(
+        self,
+        now: Instant,
+        organisation: impl Fn(&str) -> Option<(OrganisationKey, f64)>,
+    ) -> Result<message::Report> {
+        let lists = self.tickets.len() + self.finished.len() + self.withdrawn.len();
+        let costs = self.tickets.iter().map(|t| t.cost);
+        let mut costs = costs.chain(self.finished.iter().map(|f| f.1));
+        check(lists <= LIST_LIMIT, "too many tickets")?;
+        check(self.credits <= CREDIT_LIMIT, "too many credits")?;
+        check(costs.all(|c| c <= COST_LIMIT), "a cost is too high")?;
+        let ticket = |wire: Ticket| {
+            let (organisation, share) = organisation(&wire.organisation)?;
+            Some(ticket::Ticket {
+                request: RequestId(wire.request),
+                organisation,
+                share,
+                rank: Rank(wire.rank),
+                cost: wire.cost,
+                deadline: now + Duration::from_millis(wire.deadline_ms),
+                running: wire.running,
+            })
+        };
+        let finished = |(request, cost)| message::Finished {
+            request: RequestId(request),
+            cost,
+        };
+        Ok(message::Report {
+            stamp: self.stamp.into(),
+            seen: self.seen.into(),
             whole: self.whole,
             leaving: self.leaving,
-            tickets: tickets.map(|t| t.ticket(now, names)).collect(),
-            finished: finished
-                .map(|(request, cost)| Finished {
-                    request: RequestId(request),
-                    cost,
-                })
-                .collect(),
-            withdrawn: withdrawn.map(RequestId).collect(),
+            tickets: self.tickets.into_iter().filter_map(ticket).collect(),
+            finished: self.finished.into_iter().map(finished).collect(),
+            withdrawn: self.withdrawn.into_iter().map(RequestId).collect(),
             credits: self.credits,
             waiting: self.waiting,
             running: self.running,
-        }
-    }
-}
-
-impl Ticket {
-    /// The wire form of a ticket that is sent at `now`.
-    fn new(ticket: ticket::Ticket, now: Instant, names: &Names<OrganisationKey>) -> Self {
-        Self {
-            request: ticket.request.0,
-            organisation: names.name(ticket.organisation).to_string(),
-            share: ticket.share,
-            rank: ticket.rank.0,
-            cost: ticket.cost,
-            start_ms: millis(ticket.deadline.since(now)),
-            running: ticket.running,
-        }
-    }
-
-    /// The ticket, as it arrives at `now`.
-    fn ticket(self, now: Instant, names: &mut Names<OrganisationKey>) -> ticket::Ticket {
-        let is_weight = self.share.is_finite() && self.share > 0.0;
-        ticket::Ticket {
-            request: RequestId(self.request),
-            organisation: names.intern(&self.organisation),
-            share: if is_weight { self.share } else { 1.0 },
-            rank: Rank(self.rank),
-            cost: self.cost,
-            deadline: now + Duration::from_millis(self.start_ms.into()),
-            running: self.running,
-        }
+        })
     }
 }
 
 impl Grants {
-    /// The wire form of grants that are sent at `now`.
-    pub fn new(pool: Pool, grants: message::Grants, now: Instant) -> Self {
-        let granted = grants.granted.into_iter();
-        let refused = grants.refused.into_iter().map(|refusal| {
-            let reason = match refusal.reason {
-                Reason::QueueFull => Refused::QueueFull,
-                Reason::DeadlineUnmeetable => Refused::DeadlineUnmeetable,
-                Reason::DeadlinePassed => Refused::DeadlinePassed,
-            };
-            let retry = millis(refusal.retry_at.since(now));
-            (refusal.request.0, reason, retry)
-        });
+    /// The message for `grants`, sent at `now`.
+    pub fn from_grants(pool: String, now: Instant, grants: message::Grants) -> Self {
+        let refusal = |refusal: &ticket::Refusal| Refusal {
+            request: refusal.request.0,
+            reason: refusal.reason.into(),
+            retry_ms: short_millis(refusal.retry_at.since(now)),
+        };
         Self {
-            model: pool.model,
-            data_centre: pool.data_centre,
-            stamp: (grants.stamp.session, grants.stamp.number),
-            granted: granted.map(|request| request.0).collect(),
-            refused: refused.collect(),
+            pool,
+            stamp: grants.stamp.into(),
+            granted: grants.granted.iter().map(|r| r.0).collect(),
+            refused: grants.refused.iter().map(refusal).collect(),
             credits: grants.credits,
             revoke: grants.revoke,
             resend: grants.resend,
-            waits_ms: grants.waits.into_iter().map(millis).collect(),
+            waits_ms: grants.waits.into_iter().map(short_millis).collect(),
         }
     }
 
-    /// The grants, as they arrive at `now`.
-    pub fn grants(self, now: Instant) -> message::Grants {
-        let refused = self.refused.into_iter().map(|(request, reason, retry_ms)| {
-            let reason = match reason {
-                Refused::QueueFull => Reason::QueueFull,
-                Refused::DeadlineUnmeetable => Reason::DeadlineUnmeetable,
-                Refused::DeadlinePassed => Reason::DeadlinePassed,
-            };
-            Refusal {
-                request: RequestId(request),
-                reason,
-                retry_at: now + Duration::from_millis(retry_ms.into()),
-            }
-        });
-        let waits = self.waits_ms.into_iter();
-        message::Grants {
-            stamp: stamp(self.stamp),
+    /// The grants in this message, received at `now`.
+    ///
+    /// # Errors
+    ///
+    /// `Error::PeerFrame` when a list or a count is beyond its limit.
+    pub fn into_grants(self, now: Instant) -> Result<message::Grants> {
+        let lists = self.granted.len() + self.refused.len() + self.waits_ms.len();
+        check(lists <= LIST_LIMIT, "too many grants")?;
+        check(self.credits <= CREDIT_LIMIT, "too many credits")?;
+        let refusal = |wire: Refusal| ticket::Refusal {
+            request: RequestId(wire.request),
+            reason: wire.reason.into(),
+            retry_at: now + Duration::from_millis(wire.retry_ms.into()),
+        };
+        let wait = |ms| Duration::from_millis(u64::from(ms));
+        Ok(message::Grants {
+            stamp: self.stamp.into(),
             granted: self.granted.into_iter().map(RequestId).collect(),
-            refused: refused.collect(),
+            refused: self.refused.into_iter().map(refusal).collect(),
             credits: self.credits,
             revoke: self.revoke,
             resend: self.resend,
-            waits: waits.map(|ms| Duration::from_millis(ms.into())).collect(),
-        }
+            waits: self.waits_ms.into_iter().map(wait).collect(),
+        })
     }
 }
+
+fn check(holds: bool, why: &str) -> Result<()> {
+    if holds {
+        Ok(())
+    } else {
+        Err(Error::peer_frame(why))
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn short_millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
