--- /dev/null
+++ b/crates/hemlockwind/benches/decisions/table.rs
@@ -0,0 +1,68 @@
+//! The time of each decision at each size.
+
+use std::collections::BTreeMap;
+
+use criterion::Criterion;
+
+use crate::SERVERS;
+
+/// `Table` holds the time of each decision at each size.
+#[derive(Default)]
+pub struct Table {
+    rows: BTreeMap<String, BTreeMap<usize, Vec<f64>>>,
+}
+
+impl Table {
+    /// Measures `run` with criterion and keeps its samples, in nanoseconds.
+    pub fn measure(&mut self, c: &mut Criterion, name: &str, size: usize, mut run: impl FnMut()) {
+        let sizes = self.rows.entry(name.into()).or_default();
+        let samples = sizes.entry(size).or_default();
+        c.bench_function(&format!("{name}/{size}"), |b| {
+            b.iter_custom(|iterations| {
+                let start = std::time::Instant::now();
+                for _ in 0..iterations {
+                    run();
+                }
+                let elapsed = start.elapsed();
+                samples.push(elapsed.as_nanos() as f64 / iterations as f64);
+                elapsed
+            });
+        });
+    }
+
+    pub fn print(&self) {
+        println!("\nmedian time in ns at each number of backend servers");
+        print!("{:<28}", "decision");
+        for size in SERVERS {
+            print!("{size:>10}");
+        }
+        println!("{:>22}", "ns per 1,000 servers");
+        for (name, sizes) in &self.rows {
+            print!("{name:<28}");
+            let points: Vec<_> = sizes
+                .iter()
+                .map(|(&size, samples)| (size as f64, median(samples)))
+                .collect();
+            for (_, time) in &points {
+                print!("{time:>10.0}");
+            }
+            println!("{:>22.2}", slope(&points) * 1_000.0);
+        }
+    }
+}
+
+fn median(samples: &[f64]) -> f64 {
+    let mut samples = samples.to_vec();
+    samples.sort_by(f64::total_cmp);
+    samples[samples.len() / 2]
+}
+
+/// The slope of the line of least squares.
+fn slope(points: &[(f64, f64)]) -> f64 {
+    let count = points.len() as f64;
+    let mean_x = points.iter().map(|(x, _)| x).sum::<f64>() / count;
+    let mean_y = points.iter().map(|(_, y)| y).sum::<f64>() / count;
+    let products = points.iter().map(|(x, y)| (x - mean_x) * (y - mean_y));
+    let squares = points.iter().map(|(x, _)| (x - mean_x).powi(2));
+    products.sum::<f64>() / squares.sum::<f64>()
+}
