--- a/crates/state/stream/src/stream.rs
+++ b/crates/state/stream/src/stream.rs
@@ -221,8 +221,13 @@
         }
         self.dispatches.settle(attempt);
         self.avoid.add_failed(outstanding.server);
-        let why = format!("stage {} gave no result", id.layers);
-        self.recover(now, Error::backend_failed(why), actions);
+        let why = format!("stage {} of token {}", id.layers, id.token);
+        let cause = match attempt {
+            Attempt::Unsent => Error::backend_unreachable(why),
+            Attempt::Refused => Error::backend_refused(why),
+            Attempt::Sent | Attempt::Answered => Error::backend_failed(why),
+        };
+        self.recover(now, cause, actions);
     }
 
     /// Notes a leaving server; its KV cache is moved between two tokens.
--- a/crates/state/stream/tests/recovery.rs
+++ b/crates/state/stream/tests/recovery.rs
@@ -56,6 +56,7 @@
         40 => pick.prop_map(Op::Deliver),
         6 => pick.prop_map(Op::Replay),
         2 => Just(Op::Cross),
+        1 => Just(Op::Garble),
         3 => (0..3u32, 0..3u32, 0..2u16).prop_map(|(incarnation, token, end)| {
             Op::Forge { incarnation, token, end }
         }),
--- a/crates/state/stream/tests/world/mod.rs
+++ b/crates/state/stream/tests/world/mod.rs
@@ -65,6 +65,7 @@
     Deliver(usize),
     Replay(usize),
     Cross,
+    Garble,
     Forge {
         incarnation: u32,
         token: u32,
@@ -195,6 +196,7 @@
             Op::Deliver(result) => self.deliver(*result),
             Op::Replay(result) => self.replay(*result),
             Op::Cross => self.cross(),
+            Op::Garble => self.garble(),
             Op::Forge {
                 incarnation,
                 token,
@@ -523,6 +525,19 @@
         }
     }
 
+    /// Answers the outstanding step with the wrong kind of output.
+    fn garble(&mut self) {
+        let Some((id, server, _)) = self.outstanding else {
+            return;
+        };
+        let last = id.layers.end() == LAYERS;
+        let output = wrong_output(!last);
+        self.ran = true;
+        self.event(Event::Result(StepResult { id, output }));
+        assert!(!self.is_outstanding(id));
+        assert!(self.finish.is_some() || self.avoid.contains(&server));
+    }
+
     /// Delivers a result of another incarnation, token or range of layers.
     fn forge(&mut self, incarnation: u32, token: u32, end: u16) {
         let Some((mut id, ..)) = self.outstanding else {
@@ -614,17 +629,19 @@
 
 /// A result that no step of the stream gives.
 fn wrong_result(id: StepId) -> StepResult {
-    let token = Token {
+    let output = wrong_output(id.layers.end() == LAYERS);
+    StepResult { id, output }
+}
+
+fn wrong_output(last: bool) -> Output {
+    if !last {
+        return Output::Activation(Bytes::from("wrong"));
+    }
+    Output::Token(Token {
         id: 1,
         text: "wrong".into(),
         end: true,
-    };
-    let output = if id.layers.end() < LAYERS {
-        Output::Activation(Bytes::from("wrong"))
-    } else {
-        Output::Token(token)
-    };
-    StepResult { id, output }
+    })
 }
 
 /// Checks that a step works on what the layers before it gave for this token.
