--- /dev/null
+++ b/programs/tests/process/stop.rs
@@ -0,0 +1,137 @@
+//! Planned stops and kills of an instance under load.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use hemlockwind_standin::sample;
+use serde_json::Value;
+use tokio::task::JoinSet;
+
+use crate::caller::Ended;
+use crate::caller::Failure;
+use crate::caller::expected;
+use crate::caller::request;
+use crate::site::Site;
+use crate::site::eventually;
+
+const TOKENS: u32 = 60;
+const STREAMS: usize = 10;
+/// Callers that send request after request, each on a new connection, until the
+/// instance says that it stops. The platform's balancer does no more.
+const LOOPS: usize = 24;
+/// How long the loops may take to be under way on a busy machine.
+const START: Duration = Duration::from_secs(30);
+/// The time in which the platform's balancer hears of a stop, at the least.
+const NOTICE: Duration = Duration::from_millis(100);
+/// A stop must end within the time of the answers in progress.
+const STOP: Duration = Duration::from_secs(30);
+
+#[tokio::test]
+async fn stop_under_load_cuts_nothing() {
+    let mut site = Site::start("stop").await;
+    let caller = site.instances[0].caller.clone();
+    let prompt = sample::long_prompt("mwisho", TOKENS);
+    let mut streams = Vec::new();
+    for _ in 0..STREAMS {
+        let mut streamed = caller.stream(&prompt, TOKENS).await.unwrap();
+        streamed.read_tokens(1).await;
+        streams.push(streamed);
+    }
+    let answered = Arc::new(AtomicUsize::new(0));
+    let mut loops = JoinSet::new();
+    for n in 0..LOOPS {
+        let caller = caller.clone();
+        let answered = Arc::clone(&answered);
+        loops.spawn(async move {
+            let mut cut = Vec::new();
+            for round in 0.. {
+                let body = request(&format!("mzunguko {n} {round}"), 3, false);
+                match caller.call("POST", "/v1/completions", &[], body).await {
+                    Ok((status, _)) if status.is_success() => {
+                        answered.fetch_add(1, Ordering::Relaxed);
+                    }
+                    Ok((_, body)) => {
+                        assert_not_run(&body);
+                        break;
+                    }
+                    Err(Failure::Refused) => break,
+                    Err(Failure::Cut(why)) => cut.push(why),
+                }
+            }
+            cut
+        });
+    }
+    eventually("the loops are under way", START, || async {
+        answered.load(Ordering::Relaxed) >= 5 * LOOPS
+    })
+    .await;
+    site.instances[0].process.signal("TERM");
+    for streamed in &mut streams {
+        assert_eq!(streamed.finish().await, Ended::Done);
+        assert_eq!(streamed.text, expected(&prompt, TOKENS));
+    }
+    let cut = loops.join_all().await.concat();
+    println!(
+        "planned stop: {STREAMS} streams whole, {} answered, {} cut",
+        answered.load(Ordering::Relaxed),
+        cut.len()
+    );
+    assert!(cut.is_empty(), "{cut:?}");
+    let status = site.instances[0].process.wait(STOP).await;
+    assert_eq!(status.code(), Some(0));
+}
+
+#[tokio::test]
+async fn stop_open_connections_are_answered() {
+    let mut site = Site::start("open").await;
+    let caller = site.instances[0].caller.clone();
+    let mut open = Vec::new();
+    for _ in 0..STREAMS {
+        open.push(caller.connect().await.unwrap());
+    }
+    site.instances[0].process.signal("TERM");
+    tokio::time::sleep(NOTICE).await;
+    // The balancer has not heard of the stop yet, so it sends what it has.
+    for open in open {
+        let body = request("mlango", 3, false);
+        let answer = open.call("POST", "/v1/completions", &[], body).await;
+        let (status, body) = answer.expect("an answer in words");
+        if !status.is_success() {
+            assert_not_run(&body);
+        }
+    }
+    let status = site.instances[0].process.wait(STOP).await;
+    assert_eq!(status.code(), Some(0));
+}
+
+/// Checks that a refusal says that nothing was run.
+fn assert_not_run(body: &[u8]) {
+    let problem: Value = serde_json::from_slice(body).unwrap();
+    assert_eq!(problem["ran"], "no", "{problem}");
+}
+
+#[tokio::test]
+async fn kill_callers_see_cut_streams_end() {
+    let mut site = Site::start("kill").await;
+    let caller = site.instances[0].caller.clone();
+    let prompt = sample::long_prompt("ghafla", 100);
+    let mut streamed = caller.stream(&prompt, 100).await.unwrap();
+    streamed.read_tokens(5).await;
+    site.instances[0].process.kill();
+    // No word of an end that did not come, and no token that is wrong.
+    assert_eq!(streamed.finish().await, Ended::Cut);
+    assert!(expected(&prompt, 100).starts_with(&streamed.text));
+    assert!(matches!(
+        caller.stream(&prompt, 2).await,
+        Err(Failure::Refused)
+    ));
+    let other = &site.instances[1].caller;
+    eventually(
+        "the other instance serves",
+        Duration::from_secs(5),
+        || async { other.complete(&prompt, 5).await == Ok(expected(&prompt, 5)) },
+    )
+    .await;
+}
