--- a/crates/coordination/claims/src/memory.rs
+++ b/crates/coordination/claims/src/memory.rs
@@ -25,7 +25,9 @@
 /// `State` is what is known of a key.
 #[derive(Clone, Debug, PartialEq)]
 pub enum State {
-    /// A claim in the platform is being made, or a dispatch runs.
+    /// A claim in the platform is being made; an earlier owner may have made one.
+    Claiming,
+    /// A dispatch runs.
     Open,
     /// The service answered.
     Answered(Answer),
@@ -106,10 +108,10 @@
     }
 
     /// Remembers a key that was just accepted, until `expires_at`.
-    pub fn open(&mut self, id: Id, digest: u128, expires_at: Instant) {
+    pub fn open(&mut self, id: Id, digest: u128, state: State, expires_at: Instant) {
         let entry = Entry {
             digest,
-            state: State::Open,
+            state,
             joined: Vec::new(),
         };
         self.entries.insert(id.clone(), entry);
@@ -163,7 +165,7 @@
                 return;
             };
             match self.entries.get(&id).map(|entry| &entry.state) {
-                Some(State::Open) => self.expiry.push_back((next, id)),
+                Some(State::Claiming | State::Open) => self.expiry.push_back((next, id)),
                 Some(State::Answered(_) | State::Unknown | State::Refused { .. }) => {
                     self.drop_entry(&id);
                 }
--- a/crates/coordination/claims/src/slots.rs
+++ b/crates/coordination/claims/src/slots.rs
@@ -294,7 +294,11 @@
             Verdict::Run => {
                 if !known {
                     let expires_at = now + self.options.window;
-                    slot.memory.open(id.clone(), req.digest, expires_at);
+                    let state = match req.key {
+                        Key::Timed(_) => State::Open,
+                        Key::Text(_) => State::Claiming,
+                    };
+                    slot.memory.open(id.clone(), req.digest, state, expires_at);
                 }
                 let term = slot.term;
                 self.start(call, index, term, id, &req, known, actions);
@@ -359,10 +363,19 @@
                 actions.push(Action::Claim(claim, running.id.clone(), nonce));
                 return;
             }
-            Claimed::By(owner) if owner == nonce => actions.push(Action::Send(call)),
+            Claimed::By(owner) if owner == nonce => {
+                let slot = &mut self.slots[usize::from(running.slot)];
+                if slot.term == running.term
+                    && let Some(entry) = slot.memory.get_mut(&running.id)
+                {
+                    entry.state = State::Open;
+                }
+                actions.push(Action::Send(call));
+            }
+            // Perhaps for another request: which one is not known here.
             Claimed::By(_) => {
                 let error = Error::outcome_unknown("the key was used before");
-                self.lost(call, &error, actions);
+                self.unclaimed(call, &error, actions);
             }
             Claimed::Absent | Claimed::Unavailable => {
                 let error = Error::claim_unavailable("the platform did not take the key's claim");
@@ -405,7 +418,7 @@
         reply_all(call, joined, &Reply::NotRun(error.clone()), actions);
     }
 
-    /// Forgets a key whose claim could not be made; it was not sent.
+    /// Forgets a key whose claim was not made here; the request was not sent.
     fn unclaimed(&mut self, call: CallId, error: &Error, actions: &mut Vec<Action>) {
         let id = self.running.get(&call).map(|r| (r.slot, r.id.clone()));
         let joined = self.settle(call, |_, _, _| State::Unknown);
@@ -456,14 +469,19 @@
         return Verdict::Reply(Reply::Unknown(lost()));
     };
     if entry.digest != req.digest {
-        return Verdict::Reply(Reply::NotRun(Error::KeyReused));
+        return Verdict::Reply(match entry.state {
+            State::Claiming => Reply::Unknown(Error::KeyReused),
+            State::Open | State::Answered(_) | State::Unknown | State::Refused { .. } => {
+                Reply::NotRun(Error::KeyReused)
+            }
+        });
     }
     match &entry.state {
-        State::Open if entry.joined.len() < JOINED_LIMIT => {
+        State::Claiming | State::Open if entry.joined.len() < JOINED_LIMIT => {
             entry.joined.push((call, req.id));
             Verdict::Joined
         }
-        State::Open | State::Unknown => Verdict::Reply(Reply::Unknown(lost())),
+        State::Claiming | State::Open | State::Unknown => Verdict::Reply(Reply::Unknown(lost())),
         State::Answered(answer) => Verdict::Reply(Reply::Answered {
             answer: answer.clone(),
             replayed: true,
--- a/crates/coordination/claims/tests/slots.rs
+++ b/crates/coordination/claims/tests/slots.rs
@@ -94,7 +94,7 @@
     },
     /// An earlier message arrives again, perhaps at another instance.
     Duplicate {
-        to: usize,
+        to: Option<usize>,
         pick: u8,
     },
     Service(Option<Fate>),
@@ -137,7 +137,7 @@
         2 => Just(Op::MintText),
         30 => (proptest::option::weighted(0.2, instance.clone()), any::<u8>(), rarely(), skew, rarely())
             .prop_map(|(to, key, body, entry_skew, pause)| Op::Request { to, key, body, entry_skew, pause }),
-        4 => (instance, any::<u8>()).prop_map(|(to, pick)| Op::Duplicate { to, pick }),
+        8 => (proptest::option::weighted(0.2, instance), any::<u8>()).prop_map(|(to, pick)| Op::Duplicate { to, pick }),
         4 => proptest::option::weighted(0.7, fate.clone()).prop_map(Op::Service),
         6 => (any::<u8>(), fate).prop_map(|(pick, fate)| Op::Serve(pick, fate)),
     ]
@@ -255,7 +255,7 @@
             },
             skew: Duration::from_millis(SKEW_MS as u64),
             future: Duration::from_millis(FUTURE_MS as u64),
-            window: Duration::from_secs(3),
+            window: Duration::from_millis(1_500),
             keys: 12,
             organisation_keys: 10,
             answer_bytes: 40,
@@ -343,9 +343,10 @@
                 self.request(to, key, body, entry_skew, pause);
             }
             Op::Duplicate { to, pick } => {
-                if let Some(at) = place(pick, self.requests.len()) {
-                    let req = self.requests[at].clone();
+                if let Some(back) = place(pick, self.requests.len().min(8)) {
+                    let req = self.requests[self.requests.len() - 1 - back].clone();
                     let event = self.open(req);
+                    let to = to.unwrap_or_else(|| self.owner());
                     self.processes[to].inbox.push(event);
                 }
             }
@@ -371,7 +372,7 @@
     /// A caller asks with one of the newest keys.
     fn request(&mut self, to: Option<usize>, key: u8, body: bool, entry_skew: i64, pause: bool) {
         let to = to.unwrap_or_else(|| self.owner());
-        let newest = self.keys.len().min(6);
+        let newest = self.keys.len().min(if key < 200 { 6 } else { 40 });
         let Some(back) = place(key, newest) else {
             return;
         };
