Demo: a stream, a loan sent twice, a killed stage, a planned stop

Cause: the README's first command. Everything runs on loopback in one process; the caller that the process tests used is now the library's (hemlockwind_standin::caller), so that both share it.

--- a/programs/tests/process/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -1,18 +1,18 @@
 //! A caller with a connection for each request.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
-use hemlockwind_standin::oracle;
-use hemlockwind_standin::sample;
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http_body_util::BodyExt as _;
+use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use serde_json::Value;
@@ -23,46 +23,62 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::task::JoinHandle;
 
-/// How long a caller waits for a whole answer.
+use crate::oracle;
+use crate::sample;
+
+/// How long a caller waits for an answer or the next event of one.
 const PATIENCE: Duration = Duration::from_secs(60);
 
-/// `Caller` sends requests to one address.
-#[derive(Clone)]
+/// `Caller` sends requests to one address with one bearer token.
+#[derive(Clone, Debug)]
 pub struct Caller {
     to: SocketAddr,
     token: String,
 }
 
 /// `Failure` is why there is no answer.
-#[derive(Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Failure {
     /// No connection came about, so nothing was sent.
     Refused,
     /// The connection was cut before an answer.
     Cut(String),
+    /// The answer is an error.
+    Status(StatusCode, Bytes),
 }
 
-/// `Ended` is how a stream ended.
-#[derive(Debug, PartialEq)]
+/// `Ended` is how a streamed answer ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Ended {
     /// With `[DONE]`.
     Done,
     /// With an error that the caller was told.
     Told(Value),
-    /// The connection was cut.
+    /// The connection was cut, or gave nothing for a minute.
     Cut,
 }
 
-/// `Streamed` is what was read of a streamed answer.
+/// `Open` is an open connection for one request.
+#[derive(Debug)]
+pub struct Open {
+    sender: SendRequest<Full<Bytes>>,
+    connection: Task,
+    token: String,
+}
+
+/// `Streamed` is what was read of a streamed answer. The connection ends with it.
+#[derive(Debug)]
 pub struct Streamed {
+    /// The text.
     pub text: String,
     /// When each token arrived.
     pub at: Vec<Instant>,
     events: UnboundedReceiver<(Instant, Event)>,
-    _reader: Connection,
+    _reader: Task,
 }
 
 /// `Event` is a part of a streamed answer.
+#[derive(Debug)]
 enum Event {
     Token(String),
     End(Ended),
@@ -72,39 +88,38 @@
 struct Reader {
     body: Incoming,
     rest: Vec<u8>,
-    _connection: Connection,
-}
-
-/// `Open` is an open connection for one request.
-pub struct Open {
-    sender: SendRequest<Full<Bytes>>,
-    connection: Connection,
-    token: String,
+    _connection: Task,
 }
 
-/// `Connection` is a task that ends when it is dropped.
-struct Connection(JoinHandle<()>);
+/// `Task` is a task that ends when it is dropped.
+#[derive(Debug)]
+struct Task(JoinHandle<()>);
 
-impl Drop for Connection {
+impl Drop for Task {
     fn drop(&mut self) {
         self.0.abort();
     }
 }
 
 impl Caller {
+    /// A caller of `to`.
     pub fn new(to: SocketAddr, token: &str) -> Self {
         let token = token.into();
         Self { to, token }
     }
 
     /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// `Failure::Refused` when none comes about.
     pub async fn connect(&self) -> Result<Open, Failure> {
         let io = TcpStream::connect(self.to).await;
         let io = io.map_err(|_| Failure::Refused)?;
-        io.set_nodelay(true).unwrap();
-        let shaken = hyper::client::conn::http1::handshake(TokioIo::new(io)).await;
-        let (sender, conn) = shaken.map_err(|e| Failure::Cut(e.to_string()))?;
-        let connection = Connection(tokio::spawn(async {
+        // Without it only latency suffers.
+        let _ = io.set_nodelay(true);
+        let (sender, conn) = http1::handshake(TokioIo::new(io)).await.map_err(cut)?;
+        let connection = Task(tokio::spawn(async {
             // The request's own result tells how it ended.
             let _ = conn.await;
         }));
@@ -117,6 +132,10 @@
     }
 
     /// The status and whole body of an answer.
+    ///
+    /// # Errors
+    ///
+    /// `Failure::Refused` or `Failure::Cut`.
     pub async fn call(
         &self,
         method: &str,
@@ -129,34 +148,43 @@
     }
 
     /// The body of a success.
-    pub async fn json(&self, method: &str, path: &str, body: Vec<u8>) -> Option<Bytes> {
-        let answer = self.call(method, path, &[], body).await;
-        let (status, body) = answer.ok()?;
-        status.is_success().then_some(body)
+    ///
+    /// # Errors
+    ///
+    /// Any [`Failure`].
+    pub async fn json(&self, method: &str, path: &str, body: Vec<u8>) -> Result<Bytes, Failure> {
+        let (status, body) = self.call(method, path, &[], body).await?;
+        match status.is_success() {
+            true => Ok(body),
+            false => Err(Failure::Status(status, body)),
+        }
     }
 
     /// The whole text of an answer that is not streamed.
-    pub async fn complete(&self, prompt: &str, tokens: u32) -> Result<String, String> {
+    ///
+    /// # Errors
+    ///
+    /// Any [`Failure`].
+    pub async fn complete(&self, prompt: &str, tokens: u32) -> Result<String, Failure> {
         let body = request(prompt, tokens, false);
-        let answer = self.call("POST", "/v1/completions", &[], body).await;
-        let (status, body) = answer.map_err(|e| format!("{e:?}"))?;
-        let body: Value = serde_json::from_slice(&body).unwrap_or_default();
-        match body["choices"][0]["text"].as_str() {
-            Some(text) if status.is_success() => Ok(text.into()),
-            _ => Err(format!("{status}: {body}")),
-        }
+        let body = self.json("POST", "/v1/completions", body).await?;
+        let body: Value = serde_json::from_slice(&body).map_err(cut)?;
+        let text = body["choices"][0]["text"].as_str();
+        text.map(String::from).ok_or_else(|| cut("no text"))
     }
 
     /// Opens a streamed answer.
+    ///
+    /// # Errors
+    ///
+    /// Any [`Failure`].
     pub async fn stream(&self, prompt: &str, tokens: u32) -> Result<Streamed, Failure> {
         let body = request(prompt, tokens, true);
         let open = self.connect().await?;
         let (res, connection) = open.send("POST", "/v1/completions", &[], body).await?;
         let status = res.status();
         if !status.is_success() {
-            let body = res.into_body().collect().await;
-            let body = body.map(|body| body.to_bytes());
-            panic!("{status}: {body:?}");
+            return Err(Failure::Status(status, collect(res).await?));
         }
         let reader = Reader {
             body: res.into_body(),
@@ -168,12 +196,28 @@
             text: String::new(),
             at: Vec::new(),
             events,
-            _reader: Connection(tokio::spawn(reader.read(tx))),
+            _reader: Task(tokio::spawn(reader.read(tx))),
         })
     }
 }
 
 impl Open {
+    /// The status and whole body of an answer.
+    ///
+    /// # Errors
+    ///
+    /// `Failure::Cut`.
+    pub async fn call(
+        self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Vec<u8>,
+    ) -> Result<(StatusCode, Bytes), Failure> {
+        let (res, _connection) = self.send(method, path, headers, body).await?;
+        Ok((res.status(), collect(res).await?))
+    }
+
     /// Sends one request, and gives the head of its answer.
     async fn send(
         mut self,
@@ -181,7 +225,7 @@
         path: &str,
         headers: &[(&str, &str)],
         body: Vec<u8>,
-    ) -> Result<(Response<Incoming>, Connection), Failure> {
+    ) -> Result<(Response<Incoming>, Task), Failure> {
         let mut req = Request::builder()
             .method(method)
             .uri(path)
@@ -191,39 +235,26 @@
         for (name, value) in headers {
             req = req.header(*name, *value);
         }
-        let req = req.body(Full::new(Bytes::from(body))).unwrap();
-        match tokio::time::timeout(PATIENCE, self.sender.send_request(req)).await {
-            Ok(res) => Ok((
-                res.map_err(|e| Failure::Cut(e.to_string()))?,
-                self.connection,
-            )),
-            Err(_) => Err(Failure::Cut("no answer for too long".into())),
-        }
-    }
-
-    /// The status and whole body of an answer.
-    pub async fn call(
-        self,
-        method: &str,
-        path: &str,
-        headers: &[(&str, &str)],
-        body: Vec<u8>,
-    ) -> Result<(StatusCode, Bytes), Failure> {
-        let (res, _connection) = self.send(method, path, headers, body).await?;
-        let status = res.status();
-        let body = res.into_body().collect().await;
-        let body = body.map_err(|e| Failure::Cut(e.to_string()))?;
-        Ok((status, body.to_bytes()))
+        let req = req.body(Full::new(Bytes::from(body))).map_err(cut)?;
+        let res = tokio::time::timeout(PATIENCE, self.sender.send_request(req)).await;
+        let res = res.map_err(cut)?.map_err(cut)?;
+        Ok((res, self.connection))
     }
 }
 
 impl Streamed {
     /// Reads until `tokens` tokens have arrived.
-    pub async fn read_tokens(&mut self, tokens: usize) {
+    ///
+    /// # Errors
+    ///
+    /// The end, when it comes earlier.
+    pub async fn read_tokens(&mut self, tokens: usize) -> Result<(), Ended> {
         while self.at.len() < tokens {
-            let ended = self.event().await;
-            assert_eq!(ended, None, "the stream ended early");
+            if let Some(ended) = self.event().await {
+                return Err(ended);
+            }
         }
+        Ok(())
     }
 
     /// Reads to the end.
@@ -244,15 +275,14 @@
 
     /// Takes in one event; gives the end when it was one.
     async fn event(&mut self) -> Option<Ended> {
-        let event = tokio::time::timeout(PATIENCE, self.events.recv()).await;
-        let event = event.expect("a stream that hangs is a failure");
-        match event.expect("nothing is read after the end") {
-            (at, Event::Token(text)) => {
+        match tokio::time::timeout(PATIENCE, self.events.recv()).await {
+            Ok(Some((at, Event::Token(text)))) => {
                 self.text.push_str(&text);
                 self.at.push(at);
                 None
             }
-            (_, Event::End(ended)) => Some(ended),
+            Ok(Some((_, Event::End(ended)))) => Some(ended),
+            Ok(None) | Err(_) => Some(Ended::Cut),
         }
     }
 }
@@ -269,7 +299,7 @@
                 },
             };
             let is_end = matches!(event, Event::End(_));
-            // The test may have seen enough.
+            // The caller may have seen enough.
             let _ = tx.send((Instant::now(), event));
             if is_end {
                 return;
@@ -282,7 +312,7 @@
         loop {
             if let Some(end) = self.rest.iter().position(|&byte| byte == b'\n') {
                 let line: Vec<u8> = self.rest.drain(..=end).collect();
-                return Some(String::from_utf8(line).unwrap().trim_end().into());
+                return Some(String::from_utf8_lossy(&line).trim_end().into());
             }
             let frame = self.body.frame().await?.ok()?;
             self.rest.extend_from_slice(frame.data_ref()?);
@@ -290,13 +320,25 @@
     }
 }
 
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Refused => f.write_str("no connection"),
+            Self::Cut(why) => write!(f, "cut: {why}"),
+            Self::Status(status, body) => write!(f, "{status}: {}", String::from_utf8_lossy(body)),
+        }
+    }
+}
+
+impl std::error::Error for Failure {}
+
 /// The event of a line, unless it holds none.
 fn parse(line: &str) -> Option<Event> {
     let data = line.strip_prefix("data: ")?;
     if data == "[DONE]" {
         return Some(Event::End(Ended::Done));
     }
-    let mut event: Value = serde_json::from_str(data).unwrap();
+    let mut event: Value = serde_json::from_str(data).ok()?;
     if !event["error"].is_null() {
         return Some(Event::End(Ended::Told(event["error"].take())));
     }
@@ -304,6 +346,15 @@
     (!text.is_empty()).then(|| Event::Token(text.into()))
 }
 
+fn cut(why: impl ToString) -> Failure {
+    Failure::Cut(why.to_string())
+}
+
+async fn collect(res: Response<Incoming>) -> Result<Bytes, Failure> {
+    let body = res.into_body().collect().await;
+    Ok(body.map_err(cut)?.to_bytes())
+}
+
 /// The body of a request for a completion.
 pub fn request(prompt: &str, tokens: u32, stream: bool) -> Vec<u8> {
     let model = sample::PIPELINE;
--- /dev/null
+++ b/crates/standin/src/demo.rs
@@ -0,0 +1,280 @@
+//! Everything on loopback inside one process: what the README's first command shows.
+
+use std::error::Error;
+use std::fmt;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::json;
+use slog::Discard;
+use slog::Logger;
+use slog::o;
+
+use hemlockwind::daemon;
+use hemlockwind::daemon::Running;
+use hemlockwind::settings::Settings;
+use hemlockwind::settings::faults;
+use hemlockwind_core::layers::LayerRange;
+
+use crate::caller::Caller;
+use crate::caller::Ended;
+use crate::caller::Streamed;
+use crate::caller::expected;
+use crate::engine;
+use crate::engine::Engine;
+use crate::platform;
+use crate::sample;
+use crate::sample::Runner;
+use crate::server::Handle;
+use crate::service;
+use crate::service::Service;
+
+const TOKENS: u32 = 60;
+/// Tokens that arrive before the stage is killed.
+const TOKENS_BEFORE: usize = 20;
+/// Milliseconds of an iteration of an engine's batch.
+const ITERATION_MS: f64 = 5.0;
+/// How long the instances may take to have the configuration in force.
+const START: Duration = Duration::from_secs(20);
+/// Time between two looks whether an instance is ready.
+const READY_INTERVAL: Duration = Duration::from_millis(20);
+const LOAN_PATH: &str = "/v1/services/ledger/loans";
+const LOAN_KEY: &str = "loan-of-lamp-17";
+
+type Result<T> = std::result::Result<T, Box<dyn Error>>;
+
+/// `Row` is one line of the table of what happened.
+#[derive(Clone, Debug)]
+pub struct Row {
+    /// What was done.
+    pub what: &'static str,
+    /// What came of it.
+    pub outcome: String,
+    /// Whether it is as it must be.
+    pub right: bool,
+}
+
+impl fmt::Display for Row {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mark = if self.right { "ok" } else { "WRONG" };
+        write!(f, "{:<5}  {:<53}  {}", mark, self.what, self.outcome)
+    }
+}
+
+/// `Site` is the whole deployment.
+struct Site {
+    _platform: Handle<platform::Platform>,
+    engines: Vec<(Runner, Handle<Engine>)>,
+    service: Handle<Service>,
+    instances: Vec<Running>,
+    callers: Vec<Caller>,
+}
+
+/// Runs the demo and gives a row for each thing shown.
+///
+/// # Errors
+///
+/// When a part can't be started.
+pub async fn run() -> Result<Vec<Row>> {
+    let mut site = Site::start().await?;
+    Ok(vec![
+        site.stream().await?,
+        site.lend_twice().await?,
+        site.kill_stage().await?,
+        site.stop_instance().await?,
+    ])
+}
+
+impl Site {
+    async fn start() -> Result<Self> {
+        let platform = platform::start(platform::Options::default()).await?;
+        let service = service::start(service::Options::default()).await?;
+        let engines = engines().await?;
+        let named = instances()?;
+        let text = sample::settings(platform.addr, &named, &json!({"step_ms": 300}));
+        let mut instances = Vec::new();
+        for instance in &named {
+            let settings = Settings::parse(&text).map_err(|found| faults::error(&found))?;
+            let log = Logger::root(Discard, o!());
+            instances.push(daemon::start(settings, Some(&instance.name), log).await?);
+        }
+        let callers = named.iter();
+        let callers = callers.map(|instance| Caller::new(instance.callers, sample::API_KEY));
+        let site = Self {
+            _platform: platform,
+            engines,
+            service,
+            instances,
+            callers: callers.collect(),
+        };
+        site.configure(named[0].admin).await?;
+        Ok(site)
+    }
+
+    /// Hands in the configuration and waits until it is in force.
+    async fn configure(&self, admin: SocketAddr) -> Result<()> {
+        let runners = self.engines.iter().map(|(runner, _)| runner.clone());
+        let ledger = Runner {
+            data_centre: sample::DATA_CENTRES[0],
+            addr: self.service.addr,
+            layers: None,
+        };
+        let runners: Vec<_> = runners.chain([ledger]).collect();
+        let document = serde_json::to_vec(&sample::document(&runners))?;
+        let admin = Caller::new(admin, sample::ADMIN_TOKEN);
+        admin.json("PUT", "/v1/configuration", document).await?;
+        let deadline = Instant::now() + START;
+        for caller in &self.callers {
+            while caller.json("GET", "/readyz", vec![]).await.is_err() {
+                if Instant::now() >= deadline {
+                    return Err("an instance does not become ready".into());
+                }
+                tokio::time::sleep(READY_INTERVAL).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// A streamed answer over three stages.
+    async fn stream(&self) -> Result<Row> {
+        let prompt = sample::long_prompt("taa haichaji", TOKENS);
+        let asked_at = Instant::now();
+        let mut streamed = self.callers[0].stream(&prompt, TOKENS).await?;
+        let ended = streamed.finish().await;
+        let first = streamed.at.first().map(|at| at.duration_since(asked_at));
+        let right = is_right(&streamed, ended, &prompt);
+        Ok(Row {
+            what: "streamed completion over 3 stages",
+            outcome: format!(
+                "{}, the first token after {} ms",
+                describe(&streamed, right),
+                first.unwrap_or_default().as_millis(),
+            ),
+            right,
+        })
+    }
+
+    /// One loan, sent through both instances under one idempotency key.
+    async fn lend_twice(&self) -> Result<Row> {
+        let headers = [("idempotency-key", LOAN_KEY)];
+        let mut statuses = Vec::new();
+        for caller in &self.callers {
+            let body = json!({"lamp": 17, "pupil": "Neema"}).to_string();
+            let answer = caller
+                .call("POST", LOAN_PATH, &headers, body.into())
+                .await?;
+            statuses.push(answer.0.as_u16());
+        }
+        let recorded = self.service.state.ran().total;
+        Ok(Row {
+            what: "one loan sent twice, through two instances",
+            outcome: format!("answered {statuses:?}, recorded {recorded} times"),
+            right: recorded == 1 && statuses[0] == 200,
+        })
+    }
+
+    /// A stage that dies in the middle of a streamed answer.
+    async fn kill_stage(&mut self) -> Result<Row> {
+        let prompt = sample::long_prompt("rudisha taa", TOKENS);
+        let mut streamed = self.callers[0].stream(&prompt, TOKENS).await?;
+        if streamed.read_tokens(TOKENS_BEFORE).await.is_err() {
+            return Err("the stream ended before the stage was killed".into());
+        }
+        let in_use = |(runner, engine): &(Runner, Handle<Engine>)| {
+            runner.layers.as_ref() == Some(&sample::STAGES[1]) && !engine.state.streams().is_empty()
+        };
+        let index = self.engines.iter().position(in_use);
+        let (_, engine) = self
+            .engines
+            .swap_remove(index.ok_or("no stage holds the stream")?);
+        let from = streamed.at.len() - 1;
+        engine.stop().await;
+        let ended = streamed.finish().await;
+        let right = is_right(&streamed, ended, &prompt);
+        Ok(Row {
+            what: "a stage killed in the middle of a stream",
+            outcome: format!(
+                "{}, the longest gap {} ms",
+                describe(&streamed, right),
+                streamed.longest_gap(from).as_millis(),
+            ),
+            right,
+        })
+    }
+
+    /// A planned stop of an instance in the middle of a streamed answer.
+    async fn stop_instance(&mut self) -> Result<Row> {
+        let prompt = sample::long_prompt("kwaheri", TOKENS);
+        let mut streamed = self.callers[0].stream(&prompt, TOKENS).await?;
+        let stopping = self.instances.remove(0).stop();
+        let (cut, ended) = tokio::join!(stopping, streamed.finish());
+        let right = is_right(&streamed, ended, &prompt);
+        Ok(Row {
+            what: "planned stop of an instance in the middle of a stream",
+            outcome: format!("{}, {cut} requests cut", describe(&streamed, right)),
+            right: right && cut == 0,
+        })
+    }
+}
+
+/// Whether an answer ended well and is the oracle's.
+fn is_right(streamed: &Streamed, ended: Ended, prompt: &str) -> bool {
+    ended == Ended::Done && streamed.text == expected(prompt, TOKENS)
+}
+
+/// An answer in words.
+fn describe(streamed: &Streamed, right: bool) -> String {
+    let tokens = streamed.at.len();
+    let verdict = if right {
+        "as the oracle's"
+    } else {
+        "not as the oracle's"
+    };
+    format!("{tokens} tokens {verdict}")
+}
+
+/// Engines for each stage in each data centre.
+async fn engines() -> Result<Vec<(Runner, Handle<Engine>)>> {
+    let mut engines = Vec::new();
+    for data_centre in sample::DATA_CENTRES {
+        for layers in sample::STAGES {
+            let range = LayerRange::new(layers.start, layers.end)?;
+            let engine = engine::start(engine::Options {
+                limit: sample::LIMIT,
+                step_ms: ITERATION_MS,
+                ..engine::Options::new(sample::MODEL_LAYERS, range)
+            });
+            let engine = engine.await?;
+            let runner = Runner {
+                data_centre,
+                addr: engine.addr,
+                layers: Some(layers),
+            };
+            engines.push((runner, engine));
+        }
+    }
+    Ok(engines)
+}
+
+/// An instance in each data centre, on free ports.
+fn instances() -> Result<Vec<sample::Instance>> {
+    let mut sockets = Vec::new();
+    for _ in 0..3 * sample::DATA_CENTRES.len() {
+        // All are held at once, so that they differ.
+        sockets.push(TcpListener::bind(("127.0.0.1", 0))?);
+    }
+    let addrs = sockets.iter().map(TcpListener::local_addr);
+    let addrs: Vec<SocketAddr> = addrs.collect::<std::io::Result<_>>()?;
+    let (triples, _) = addrs.as_chunks::<3>();
+    let named = sample::DATA_CENTRES.into_iter().zip(triples);
+    let instances = named.map(|(data_centre, &[callers, peers, admin])| sample::Instance {
+        name: format!("{data_centre}-a"),
+        data_centre,
+        callers,
+        peers,
+        admin,
+    });
+    Ok(instances.collect())
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,8 @@
 //! really did. The paths of the fakes proper are those of
 //! `hemlockwind_protocol`.
 
+pub mod caller;
+pub mod demo;
 pub mod engine;
 mod lagged;
 pub mod load;
--- a/programs/src/bin/hemlockwind-standin.rs
+++ b/programs/src/bin/hemlockwind-standin.rs
@@ -1,5 +1,6 @@
 //! The fakes of the platform, engines and services, each as a process of its own.
 
+use std::error::Error;
 use std::io;
 use std::io::Write as _;
 use std::net::SocketAddr;
@@ -10,6 +11,7 @@
 use tokio::signal::unix::signal;
 
 use hemlockwind::core::layers::LayerRange;
+use hemlockwind_standin::demo;
 use hemlockwind_standin::engine;
 use hemlockwind_standin::platform;
 use hemlockwind_standin::server::Handle;
@@ -30,6 +32,7 @@
     Platform(Platform),
     Engine(Engine),
     Service(Service),
+    Demo(Demo),
 }
 
 /// The platform's object API and its list of instances.
@@ -92,6 +95,11 @@
     listen: SocketAddr,
 }
 
+/// Everything on loopback in one process: answers, a loan sent twice, a stage killed.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "demo")]
+struct Demo {}
+
 impl From<Engine> for engine::Options {
     fn from(args: Engine) -> Self {
         Self {
@@ -131,7 +139,7 @@
     }
 }
 
-async fn run(command: Command) -> io::Result<ExitCode> {
+async fn run(command: Command) -> Result<ExitCode, Box<dyn Error>> {
     match command {
         Command::Platform(args) => {
             let options = platform::Options {
@@ -147,11 +155,12 @@
             };
             serve(service::start(options).await?).await
         }
+        Command::Demo(Demo {}) => show().await,
     }
 }
 
 /// Runs a fake until a signal; one that ends by itself has failed as it was told.
-async fn serve<S>(fake: Handle<S>) -> io::Result<ExitCode> {
+async fn serve<S>(fake: Handle<S>) -> Result<ExitCode, Box<dyn Error>> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut out = io::stdout();
     writeln!(out, "{{\"listening\":\"{}\"}}", fake.addr)?;
@@ -162,3 +171,16 @@
         () = fake.shutdown.cancelled() => Ok(ExitCode::FAILURE),
     }
 }
+
+/// Runs the demo and prints its table.
+async fn show() -> Result<ExitCode, Box<dyn Error>> {
+    let rows = demo::run().await?;
+    let mut out = io::stdout();
+    for row in &rows {
+        writeln!(out, "{row}")?;
+    }
+    match rows.iter().all(|row| row.right) {
+        true => Ok(ExitCode::SUCCESS),
+        false => Ok(ExitCode::FAILURE),
+    }
+}
--- a/programs/tests/process/completions.rs
+++ b/programs/tests/process/completions.rs
@@ -3,10 +3,10 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use hemlockwind_standin::caller::Ended;
+use hemlockwind_standin::caller::expected;
 use hemlockwind_standin::sample;
 
-use crate::caller::Ended;
-use crate::caller::expected;
 use crate::site::Site;
 use crate::site::eventually;
 
@@ -52,7 +52,7 @@
     let prompt = sample::long_prompt("lampa", 60);
     let caller = site.instances[0].caller.clone();
     let mut streamed = caller.stream(&prompt, 60).await.unwrap();
-    streamed.read_tokens(10).await;
+    streamed.read_tokens(10).await.unwrap();
     site.platform.kill();
     assert_eq!(streamed.finish().await, Ended::Done);
     assert_eq!(streamed.text, expected(&prompt, 60));
@@ -74,7 +74,7 @@
     for n in 0..6 {
         let caller = &site.instances[n % 2].caller;
         let mut streamed = caller.stream(&prompt, 400).await.unwrap();
-        streamed.read_tokens(2).await;
+        streamed.read_tokens(2).await.unwrap();
         streams.push(streamed);
     }
     site.engine_in_use(1).await;
--- a/programs/tests/process/failures.rs
+++ b/programs/tests/process/failures.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
+use hemlockwind_standin::caller::Ended;
+use hemlockwind_standin::caller::expected;
 use hemlockwind_standin::sample;
 use serde_json::json;
 
-use crate::caller::Ended;
-use crate::caller::expected;
 use crate::site::STEP_MS;
 use crate::site::Site;
 
@@ -39,7 +39,7 @@
         streams.push(caller.stream(prompt, TOKENS).await.unwrap());
     }
     for streamed in &mut streams {
-        streamed.read_tokens(10).await;
+        streamed.read_tokens(10).await.unwrap();
     }
     let index = site.engine_in_use(stage).await;
     let engine = &mut site.engines[index];
--- a/programs/tests/process/leaving.rs
+++ b/programs/tests/process/leaving.rs
@@ -3,13 +3,13 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
+use hemlockwind_standin::caller::Caller;
+use hemlockwind_standin::caller::Ended;
+use hemlockwind_standin::caller::expected;
 use hemlockwind_standin::sample;
 use serde_json::json;
 use uuid::Uuid;
 
-use crate::caller::Caller;
-use crate::caller::Ended;
-use crate::caller::expected;
 use crate::site::Site;
 
 /// The time after which a leaving server gets no new work.
@@ -34,7 +34,7 @@
     let caller = &site.instances[0].caller;
     let prompt = sample::long_prompt("kuondoka", TOKENS);
     let mut streamed = caller.stream(&prompt, TOKENS).await.unwrap();
-    streamed.read_tokens(2).await;
+    streamed.read_tokens(2).await.unwrap();
     let index = site.engine_in_use(1).await;
     say(&site, index, source).await;
     tokio::time::sleep(BOUND).await;
@@ -69,7 +69,7 @@
             let platform = Caller::new(site.platform_addr, "");
             let body = list.to_string().into_bytes();
             let set = platform.json("PUT", "/_standin/instances", body).await;
-            assert!(set.is_some());
+            set.expect("the list is set");
         }
         Source::Configuration => {
             let status = tokio::process::Command::new(env!("CARGO_BIN_EXE_hemlockwind"))
--- a/programs/tests/process/main.rs
+++ b/programs/tests/process/main.rs
@@ -1,6 +1,5 @@
 //! The whole system as real processes, under failure.
 
-mod caller;
 mod completions;
 mod failures;
 mod leaving;
--- a/programs/tests/process/site.rs
+++ b/programs/tests/process/site.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hemlockwind_standin::caller::Caller;
 use hemlockwind_standin::engine::Ran;
 use hemlockwind_standin::engine::StreamState;
 use hemlockwind_standin::sample;
@@ -19,7 +20,6 @@
 use tokio::sync::Semaphore;
 use tokio::sync::SemaphorePermit;
 
-use crate::caller::Caller;
 use crate::process::Process;
 
 /// How long a process may take to start on a busy machine.
@@ -128,16 +128,12 @@
         let admin = &self.instances[0].admin;
         let put = || admin.json("PUT", "/v1/configuration", document.clone());
         eventually("the configuration is accepted", START, || async {
-            put().await.is_some()
+            put().await.is_ok()
         })
         .await;
         for instance in &self.instances {
             eventually("the instance is ready", START, || async {
-                instance
-                    .caller
-                    .json("GET", "/readyz", vec![])
-                    .await
-                    .is_some()
+                instance.caller.json("GET", "/readyz", vec![]).await.is_ok()
             })
             .await;
         }
@@ -181,7 +177,7 @@
         let control = Caller::new(self.runner.addr, "");
         let body = serde_json::to_vec(faults).unwrap();
         let set = control.json("PUT", "/_standin/faults", body).await;
-        assert!(set.is_some(), "the switches are set");
+        set.expect("the switches are set");
     }
 }
 
--- a/programs/tests/process/stop.rs
+++ b/programs/tests/process/stop.rs
@@ -5,14 +5,14 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use hemlockwind_standin::caller::Ended;
+use hemlockwind_standin::caller::Failure;
+use hemlockwind_standin::caller::expected;
+use hemlockwind_standin::caller::request;
 use hemlockwind_standin::sample;
 use serde_json::Value;
 use tokio::task::JoinSet;
 
-use crate::caller::Ended;
-use crate::caller::Failure;
-use crate::caller::expected;
-use crate::caller::request;
 use crate::site::Site;
 use crate::site::eventually;
 
@@ -36,7 +36,7 @@
     let mut streams = Vec::new();
     for _ in 0..STREAMS {
         let mut streamed = caller.stream(&prompt, TOKENS).await.unwrap();
-        streamed.read_tokens(1).await;
+        streamed.read_tokens(1).await.unwrap();
         streams.push(streamed);
     }
     let answered = Arc::new(AtomicUsize::new(0));
@@ -58,6 +58,7 @@
                     }
                     Err(Failure::Refused) => break,
                     Err(Failure::Cut(why)) => cut.push(why),
+                    Err(Failure::Status(..)) => unreachable!("a call gives the status"),
                 }
             }
             cut
@@ -118,7 +119,7 @@
     let caller = site.instances[0].caller.clone();
     let prompt = sample::long_prompt("ghafla", 100);
     let mut streamed = caller.stream(&prompt, 100).await.unwrap();
-    streamed.read_tokens(5).await;
+    streamed.read_tokens(5).await.unwrap();
     site.instances[0].process.kill();
     // No word of an end that did not come, and no token that is wrong.
     assert_eq!(streamed.finish().await, Ended::Cut);
