--- a/crates/standin/src/demo.rs
+++ b/crates/standin/src/demo.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use http::StatusCode;
 use serde_json::json;
 use slog::Discard;
 use slog::Logger;
@@ -158,20 +159,22 @@
 
     /// One loan, sent through both instances under one idempotency key.
     async fn lend_twice(&self) -> Result<Row> {
-        let headers = [("idempotency-key", LOAN_KEY)];
         let mut statuses = Vec::new();
+        let deadline = Instant::now() + START;
         for caller in &self.callers {
-            let body = json!({"lamp": 17, "pupil": "Neema"}).to_string();
-            let answer = caller
-                .call("POST", LOAN_PATH, &headers, body.into())
-                .await?;
-            statuses.push(answer.0.as_u16());
+            let mut status = lend(caller).await?;
+            // Just after the start nobody may decide about the key yet.
+            while status == StatusCode::SERVICE_UNAVAILABLE && Instant::now() < deadline {
+                tokio::time::sleep(READY_INTERVAL).await;
+                status = lend(caller).await?;
+            }
+            statuses.push(status.as_u16());
         }
         let recorded = self.service.state.ran().total;
         Ok(Row {
             what: "one loan sent twice, through two instances",
             outcome: format!("answered {statuses:?}, recorded {recorded} times"),
-            right: recorded == 1 && statuses[0] == 200,
+            right: recorded == 1 && statuses.iter().all(|&status| status == 200),
         })
     }
 
@@ -219,6 +222,14 @@
     }
 }
 
+/// Sends the loan once.
+async fn lend(caller: &Caller) -> Result<StatusCode> {
+    let headers = [("idempotency-key", LOAN_KEY)];
+    let body = json!({"lamp": 17, "pupil": "Neema"}).to_string();
+    let answer = caller.call("POST", LOAN_PATH, &headers, body.into()).await;
+    Ok(answer?.0)
+}
+
 /// Whether an answer ended well and is the oracle's.
 fn is_right(streamed: &Streamed, ended: Ended, prompt: &str) -> bool {
     ended == Ended::Done && streamed.text == expected(prompt, TOKENS)
--- a/programs/tests/process/leaving.rs
+++ b/programs/tests/process/leaving.rs
@@ -3,7 +3,6 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
-use hemlockwind_standin::caller::Caller;
 use hemlockwind_standin::caller::Ended;
 use hemlockwind_standin::caller::expected;
 use hemlockwind_standin::sample;
@@ -61,16 +60,7 @@
     let name = format!("runner-{index}");
     match source {
         Source::Report => engine.set_faults(&json!({"leaving": true})).await,
-        Source::List => {
-            let list = json!({"instances": [{
-                "name": name, "data_centre": engine.runner.data_centre,
-                "addr": engine.runner.addr, "kind": "backend_server", "state": "leaving",
-            }]});
-            let platform = Caller::new(site.platform_addr, "");
-            let body = list.to_string().into_bytes();
-            let set = platform.json("PUT", "/_standin/instances", body).await;
-            set.expect("the list is set");
-        }
+        Source::List => site.list(Some(index)).await,
         Source::Configuration => {
             let status = tokio::process::Command::new(env!("CARGO_BIN_EXE_hemlockwind"))
                 .args([
--- a/programs/tests/process/site.rs
+++ b/programs/tests/process/site.rs
@@ -31,6 +31,8 @@
 /// Milliseconds of an iteration of an engine's batch.
 const ITERATION_MS: &str = "4";
 
+/// Instances of one site at most.
+const INSTANCES: u8 = 4;
 /// Sites that run at once, so that they don't starve each other of processor time.
 const AT_ONCE: usize = 2;
 
@@ -46,12 +48,13 @@
 /// `Instance` is one instance of the site.
 pub struct Instance {
     pub process: Process,
+    pub named: sample::Instance,
     pub caller: Caller,
     pub admin: Caller,
 }
 
 /// `Site` is a platform, engines for each stage in both data centres, a service,
-/// and two instances.
+/// and instances, by turns in either data centre.
 pub struct Site {
     pub platform: Process,
     pub platform_addr: SocketAddr,
@@ -65,8 +68,14 @@
 }
 
 impl Site {
-    /// Starts all processes, and waits until both instances are ready.
+    /// Starts all processes with an instance in each data centre, and waits until
+    /// these are ready.
     pub async fn start(name: &str) -> Self {
+        Self::start_with(name, 2).await
+    }
+
+    /// As [`Site::start`], with this number of instances.
+    pub async fn start_with(name: &str, count: u8) -> Self {
         let turn = TURN.acquire().await.unwrap();
         let number = SITES.fetch_add(1, Ordering::Relaxed);
         let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
@@ -83,9 +92,8 @@
                 engines.push(engine(data_centre, layers, &log));
             }
         }
-        let numbers = 2 * number..;
-        let named = numbers.zip(sample::DATA_CENTRES);
-        let named: Vec<_> = named.map(|(n, name)| instance(name, own_ip(n))).collect();
+        let named = (0..count).map(|n| instance(n, own_ip(INSTANCES * number + n)));
+        let named: Vec<_> = named.collect();
         let settings = dir.join("settings.jsonc");
         let limits = json!({"step_ms": STEP_MS, "prefill_ms": PREFILL_MS});
         let text = sample::settings(platform_addr, &named, &limits);
@@ -95,6 +103,7 @@
             let args = ["--settings", path, "--instance", &named.name];
             let program = env!("CARGO_BIN_EXE_hemlockwindd");
             Instance {
+                named: named.clone(),
                 process: Process::start(program, &args, &log(&named.name)),
                 caller: Caller::new(named.callers, sample::API_KEY),
                 admin: Caller::new(named.admin, sample::ADMIN_TOKEN),
@@ -112,10 +121,35 @@
             dir,
             _turn: turn,
         };
+        site.list(None).await;
         site.configure().await;
         site
     }
 
+    /// Sets the platform's list: all are live, but the engine at `leaving`.
+    pub async fn list(&self, leaving: Option<usize>) {
+        let mut list = Vec::new();
+        for Instance { named, .. } in &self.instances {
+            list.push(json!({
+                "name": named.name, "data_centre": named.data_centre,
+                "addr": named.peers, "kind": "instance", "state": "live",
+            }));
+        }
+        for (index, Engine { runner, .. }) in self.engines.iter().enumerate() {
+            let state = if leaving == Some(index) {
+                "leaving"
+            } else {
+                "live"
+            };
+            list.push(json!({
+                "name": format!("runner-{index}"), "data_centre": runner.data_centre,
+                "addr": runner.addr, "kind": "backend_server", "state": state,
+            }));
+        }
+        let list = json!({"instances": list});
+        set(self.platform_addr, "/_standin/instances", &list).await;
+    }
+
     /// Hands in the configuration, and waits until it is in force.
     async fn configure(&self) {
         let mut runners: Vec<_> = self.engines.iter().map(|e| e.runner.clone()).collect();
@@ -174,10 +208,7 @@
 
     /// Sets all switches.
     pub async fn set_faults(&self, faults: &Value) {
-        let control = Caller::new(self.runner.addr, "");
-        let body = serde_json::to_vec(faults).unwrap();
-        let set = control.json("PUT", "/_standin/faults", body).await;
-        set.expect("the switches are set");
+        set(self.runner.addr, "/_standin/faults", faults).await;
     }
 }
 
@@ -187,6 +218,13 @@
     serde_json::from_slice(&answer.expect("the fake answers")).unwrap()
 }
 
+/// Sets something at a fake.
+pub async fn set(addr: SocketAddr, path: &str, value: &Value) {
+    let body = serde_json::to_vec(value).unwrap();
+    let answer = Caller::new(addr, "").json("PUT", path, body).await;
+    answer.expect("the fake takes it");
+}
+
 /// Waits until `check` holds.
 pub async fn eventually<F: Future<Output = bool>>(
     what: &str,
@@ -234,12 +272,13 @@
     Ipv4Addr::new(127, 64 + (id[2] & 0x3f), id[3], number)
 }
 
-fn instance(data_centre: &'static str, ip: Ipv4Addr) -> sample::Instance {
+fn instance(number: u8, ip: Ipv4Addr) -> sample::Instance {
+    let data_centre = sample::DATA_CENTRES[usize::from(number) % sample::DATA_CENTRES.len()];
     let free = || TcpListener::bind((ip, 0)).unwrap();
     // All three are held at once, so that they differ.
     let [callers, peers, admin] = [free(), free(), free()];
     sample::Instance {
-        name: format!("{data_centre}-a"),
+        name: format!("{data_centre}-{number}"),
         data_centre,
         callers: callers.local_addr().unwrap(),
         peers: peers.local_addr().unwrap(),
