--- /dev/null
+++ b/crates/hemlockwind/benches/capacity/wire.rs
@@ -0,0 +1,129 @@
+//! Bytes of messages, and the time of steps on the wire.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use uuid::Uuid;
+
+use hemlockwind::core::engine::Incarnation;
+use hemlockwind::core::engine::Input;
+use hemlockwind::core::engine::RequestId;
+use hemlockwind::core::engine::Step;
+use hemlockwind::core::engine::StepId;
+use hemlockwind::core::layers::LayerRange;
+use hemlockwind::core::names::Names;
+use hemlockwind::core::names::OrganisationKey;
+use hemlockwind::core::names::Rank;
+use hemlockwind::core::time::Instant;
+use hemlockwind::protocol::engine as wire;
+use hemlockwind::protocol::peer::Request;
+use hemlockwind::protocol::peer::encode;
+use hemlockwind::protocol::peer::queueing::Grants;
+use hemlockwind::protocol::peer::queueing::Tickets;
+use hemlockwind::queueing::Ticket;
+use hemlockwind::queueing::message;
+
+use crate::table::Table;
+use crate::table::nanos;
+
+/// Bytes of the activation of one token: 4,096 numbers of 2 bytes.
+const ACTIVATION: usize = 8_192;
+const NOW: Instant = Instant::from_millis(1_000);
+
+/// Measures messages.
+pub fn measure(table: &mut Table) {
+    let reports = [1, 8, 64].map(|count| (count, report(count)));
+    table.row(
+        "a report of tickets",
+        "bytes",
+        "tickets in it",
+        8,
+        reports.to_vec(),
+    );
+    let grants = [1, 8, 64].map(|count| (count, grant(count)));
+    table.row(
+        "grants to a driver",
+        "bytes",
+        "grants in it",
+        8,
+        grants.to_vec(),
+    );
+    let steps = [1, 16, 64].map(|count| {
+        let steps: Vec<_> = (0..count).map(step).collect();
+        let time = nanos(|| {
+            let steps = steps.iter().cloned().map(wire::Step::from).collect();
+            let json = serde_json::to_vec(&wire::StepsRequest { steps });
+            std::hint::black_box(json.map(|json| json.len()).unwrap_or_default());
+        });
+        (count, time / 1_000.0)
+    });
+    table.row(
+        "a call with decode steps, encoded",
+        "us",
+        "steps in it",
+        16,
+        steps.to_vec(),
+    );
+}
+
+/// Bytes of a report with `count` tickets that begin and as many that end.
+fn report(count: usize) -> f64 {
+    let mut names: Names<OrganisationKey> = Names::default();
+    let organisation = names.intern("organisation-00000");
+    let ticket = |i: usize| Ticket {
+        request: RequestId(Uuid::from_u128(i as u128)),
+        organisation,
+        share: 1.0,
+        rank: Rank(0),
+        cost: 10_000,
+        deadline: NOW + Duration::from_secs(20),
+        running: true,
+    };
+    let finished = (0..count).map(|i| message::Finished {
+        request: RequestId(Uuid::from_u128(i as u128)),
+        cost: 10_000,
+    });
+    let report = message::Report {
+        tickets: (0..count).map(ticket).collect(),
+        finished: finished.collect(),
+        ..message::Report::default()
+    };
+    let name = |_| "organisation-00000".into();
+    let tickets = Tickets::from_report("model-0@data-centre-0".into(), NOW, report, name);
+    len(&Request::Tickets(tickets))
+}
+
+/// Bytes of `count` grants.
+fn grant(count: usize) -> f64 {
+    let granted = (0..count).map(|i| RequestId(Uuid::from_u128(i as u128)));
+    let grants = message::Grants {
+        granted: granted.collect(),
+        waits: vec![Duration::from_millis(100); 3],
+        ..message::Grants::default()
+    };
+    len(&Request::Grants(Grants::from_grants(
+        "model-0@data-centre-0".into(),
+        NOW,
+        grants,
+    )))
+}
+
+/// Bytes of a message.
+fn len(req: &Request) -> f64 {
+    encode(req).map(|frame| frame.len()).unwrap_or_default() as f64
+}
+
+/// A decode step in the middle of a path.
+fn step(number: usize) -> Step {
+    Step {
+        id: StepId {
+            request: RequestId(Uuid::from_u128(number as u128)),
+            incarnation: Incarnation(1),
+            token: 7,
+            layers: LayerRange::new(8, 16).expect("a range"),
+        },
+        rank: Rank(0),
+        prefill: false,
+        input: Input::Activation(Bytes::from(vec![7; ACTIVATION])),
+    }
+}
