--- a/crates/hemlockwind/benches/decisions/routing.rs
+++ b/crates/hemlockwind/benches/decisions/routing.rs
@@ -38,11 +38,15 @@
     }
 }
 
-/// The bound, which is worked out when servers change, not for each request.
+/// The streams that the servers carry at most, after one of them changed.
 pub fn bound_flow(c: &mut Criterion, table: &mut Table) {
     for size in SERVERS {
-        let graph = graph(&keys(size));
+        let keys = keys(size);
+        let mut graph = graph(&keys);
+        let mut next = keys.iter().cycle();
         table.measure(c, "bound: after a change", size, || {
+            let key = *next.next().expect("a cycle does not end");
+            graph.update(key, |server| server.limit ^= 1);
             black_box(graph.bound_streams());
         });
     }
--- a/crates/state/routing/src/graph.rs
+++ b/crates/state/routing/src/graph.rs
@@ -111,6 +111,7 @@
         self.remove(server.key);
         let group = self.group_or_new(server.layers);
         group.len += 1;
+        group.streams += server.capacity();
         let place = group.list(server.key, server.available, server.is_full());
         self.servers.insert(server.key, Slot { server, place });
     }
@@ -121,6 +122,7 @@
         let index = self.unlist(&slot);
         let group = &mut self.groups[index];
         group.len -= 1;
+        group.streams -= slot.server.capacity();
         if group.len == 0 {
             self.groups.remove(index);
         }
@@ -139,6 +141,7 @@
             self.insert(server);
             return true;
         }
+        self.recount(&slot.server, &server);
         let listed = |server: &Server| (server.available, server.is_full());
         let mut place = slot.place;
         if listed(&server) != listed(&slot.server) {
@@ -193,15 +196,17 @@
         open.or_else(|| self.shortest(|group| self.pick(now, rng, preferences, group, true)))
     }
 
-    /// The number of streams that the available servers carry at most.
+    /// The number of streams that the available servers carry at most. Costs time
+    /// in the number of layer ranges, not of servers.
     pub fn bound_streams(&self) -> u64 {
-        let available = self.servers().filter(|server| server.available);
-        let edges = available.map(|server| (server.layers, u64::from(server.limit)));
+        let edges = self.groups.iter();
+        let edges = edges.map(|group| (group.layers, group.streams));
         Flow::bound(self.model_layers, edges)
     }
 
     /// The tokens per second that the available servers give at most, when each
     /// runs as many streams as its limit in the step time of an idle server.
+    /// Walks over all servers.
     pub fn bound_tokens(&self) -> f64 {
         let available = self.servers().filter(|server| server.available);
         let edges = available.map(|server| {
@@ -354,6 +359,16 @@
         &mut self.groups[index]
     }
 
+    /// Takes the change of a server into the sum of its group.
+    fn recount(&mut self, old: &Server, new: &Server) {
+        if old.capacity() == new.capacity() {
+            return;
+        }
+        let group = self.group_or_new(new.layers);
+        group.streams -= old.capacity();
+        group.streams += new.capacity();
+    }
+
     /// Takes a server off its group's lists. Returns the index of the group.
     fn unlist(&mut self, slot: &Slot) -> usize {
         let index = self.position(slot.server.layers);
--- a/crates/state/routing/src/group.rs
+++ b/crates/state/routing/src/group.rs
@@ -14,6 +14,8 @@
     pub(crate) full: Vec<BackendServerKey>,
     /// The number of servers, the unavailable ones included.
     pub(crate) len: usize,
+    /// Streams that the available servers take together.
+    pub(crate) streams: u64,
 }
 
 /// `Place` is where a group keeps a server, so that it is found in constant time.
@@ -35,6 +37,7 @@
             open: Vec::new(),
             full: Vec::new(),
             len: 0,
+            streams: 0,
         }
     }
 
--- a/crates/state/routing/src/server.rs
+++ b/crates/state/routing/src/server.rs
@@ -74,6 +74,15 @@
         self.in_flight >= self.limit
     }
 
+    /// Streams that it takes at most, none when it is not available.
+    pub fn capacity(&self) -> u64 {
+        if self.available {
+            u64::from(self.limit)
+        } else {
+            0
+        }
+    }
+
     /// The time that one step is expected to take, with queueing and the link both
     /// ways. A cached prefix saves up to `bonus` of the work, nothing of the link.
     pub fn expected_time(&self, now: Instant, bonus: Duration) -> Duration {
