--- a/crates/hemlockwind/benches/capacity/home.rs
+++ b/crates/hemlockwind/benches/capacity/home.rs
@@ -120,7 +120,10 @@
         for _ in 0..count + CAPACITY as usize {
             bench.submit();
         }
-        assert!(bench.driver.waiting() > 0, "every organisation has work waiting");
+        assert!(
+            bench.driver.waiting() > 0,
+            "every organisation has work waiting"
+        );
         let time = nanos(|| {
             bench.submit();
             bench.finish();
