Configuration: replica, watch, tree and exchange are wired; changes by nonce

Cause: until now each instance read one object twice a second, which neither fits the platform's rates nor a megabyte, and nothing came from peers. Replica and Publish of the configuration crate are carried out by one module; an operator's change is accepted when the platform holds it, a lost answer is settled by the nonce, and the loser of a race hears who was first. Ruled out: keeping the former object beside the new form.

--- a/crates/cli/src/admin.rs
+++ b/crates/cli/src/admin.rs
@@ -23,6 +23,8 @@
 use crate::outcome::Exit;
 use crate::outcome::Outcome;
 
+/// The header by which operators name themselves to each other.
+const OPERATOR_HEADER: &str = "x-hemlockwind-operator";
 /// Time that one instance has for an answer.
 const TIMEOUT: Duration = Duration::from_secs(5);
 /// The code of a conflict, see docs/ERRORS.md.
@@ -93,7 +95,8 @@
         let mut req = Request::builder()
             .method(ask.method.clone())
             .uri(format!("http://{addr}{}", ask.path))
-            .header(AUTHORIZATION, token);
+            .header(AUTHORIZATION, token)
+            .header(OPERATOR_HEADER, std::env::var("USER").unwrap_or_default());
         if let Some(base) = ask.base {
             req = req.header(IF_MATCH, format!("\"{base}\""));
         }
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -18,19 +18,25 @@
 use axum::routing::post;
 use serde_json::Value;
 use serde_json::json;
-use slog::info;
 use subtle::ConstantTimeEq;
 
+use hemlockwind_configuration::AUTHOR_LIMIT_BYTES;
 use hemlockwind_core::Error;
 use hemlockwind_core::Result;
-use hemlockwind_core::edges::ObjectVersion;
+use hemlockwind_core::config::Version;
 use hemlockwind_protocol::document::Document;
+use hemlockwind_settings::settings::Limits;
 
 use crate::callers::body;
 use crate::configuration;
 use crate::instance::Instance;
 use crate::problem::Failure;
 
+/// The header by which an operator names himself or herself.
+const OPERATOR_HEADER: &str = "x-hemlockwind-operator";
+/// Bytes of a document at most.
+const DOCUMENT_LIMIT: usize = 16 << 20;
+
 /// The routes that operators use.
 pub fn router(instance: Arc<Instance>) -> Router {
     let guarded = Router::new()
@@ -95,13 +101,12 @@
     }))
 }
 
-/// The document that the platform holds, with its version as entity tag.
+/// The document in force here, with its version as entity tag.
 async fn read_configuration(State(instance): State<Arc<Instance>>) -> Result<Response, Failure> {
-    let object = configuration::read(&instance).await?;
-    let object = object.ok_or(Error::NoConfig)?;
-    let tag = format!("\"{}\"", object.version.0);
+    let (version, body) = instance.spread.document().ok_or(Error::NoConfig)?;
+    let tag = format!("\"{}\"", version.0);
     let headers = [("etag", tag), ("content-type", "application/json".into())];
-    Ok((headers, object.value).into_response())
+    Ok((headers, body).into_response())
 }
 
 /// Takes a new document over the version that `If-Match` names.
@@ -111,22 +116,32 @@
     req: Body,
 ) -> Result<Json<Value>, Failure> {
     let base = base(&headers)?;
-    let req = body::read(req, &instance.settings.limits).await?;
+    let limits = Limits {
+        body_bytes: DOCUMENT_LIMIT,
+        ..instance.settings.limits
+    };
+    let req = body::read(req, &limits).await?;
     let document: Document = body::json(&req)?;
-    let version = configuration::accept(&instance, &document, base).await?;
-    info!(instance.log, "a configuration was accepted"; "version" => version.0);
+    let author = author(&headers);
+    let version = configuration::accept(&instance, &document, base, author).await?;
     Ok(Json(json!({"version": version.0})))
 }
 
-/// The version that `If-Match` names.
-fn base(headers: &HeaderMap) -> Result<Option<ObjectVersion>> {
+/// The version that `If-Match` names, 0 when there is to be none yet.
+fn base(headers: &HeaderMap) -> Result<Version> {
     let Some(value) = headers.get(IF_MATCH) else {
-        return Ok(None);
+        return Ok(Version(0));
     };
     let text = value.to_str().unwrap_or_default().trim_matches('"');
-    let version = text.parse().map(ObjectVersion);
-    let version = version.map_err(|_| Error::header("If-Match must be a version"))?;
-    Ok(Some(version))
+    let version = text.parse().map(Version);
+    version.map_err(|_| Error::header("If-Match must be a version"))
+}
+
+/// Who makes a change, by the operator's own word.
+fn author(headers: &HeaderMap) -> &str {
+    let value = headers.get(OPERATOR_HEADER).and_then(|v| v.to_str().ok());
+    let is_short = |name: &&str| !name.is_empty() && name.len() <= AUTHOR_LIMIT_BYTES;
+    value.filter(is_short).unwrap_or("an operator")
 }
 
 /// Begins a planned stop.
--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -1,105 +1,381 @@
-//! The configuration in force, and how an accepted change comes into force.
+//! The configuration in force: how an operator's change is accepted, how it
+//! spreads, and how it comes into force here.
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use arc_swap::ArcSwap;
 use bytes::Bytes;
+use futures::FutureExt;
+use futures::StreamExt;
+use futures::future::BoxFuture;
+use futures::stream::FuturesUnordered;
+use parking_lot::Mutex;
+use slog::error;
 use slog::info;
-use slog::warn;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
 
+use hemlockwind_configuration::Action;
+use hemlockwind_configuration::Change;
+use hemlockwind_configuration::Digest;
+use hemlockwind_configuration::Event;
+use hemlockwind_configuration::Head;
+use hemlockwind_configuration::Message;
+use hemlockwind_configuration::Outcome;
+use hemlockwind_configuration::Peer;
+use hemlockwind_configuration::Peers;
+use hemlockwind_configuration::Publish;
+use hemlockwind_configuration::PublishAction;
+use hemlockwind_configuration::PublishEvent;
+use hemlockwind_configuration::Replica;
 use hemlockwind_core::Error;
 use hemlockwind_core::Result;
 use hemlockwind_core::config::Version;
 use hemlockwind_core::edges::Object;
 use hemlockwind_core::edges::ObjectVersion;
+use hemlockwind_core::edges::Platform;
 use hemlockwind_core::edges::Precondition;
-use hemlockwind_core::edges::Put;
+use hemlockwind_core::edges::WatchEvent;
+use hemlockwind_core::names::InstanceKey;
+use hemlockwind_core::time::Instant;
+use hemlockwind_membership::Duty;
+use hemlockwind_membership::score;
 use hemlockwind_protocol::compile;
 use hemlockwind_protocol::document::Document;
+use hemlockwind_protocol::peer::Reply;
+use hemlockwind_protocol::peer::Request;
+use hemlockwind_protocol::peer::configuration as wire;
+use hemlockwind_protocol::peer::decode;
+use hemlockwind_protocol::peer::encode;
 
 use crate::instance::Instance;
 
-/// The platform's object that holds the document.
-const OBJECT: &str = "configuration/document";
-/// Time between reads of the document.
-const READ_INTERVAL: Duration = Duration::from_millis(500);
+/// The platform's object that holds the head.
+const HEAD: &str = "configuration/head";
+/// The prefix of the platform's objects that hold chunks.
+const CHUNKS: &str = "configuration/chunks/";
+/// Instances of a data centre that hold the platform's watch.
+const WATCHERS: usize = 2;
+/// Time that a change may take to be accepted.
+const ACCEPT_TIMEOUT: Duration = Duration::from_millis(4_000);
+/// Time between two looks at deadlines and members.
+const TICK: Duration = Duration::from_millis(50);
+/// Time before a watch that broke off is opened again.
+const WATCH_PAUSE: Duration = Duration::from_millis(500);
 
-/// Reads the platform's document again and again, until the instance stops.
+/// `Spread` holds this instance's replica of the configuration.
+pub struct Spread {
+    replica: Mutex<Replica>,
+    peers: Mutex<Peers>,
+    watch: Mutex<Option<JoinHandle<()>>>,
+    body: ArcSwap<(Version, Bytes)>,
+}
+
+impl Spread {
+    /// A replica that has nothing yet.
+    pub fn new(now: Instant, me: InstanceKey) -> Self {
+        Self {
+            replica: Mutex::new(Replica::new(now, me, rand::random())),
+            peers: Mutex::default(),
+            watch: Mutex::default(),
+            body: ArcSwap::default(),
+        }
+    }
+
+    /// The document in force, with its version.
+    pub fn document(&self) -> Option<(Version, Bytes)> {
+        let body = self.body.load();
+        (body.0 > Version(0)).then(|| (body.0, body.1.clone()))
+    }
+}
+
+/// Follows the configuration until the instance ends.
 pub async fn follow(instance: Arc<Instance>) {
     loop {
-        match instance.edges.platform.get(OBJECT).await {
-            Ok(Some(object)) => {
-                if let Err(e) = put_in_force(&instance, &object) {
-                    warn!(instance.log, "the platform's document was not taken"; "code" => e.code().number(), "error" => %e);
-                }
-            }
-            Ok(None) => {}
-            Err(e) => {
-                warn!(instance.log, "the platform gave no document"; "code" => e.code().number(), "error" => %e);
-            }
+        let peers = peers(&instance);
+        let is_news = {
+            let mut known = instance.spread.peers.lock();
+            let is_news = *known != peers;
+            known.clone_from(&peers);
+            is_news
+        };
+        if is_news {
+            on_event(&instance, Event::Peers(peers));
         }
-        tokio::select! {
-            () = tokio::time::sleep(READ_INTERVAL) => {}
-            () = instance.stopping.cancelled() => return,
+        let due_at = instance.spread.replica.lock().next_deadline();
+        if due_at <= instance.edges.clock.now() {
+            on_event(&instance, Event::Timer);
         }
+        sleep(TICK).await;
     }
 }
 
-/// Puts a document in force, if its version is higher than the one in force.
+/// The peers that membership believes in.
+fn peers(instance: &Instance) -> Peers {
+    let duties = &instance.duties;
+    let members = duties.members();
+    let near = members
+        .iter()
+        .filter(|m| m.data_centre == instance.data_centre);
+    let local = near.map(|member| Peer {
+        key: member.key,
+        hash: score(Duty::Configuration, &member.name),
+    });
+    let remote = duties.other_centres(instance.data_centre);
+    let remote = remote
+        .into_iter()
+        .map(|centre| duties.holders(Duty::Configuration, centre, WATCHERS));
+    Peers {
+        local: local.collect(),
+        watchers: duties.holders(Duty::Configuration, instance.data_centre, WATCHERS),
+        remote: remote.collect(),
+    }
+}
+
+/// Gives the replica an event and carries out what follows.
+fn on_event(instance: &Arc<Instance>, event: Event) {
+    let now = instance.edges.clock.now();
+    let actions = instance.spread.replica.lock().on_event(now, event);
+    for action in actions {
+        perform(instance, action);
+    }
+}
+
+/// Takes a message of the instance `from`; what the replica has for that instance
+/// first is the reply.
 ///
 /// # Errors
 ///
-/// `Error::Config` when the document has faults.
-pub fn put_in_force(instance: &Instance, object: &Object) -> Result<()> {
-    let version = Version(object.version.0);
-    if version <= instance.config.load().version {
-        return Ok(());
-    }
-    let document: Document =
-        serde_json::from_slice(&object.value).map_err(|e| Error::config(e.to_string()))?;
-    let mut directory = instance.directory.write();
-    let config = compile::compile(&document, version, &mut directory);
-    let config = config.map_err(|faults| compile::error(&faults))?;
+/// `Error::PeerFrame` when the message breaks its bounds.
+pub fn on_message(instance: &Arc<Instance>, from: &str, message: wire::Message) -> Result<Reply> {
+    let message = Message::try_from(message)?;
+    let from = instance.directory.write().instances.intern(from);
+    let now = instance.edges.clock.now();
+    let event = Event::Message { from, message };
+    let actions = instance.spread.replica.lock().on_event(now, event);
+    let mut reply = Reply::Done;
+    for action in actions {
+        match action {
+            Action::Send { to, message } if to == from && reply == Reply::Done => {
+                reply = Reply::Configuration(message.into());
+            }
+            other => perform(instance, other),
+        }
+    }
+    Ok(reply)
+}
+
+/// Carries out one action.
+fn perform(instance: &Arc<Instance>, action: Action) {
+    match action {
+        Action::Send { to, message } => {
+            let instance = Arc::clone(instance);
+            tokio::spawn(async move { send(&instance, to, message).await });
+        }
+        Action::ReadHead => {
+            let instance = Arc::clone(instance);
+            tokio::spawn(async move { read_head(&instance).await });
+        }
+        Action::ReadChunk(digest) => {
+            let instance = Arc::clone(instance);
+            tokio::spawn(async move {
+                if let Ok(Some(object)) = instance.edges.platform.get(&chunk_name(digest)).await {
+                    on_event(&instance, Event::Chunk(object.value));
+                }
+            });
+        }
+        Action::Watch(holds) => watch(instance, holds),
+        Action::PutInForce { head, body } => put_in_force(instance, &head, body),
+    }
+}
+
+/// Sends a message and takes the reply as a message of the other.
+async fn send(instance: &Arc<Instance>, to: InstanceKey, message: Message) {
+    let Some(addr) = instance.duties.addr(to) else {
+        return;
+    };
+    let req = Request::Configuration(message.into());
+    // What gets lost is made good by the periodic exchange.
+    if let Ok(Reply::Configuration(message)) = instance.edges.peer.call(addr, req).await
+        && let Ok(message) = Message::try_from(message)
+    {
+        on_event(instance, Event::Message { from: to, message });
+    }
+}
+
+/// Reads the head from the platform.
+async fn read_head(instance: &Arc<Instance>) {
+    if let Ok(Some((head, _))) = stored_head(&*instance.edges.platform).await {
+        on_event(instance, Event::Stored(head));
+    }
+}
+
+/// The head that the platform holds.
+async fn stored_head(platform: &dyn Platform) -> Result<Option<(Head, ObjectVersion)>> {
+    let object = platform.get(HEAD).await?;
+    object
+        .map(|object| Ok((parse_head(&object)?, object.version)))
+        .transpose()
+}
+
+/// The head in an object.
+fn parse_head(object: &Object) -> Result<Head> {
+    decode::<wire::Head>(&object.value)?.try_into()
+}
+
+/// The name of the object that holds a chunk.
+fn chunk_name(digest: Digest) -> String {
+    let hex = digest.0.iter().map(|byte| format!("{byte:02x}"));
+    format!("{CHUNKS}{}", hex.collect::<String>())
+}
+
+/// Holds the platform's watch, or lets it go.
+fn watch(instance: &Arc<Instance>, holds: bool) {
+    let mut watch = instance.spread.watch.lock();
+    if let Some(old) = watch.take() {
+        old.abort();
+    }
+    if holds {
+        let instance = Arc::clone(instance);
+        *watch = Some(tokio::spawn(async move { hear(&instance).await }));
+    }
+}
+
+/// Hears of heads by the watch, again and again.
+async fn hear(instance: &Arc<Instance>) {
+    let platform = &instance.edges.platform;
+    loop {
+        if let Ok(mut events) = platform.watch(HEAD, ObjectVersion(0)).await {
+            while let Some(Ok(event)) = events.next().await {
+                if let WatchEvent::Put(object) = event
+                    && let Ok(head) = parse_head(&object)
+                {
+                    on_event(instance, Event::Stored(head));
+                }
+            }
+        }
+        sleep(WATCH_PAUSE).await;
+    }
+}
+
+/// Puts a document in force, if its version is higher than the one in force.
+fn put_in_force(instance: &Instance, head: &Head, body: Bytes) {
     // The write lock on the directory keeps two versions from crossing here.
-    if version > instance.config.load().version {
-        instance.fleet.apply(&config);
-        instance.config.store(Arc::new(config));
-        info!(instance.log, "a configuration is in force"; "version" => version.0);
+    let mut directory = instance.directory.write();
+    if head.version <= instance.config.load().version {
+        return;
+    }
+    let config = serde_json::from_slice::<Document>(&body)
+        .map_err(|e| Error::config(e.to_string()))
+        .and_then(|document| {
+            let config = compile::compile(&document, head.version, &mut directory);
+            config.map_err(|faults| compile::error(&faults))
+        });
+    match config {
+        Ok(config) => {
+            instance.fleet.apply(&config);
+            instance.config.store(Arc::new(config));
+            instance.spread.body.store(Arc::new((head.version, body)));
+            info!(instance.log, "a configuration is in force"; "version" => head.version.0);
+        }
+        Err(e) => {
+            error!(instance.log, "an accepted configuration can't be read"; "version" => head.version.0, "code" => e.code().number(), "error" => %e);
+        }
     }
-    Ok(())
 }
 
-/// Writes an operator's document to the platform, over the version `base`.
+/// Brings an operator's document into the platform, over the version `base`.
 ///
 /// # Errors
 ///
-/// `Error::Config`, `Error::ConfigConflict`, or the platform's.
+/// `Error::Config`, `Error::ConfigConflict` with the other change's author,
+/// `Error::PlatformUnavailable` when nothing changed, or `Error::PlatformUnknown`.
 pub async fn accept(
-    instance: &Instance,
+    instance: &Arc<Instance>,
     document: &Document,
-    base: Option<ObjectVersion>,
-) -> Result<ObjectVersion> {
+    base: Version,
+    author: &str,
+) -> Result<Version> {
     let checked = compile::compile(document, Version(0), &mut instance.directory.write());
     checked.map_err(|faults| compile::error(&faults))?;
-    let value = serde_json::to_vec(document).map_err(|e| Error::config(e.to_string()))?;
-    let when = base.map_or(Precondition::Absent, Precondition::Version);
-    match instance
-        .edges
-        .platform
-        .put(OBJECT, Bytes::from(value), when)
-        .await
-    {
-        Put::Done(version) => Ok(version),
-        Put::Conflict => Err(Error::config_conflict("another change came first")),
-        Put::Refused(e) | Put::Unknown(e) => Err(e),
+    let body = serde_json::to_vec(document).map_err(|e| Error::config(e.to_string()))?;
+    let now = instance.edges.clock.now();
+    let change = Change {
+        author: author.into(),
+        nonce: rand::random(),
+        base,
+        floor: instance.config.load().version,
+        body: body.into(),
+        at: instance.edges.clock.wall(),
+        deadline: now + ACCEPT_TIMEOUT,
+    };
+    let known = instance.spread.replica.lock().digests();
+    let outcome = publish(instance, Publish::new(now, change, &known)).await;
+    let version = accepted(outcome)?;
+    read_head(instance).await;
+    info!(instance.log, "a configuration was accepted"; "version" => version.0, "author" => author);
+    Ok(version)
+}
+
+/// Carries out what a change needs until its outcome is known.
+async fn publish(instance: &Instance, mut publish: Publish) -> Outcome {
+    let clock = &instance.edges.clock;
+    let platform = &instance.edges.platform;
+    let mut pending = FuturesUnordered::new();
+    let mut actions = publish.on_event(clock.now(), PublishEvent::Timer);
+    loop {
+        for action in actions {
+            match action {
+                PublishAction::Finish(outcome) => return outcome,
+                other => pending.push(call(platform, other)),
+            }
+        }
+        let wait = publish.next_deadline().since(clock.now());
+        let event = tokio::select! {
+            Some(event) = pending.next(), if !pending.is_empty() => event,
+            () = sleep(wait) => PublishEvent::Timer,
+        };
+        actions = publish.on_event(clock.now(), event);
     }
 }
 
-/// The document that the platform holds.
-///
-/// # Errors
-///
-/// The platform's.
-pub async fn read(instance: &Instance) -> Result<Option<Object>> {
-    instance.edges.platform.get(OBJECT).await
+/// One call to the platform for a change.
+fn call(platform: &Arc<dyn Platform>, action: PublishAction) -> BoxFuture<'static, PublishEvent> {
+    let platform = Arc::clone(platform);
+    async move {
+        match action {
+            PublishAction::ReadHead => match stored_head(&*platform).await {
+                Ok(head) => PublishEvent::HeadRead(head),
+                Err(_) => PublishEvent::ReadFailed,
+            },
+            PublishAction::PutChunk(digest, chunk) => {
+                let name = chunk_name(digest);
+                let put = platform.put(&name, chunk, Precondition::Absent).await;
+                PublishEvent::ChunkPut(digest, put)
+            }
+            PublishAction::PutHead(head, when) => match encode(&wire::Head::from(head)) {
+                Ok(value) => PublishEvent::HeadPut(platform.put(HEAD, value.into(), when).await),
+                Err(_) => PublishEvent::ReadFailed,
+            },
+            PublishAction::Finish(_) => PublishEvent::Timer,
+        }
+    }
+    .boxed()
+}
+
+/// The version of an accepted change, or why there is none.
+fn accepted(outcome: Outcome) -> Result<Version> {
+    match outcome {
+        Outcome::Accepted(version) | Outcome::Unchanged(version) => Ok(version),
+        Outcome::Conflict(Some(other)) => Err(Error::config_conflict(format!(
+            "{} made version {} meanwhile",
+            other.author, other.version.0
+        ))),
+        Outcome::Conflict(None) => Err(Error::config_conflict("many changes came first")),
+        Outcome::Refused => Err(Error::platform_unavailable("nothing changed")),
+        Outcome::Unknown => Err(Error::platform_unknown(
+            "the platform gave no answer to the update",
+        )),
+    }
 }
--- a/crates/daemon/src/duties.rs
+++ b/crates/daemon/src/duties.rs
@@ -69,6 +69,16 @@
         near.map(|member| member.key).collect()
     }
 
+    /// The other data centres that have instances.
+    pub fn other_centres(&self, own: DataCentreKey) -> Vec<DataCentreKey> {
+        let members = self.members.load();
+        let mut centres: Vec<_> = members.iter().map(|m| m.data_centre).collect();
+        centres.retain(|&centre| centre != own);
+        centres.sort_unstable();
+        centres.dedup();
+        centres
+    }
+
     /// The instance that holds `duty` for a data centre.
     pub fn holder(&self, duty: Duty<'_>, data_centre: DataCentreKey) -> Option<Member> {
         let members = self.members.load();
@@ -76,16 +86,24 @@
         near.max_by_key(|m| score(duty, &m.name)).cloned()
     }
 
-    /// Whether this instance is one of the `n` holders of `duty` for a data centre.
-    pub fn holds(&self, duty: Duty<'_>, data_centre: DataCentreKey, n: usize) -> bool {
+    /// The `n` instances that hold `duty` for a data centre, by their place.
+    pub fn holders(
+        &self,
+        duty: Duty<'_>,
+        data_centre: DataCentreKey,
+        n: usize,
+    ) -> Vec<InstanceKey> {
         let members = self.members.load();
-        let mut near: Vec<_> = members
-            .iter()
-            .filter(|m| m.data_centre == data_centre)
-            .map(|m| (score(duty, &m.name), m.key))
-            .collect();
+        let near = members.iter().filter(|m| m.data_centre == data_centre);
+        let mut near: Vec<_> = near.map(|m| (score(duty, &m.name), m.key)).collect();
         near.sort_unstable();
-        near.iter().rev().take(n).any(|&(_, key)| key == self.me)
+        let first = near.into_iter().rev().take(n);
+        first.map(|(_, key)| key).collect()
+    }
+
+    /// Whether this instance is one of the `n` holders of `duty` for a data centre.
+    pub fn holds(&self, duty: Duty<'_>, data_centre: DataCentreKey, n: usize) -> bool {
+        self.holders(duty, data_centre, n).contains(&self.me)
     }
 
     /// The address of an instance.
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -30,6 +30,7 @@
 use hemlockwind_telemetry::Histograms;
 use hemlockwind_telemetry::Metrics;
 
+use crate::configuration::Spread;
 use crate::duties::Duties;
 use crate::fleet::Fleet;
 use crate::health::Health;
@@ -83,6 +84,8 @@
     pub directory: RwLock<Directory>,
     /// The configuration in force; reading it takes no lock.
     pub config: ArcSwap<Config>,
+    /// The replica of the configuration.
+    pub spread: Spread,
     /// The backend servers and their load.
     pub fleet: Arc<Fleet>,
     /// What is believed of the backend servers.
@@ -130,6 +133,7 @@
             log,
             directory: RwLock::new(directory),
             config: ArcSwap::default(),
+            spread: Spread::new(edges.clock.now(), duties.me()),
             fleet: Arc::new(Fleet::new(data_centre)),
             health: Health::new(edges.clock.now()),
             duties,
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -10,6 +10,7 @@
 use hemlockwind_protocol::peer::Reply;
 use hemlockwind_protocol::peer::Request;
 
+use crate::configuration;
 use crate::instance::Instance;
 use crate::pool;
 
@@ -25,9 +26,11 @@
         match req {
             Request::Tickets(tickets) => done(pool::on_tickets(&self.instance, from, tickets)),
             Request::Grants(grants) => done(pool::on_grants(&self.instance, from, grants)),
-            Request::Membership(_) | Request::Configuration(_) | Request::Dispatch(_) => {
-                refused(&Error::Stopping)
+            Request::Configuration(message) => {
+                let reply = configuration::on_message(&self.instance, from, message);
+                reply.unwrap_or_else(|e| refused(&e))
             }
+            Request::Membership(_) | Request::Dispatch(_) => refused(&Error::Stopping),
         }
     }
 }
--- a/programs/tests/callers.rs
+++ b/programs/tests/callers.rs
@@ -233,15 +233,32 @@
 #[tokio::test]
 async fn configuration_racing_operators() {
     let site = Site::start().await;
-    let document = serde_json::to_vec(&sample::document(&[])).unwrap();
-    let put = |base: u64| {
+    // Two different changes over the same version; the same one twice is no change.
+    let change = |name: &str| {
+        let mut document = sample::document(&[]);
+        document.pipelines[0].name = name.into();
+        serde_json::to_vec(&document).unwrap()
+    };
+    let put = |base: u64, operator: &str| {
         Request::put(site.admin("/v1/configuration"))
             .header("authorization", format!("Bearer {}", sample::ADMIN_TOKEN))
+            .header("x-hemlockwind-operator", operator)
             .header("if-match", format!("\"{base}\""))
     };
     let base = site.running.instance.config.load().version.0;
-    let (one, two) = tokio::join!(send(put(base), document.clone()), send(put(base), document));
-    let mut statuses = [one.0, two.0];
-    statuses.sort_unstable();
-    assert_eq!(statuses, [200, 409]);
+    let one = send(put(base, "asha"), change("one"));
+    let two = send(put(base, "juma"), change("two"));
+    let (one, two) = tokio::join!(one, two);
+    let ((won, _), (lost, problem), winner) = if one.0 == 200 {
+        (one, two, "asha")
+    } else {
+        (two, one, "juma")
+    };
+    assert_eq!((won, lost), (200, 409));
+    let title = problem["title"].as_str().unwrap();
+    assert!(title.contains(winner), "{title}");
+    let same = change(if winner == "asha" { "one" } else { "two" });
+    let version = site.running.instance.config.load().version.0;
+    let (status, json) = send(put(version, winner), same).await;
+    assert_eq!((status, json["version"].as_u64()), (200, Some(version)));
 }
