--- a/crates/coordination/claims/src/slots.rs
+++ b/crates/coordination/claims/src/slots.rs
@@ -193,6 +193,11 @@
         owned.count()
     }
 
+    /// Whether all slots were given up after [`Event::Stop`].
+    pub fn is_released(&self) -> bool {
+        self.slots.iter().all(|slot| slot.holder.is_released())
+    }
+
     /// The number of keys that are remembered.
     pub fn keys(&self) -> usize {
         self.slots.iter().map(|s| s.memory.len()).sum()
--- a/crates/coordination/lease/src/holder.rs
+++ b/crates/coordination/lease/src/holder.rs
@@ -165,6 +165,11 @@
         }
     }
 
+    /// Whether the lease was given up, or was not held when the instance stopped.
+    pub fn is_released(&self) -> bool {
+        self.release.is_some() && self.term.is_none()
+    }
+
     /// Takes an event and says what to ask of the platform.
     pub fn on_event(&mut self, now: Instant, event: Event) -> Option<Action> {
         match event {
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -10,6 +10,7 @@
 use axum::middleware;
 use axum::middleware::Next;
 use axum::response::Response;
+use axum::routing::any;
 use axum::routing::get;
 use axum::routing::post;
 use serde_json::Value;
@@ -24,6 +25,7 @@
 pub mod caller;
 pub mod completions;
 pub mod events;
+pub mod services;
 
 /// The routes that callers and the balancer use.
 pub fn router(instance: Arc<Instance>) -> Router {
@@ -31,6 +33,7 @@
         .route("/v1/completions", post(completions::text))
         .route("/v1/chat/completions", post(completions::chat))
         .route("/v1/models", get(models))
+        .route("/v1/services/{service}/{*path}", any(services::call))
         .route("/healthz", get(|| async { "ok" }))
         .route("/readyz", get(ready))
         .fallback(unknown)
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -35,6 +35,7 @@
 use crate::health::Health;
 use crate::lanes::Lanes;
 use crate::pool::Pools;
+use crate::slots::Owned;
 
 /// `Edges` holds the adapters to everything outside the process. Another
 /// implementation of a trait goes in here and nowhere else.
@@ -91,6 +92,8 @@
     pub duties: Duties,
     /// The pools that this instance uses.
     pub pools: Pools,
+    /// The slots of idempotency keys that this instance owns.
+    pub owned: Owned,
     /// The batches of steps on their way to engines.
     pub lanes: Arc<Lanes>,
     /// Counters and gauges.
@@ -132,6 +135,7 @@
             health: Health::new(edges.clock.now()),
             duties,
             pools: Pools::default(),
+            owned: Owned::new(&me.name),
             lanes: Arc::new(lanes),
             metrics,
             histograms: Histograms::default(),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod peers;
 pub mod pool;
 pub mod problem;
+pub mod slots;
 pub mod start;
 pub mod watch;
 
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -11,6 +11,7 @@
 
 use crate::instance::Instance;
 use crate::pool;
+use crate::slots;
 
 /// `Peers` answers other instances for this one.
 pub struct Peers {
@@ -30,9 +31,11 @@
                 pool::on_grants(&self.instance, from, grants);
                 Reply::Done
             }
-            Request::Membership(_) | Request::Configuration(_) | Request::Dispatch(_) => {
-                refused(&Error::Stopping)
-            }
+            Request::Dispatch(dispatch) => match slots::dispatch(&self.instance, dispatch).await {
+                Ok(reply) => Reply::Dispatch(reply.into()),
+                Err(error) => refused(&error),
+            },
+            Request::Membership(_) | Request::Configuration(_) => refused(&Error::Stopping),
         }
     }
 }
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -27,6 +27,7 @@
 use crate::listener;
 use crate::peers::Peers;
 use crate::pool;
+use crate::slots;
 use crate::watch;
 
 /// `Running` is an instance with open sockets.
@@ -96,6 +97,7 @@
         tokio::spawn(peer_task),
         tokio::spawn(configuration::follow(Arc::clone(&instance))),
         tokio::spawn(pool::run(Arc::clone(&instance))),
+        tokio::spawn(slots::run(Arc::clone(&instance))),
         tokio::spawn(watch::loads(Arc::clone(&instance))),
         tokio::spawn(watch::list(Arc::clone(&instance))),
     ];
@@ -140,6 +142,7 @@
         if cut > 0 {
             warn!(instance.log, "the drain time passed"; "cut" => cut);
         }
+        slots::release(&instance).await;
         self.end();
         info!(instance.log, "stopped"; "cut" => cut);
         cut
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod completions;
 pub mod document;
 pub mod engine;
+pub mod lease;
 pub mod peer;
 pub mod platform;
 pub mod problem;
--- a/crates/protocol/src/peer/claims.rs
+++ b/crates/protocol/src/peer/claims.rs
@@ -1,9 +1,15 @@
 //! Non-idempotent requests on their way to the owner of their key's slot.
 
+use std::time::Duration;
+
 use serde::Deserialize;
 use serde::Serialize;
 use uuid::Uuid;
 
+use hemlockwind_claims::Reply;
+use hemlockwind_core::Error;
+use hemlockwind_core::edges::Answer;
+
 /// `Dispatch` hands a request to the owner of its key's slot.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -12,7 +18,7 @@
     pub request: Uuid,
     /// The organisation's name.
     pub organisation: String,
-    /// The caller's idempotency key, or the one that the entry instance minted.
+    /// The caller's idempotency key.
     pub key: String,
     /// The service's name.
     pub service: String,
@@ -28,7 +34,7 @@
     pub deadline_ms: u32,
 }
 
-/// `Dispatched` is what the owner knows of a request.
+/// `Dispatched` is the wire form of [`Reply`].
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub enum Dispatched {
@@ -43,8 +49,105 @@
         /// Whether the answer belongs to an earlier request with this key.
         replayed: bool,
     },
-    /// Nothing was run, with the code's number and a sentence.
-    NotRun(u16, String),
-    /// It is not known whether it ran, with the code's number and a sentence.
-    Unknown(u16, String),
+    /// Nothing was run.
+    NotRun(Fault),
+    /// It is not known whether it ran.
+    Unknown(Fault),
+    /// The receiver does not own the slot and did nothing; the name of the owner,
+    /// when it knows one.
+    NotOwner(Option<String>),
+}
+
+/// `Fault` is the wire form of the errors that an owner gives.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub enum Fault {
+    /// [`Error::IdempotencyKey`].
+    IdempotencyKey(String),
+    /// [`Error::KeyReused`].
+    KeyReused,
+    /// [`Error::QueueFull`], with the milliseconds.
+    QueueFull(u32),
+    /// [`Error::DeadlinePassed`].
+    DeadlinePassed,
+    /// [`Error::NoPath`].
+    NoPath(String),
+    /// [`Error::BackendRefused`].
+    BackendRefused(String),
+    /// [`Error::BackendUnreachable`].
+    BackendUnreachable(String),
+    /// [`Error::OutcomeUnknown`].
+    OutcomeUnknown(String),
+    /// [`Error::ClaimUnavailable`], or any other.
+    ClaimUnavailable(String),
+}
+
+impl From<Reply> for Dispatched {
+    fn from(reply: Reply) -> Self {
+        match reply {
+            Reply::Answered { answer, replayed } => Self::Answered {
+                status: answer.status,
+                content_type: answer.content_type,
+                body: answer.body.into(),
+                replayed,
+            },
+            Reply::NotRun(error) => Self::NotRun(fault(error)),
+            Reply::Unknown(error) => Self::Unknown(fault(error)),
+            Reply::NotOwner(owner) => Self::NotOwner(owner.map(|name| name.to_string())),
+        }
+    }
+}
+
+impl From<Dispatched> for Reply {
+    fn from(dispatched: Dispatched) -> Self {
+        match dispatched {
+            Dispatched::Answered {
+                status,
+                content_type,
+                body,
+                replayed,
+            } => Self::Answered {
+                answer: Answer {
+                    status,
+                    content_type,
+                    body: body.into(),
+                },
+                replayed,
+            },
+            Dispatched::NotRun(fault) => Self::NotRun(error(fault)),
+            Dispatched::Unknown(fault) => Self::Unknown(error(fault)),
+            Dispatched::NotOwner(owner) => Self::NotOwner(owner.map(Into::into)),
+        }
+    }
+}
+
+fn fault(error: Error) -> Fault {
+    match error {
+        Error::IdempotencyKey(why) => Fault::IdempotencyKey(why),
+        Error::KeyReused => Fault::KeyReused,
+        Error::QueueFull(after) => {
+            Fault::QueueFull(u32::try_from(after.as_millis()).unwrap_or(u32::MAX))
+        }
+        Error::DeadlinePassed => Fault::DeadlinePassed,
+        Error::NoPath(why) => Fault::NoPath(why),
+        Error::BackendRefused(why) => Fault::BackendRefused(why),
+        Error::BackendUnreachable(why) => Fault::BackendUnreachable(why),
+        Error::OutcomeUnknown(why) => Fault::OutcomeUnknown(why),
+        Error::ClaimUnavailable(why) => Fault::ClaimUnavailable(why),
+        other => Fault::ClaimUnavailable(other.to_string()),
+    }
+}
+
+fn error(fault: Fault) -> Error {
+    match fault {
+        Fault::IdempotencyKey(why) => Error::IdempotencyKey(why),
+        Fault::KeyReused => Error::KeyReused,
+        Fault::QueueFull(ms) => Error::QueueFull(Duration::from_millis(ms.into())),
+        Fault::DeadlinePassed => Error::DeadlinePassed,
+        Fault::NoPath(why) => Error::NoPath(why),
+        Fault::BackendRefused(why) => Error::BackendRefused(why),
+        Fault::BackendUnreachable(why) => Error::BackendUnreachable(why),
+        Fault::OutcomeUnknown(why) => Error::OutcomeUnknown(why),
+        Fault::ClaimUnavailable(why) => Error::ClaimUnavailable(why),
+    }
 }
--- a/programs/tests/process/main.rs
+++ b/programs/tests/process/main.rs
@@ -5,5 +5,6 @@
 mod failures;
 mod leaving;
 mod process;
+mod services;
 mod site;
 mod stop;
--- /dev/null
+++ b/programs/tests/process/services.rs
@@ -0,0 +1,148 @@
+//! Non-idempotent calls to a plain service, against the count of what it ran.
+
+use std::time::Duration;
+
+use hemlockwind_standin::sample;
+use hemlockwind_standin::service::Ran;
+use http::StatusCode;
+use serde_json::Value;
+use serde_json::json;
+use uuid::Uuid;
+
+use crate::caller::Caller;
+use crate::site::Site;
+use crate::site::eventually;
+use crate::site::get;
+
+/// How long the slots' first owner may take, and the first keys to be new to it.
+const START: Duration = Duration::from_secs(30);
+
+/// Posts a loan, and gives the status, and the code and effect of a refusal.
+async fn lend(caller: &Caller, key: &str, body: &str) -> (StatusCode, Value) {
+    let path = format!("/v1/services/{}/loans?from=shelf", sample::SERVICE);
+    let headers = [("idempotency-key", key)];
+    let headers = if key.is_empty() {
+        &[][..]
+    } else {
+        &headers[..]
+    };
+    let answer = caller.call("POST", &path, headers, body.into()).await;
+    let (status, body) = answer.expect("an instance answers");
+    (status, serde_json::from_slice(&body).unwrap())
+}
+
+/// How often the service ran a body.
+async fn runs(site: &Site, body: &str) -> u64 {
+    let ran: Ran = get(site.service_addr, "/_standin/ran").await;
+    let calls = ran.calls.iter().filter(|count| count.call.body == body);
+    calls.map(|count| count.count).sum()
+}
+
+async fn set_faults(site: &Site, faults: Value) {
+    let body = serde_json::to_vec(&faults).unwrap();
+    let service = Caller::new(site.service_addr, "");
+    assert!(
+        service
+            .json("PUT", "/_standin/faults", body)
+            .await
+            .is_some()
+    );
+}
+
+fn key() -> String {
+    Uuid::now_v7().to_string()
+}
+
+/// A site whose slots have an owner that takes new keys.
+async fn start(name: &str) -> Site {
+    let site = Site::start(name).await;
+    let caller = site.instances[1].caller.clone();
+    eventually("a key is new to its owner", START, || async {
+        lend(&caller, &key(), "first").await.0 == StatusCode::OK
+    })
+    .await;
+    site
+}
+
+#[tokio::test]
+async fn service_repeats_run_once() {
+    let site = start("repeats").await;
+    let [home, other] = [0, 1].map(|i| site.instances[i].caller.clone());
+    for (name, key) in [("timed", key()), ("text", "loan-7".into())] {
+        let first = lend(&home, &key, name).await;
+        assert_eq!(first.0, StatusCode::OK, "{first:?}");
+        assert_eq!(lend(&home, &key, name).await, first);
+        assert_eq!(lend(&other, &key, name).await, first);
+        let (status, problem) = lend(&other, &key, "another loan").await;
+        assert_eq!(status, StatusCode::UNPROCESSABLE_ENTITY);
+        assert_eq!(
+            (&problem["code"], &problem["ran"]),
+            (&json!(1009), &json!("no"))
+        );
+        assert_eq!(runs(&site, name).await, 1);
+        assert_eq!(runs(&site, "another loan").await, 0);
+    }
+    assert_eq!(lend(&other, "", "no key").await.0, StatusCode::OK);
+    assert_eq!(runs(&site, "no key").await, 1);
+}
+
+#[tokio::test]
+async fn service_lost_answer_is_unknown() {
+    let site = start("lost").await;
+    let caller = site.instances[1].caller.clone();
+    let (with_key, without) = (key(), "");
+    for (key, body) in [
+        (with_key.as_str(), "lost with key"),
+        (without, "lost without"),
+    ] {
+        set_faults(&site, json!({"lose_answers": 1})).await;
+        let (status, problem) = lend(&caller, key, body).await;
+        assert_eq!(status, StatusCode::BAD_GATEWAY, "{problem}");
+        assert_eq!(problem["ran"], "unknown");
+        assert_eq!(runs(&site, body).await, 1);
+    }
+    let (_, problem) = lend(&caller, &with_key, "lost with key").await;
+    assert_eq!(problem["ran"], "unknown");
+    assert_eq!(runs(&site, "lost with key").await, 1);
+}
+
+#[tokio::test]
+async fn service_refusal_is_not_run() {
+    let site = start("refusal").await;
+    let caller = site.instances[1].caller.clone();
+    let key = key();
+    set_faults(&site, json!({"refuse": true})).await;
+    let (_, problem) = lend(&caller, &key, "refused").await;
+    assert_eq!(problem["ran"], "no", "{problem}");
+    assert_eq!(runs(&site, "refused").await, 0);
+    set_faults(&site, json!({})).await;
+    assert_eq!(lend(&caller, &key, "refused").await.0, StatusCode::OK);
+    assert_eq!(runs(&site, "refused").await, 1);
+}
+
+#[tokio::test]
+async fn service_without_platform_or_owner() {
+    let mut site = start("ownerless").await;
+    let [home, other] = [0, 1].map(|i| site.instances[i].caller.clone());
+    let before = key();
+    assert_eq!(lend(&home, &before, "before").await.0, StatusCode::OK);
+    site.platform.kill();
+    // The lease is still in force; a key without time needs the platform.
+    assert_eq!(
+        lend(&other, &key(), "in the outage").await.0,
+        StatusCode::OK
+    );
+    assert_eq!(lend(&other, &before, "before").await.0, StatusCode::OK);
+    let (_, problem) = lend(&other, "loan-8", "needs a claim").await;
+    assert_eq!(
+        (&problem["code"], &problem["ran"]),
+        (&json!(2006), &json!("unknown"))
+    );
+    site.instances[0].process.kill();
+    let (_, problem) = lend(&other, &before, "before").await;
+    assert_eq!(problem["ran"], "unknown", "{problem}");
+    assert_eq!(lend(&other, "", "no key").await.0, StatusCode::OK);
+    let [before, needs] = ["before", "needs a claim"];
+    assert_eq!(runs(&site, before).await, 1);
+    assert_eq!(runs(&site, needs).await, 0);
+}
