--- a/crates/coordination/claims/src/slots.rs
+++ b/crates/coordination/claims/src/slots.rs
@@ -518,10 +518,9 @@
         return Verdict::Reply(Reply::Unknown(lapsed()));
     }
     let made = req.key.time();
-    let oldest = made
-        .into_iter()
-        .chain([time_of(req.id).unwrap_or_default()]);
-    if oldest.min().is_some_and(|time| time < memory.floor()) {
+    let sent = time_of(req.id).unwrap_or_default();
+    // A key without time is guarded by its claim instead.
+    if made.is_some_and(|made| made.min(sent) < memory.floor()) {
         let error = Error::outcome_unknown("the key is older than what its owner remembers");
         return Verdict::Reply(Reply::Unknown(error));
     }
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -6,7 +6,10 @@
 use axum::Router;
 use axum::extract::Request;
 use axum::extract::State;
+use axum::http::HeaderValue;
 use axum::http::StatusCode;
+use axum::http::Version;
+use axum::http::header::CONNECTION;
 use axum::middleware;
 use axum::middleware::Next;
 use axum::response::Response;
@@ -41,6 +44,10 @@
             Arc::clone(&instance),
             bound_headers,
         ))
+        .layer(middleware::from_fn_with_state(
+            Arc::clone(&instance),
+            close_when_stopping,
+        ))
         .with_state(instance)
 }
 
@@ -59,6 +66,21 @@
     Ok(next.run(req).await)
 }
 
+/// Lets a stopping instance's callers go elsewhere with their next request.
+async fn close_when_stopping(
+    State(instance): State<Arc<Instance>>,
+    req: Request,
+    next: Next,
+) -> Response {
+    let is_http1 = req.version() < Version::HTTP_2;
+    let mut response = next.run(req).await;
+    if is_http1 && instance.unready.is_cancelled() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
 /// Tells the balancer whether to send requests here.
 async fn ready(State(instance): State<Arc<Instance>>) -> StatusCode {
     if instance.is_ready() {
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -100,6 +100,8 @@
     pub metrics: Metrics,
     /// Histograms by organisation and rank.
     pub histograms: Histograms,
+    /// Set when a planned stop begins: the balancer should send nothing more.
+    pub unready: CancellationToken,
     /// Set when the instance stops taking requests.
     pub stopping: CancellationToken,
     /// Requests in progress; a planned stop waits for them.
@@ -139,6 +141,7 @@
             lanes: Arc::new(lanes),
             metrics,
             histograms: Histograms::default(),
+            unready: CancellationToken::new(),
             stopping: CancellationToken::new(),
             requests: TaskTracker::new(),
             room: Arc::new(room),
@@ -150,7 +153,7 @@
 
     /// Whether a balancer should send requests here.
     pub fn is_ready(&self) -> bool {
-        !self.stopping.is_cancelled() && self.config.load().version.0 > 0
+        !self.unready.is_cancelled() && self.config.load().version.0 > 0
     }
 
     /// The name of a rank, for people.
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -41,6 +41,7 @@
     /// Where operators reach it.
     pub admin: SocketAddr,
     callers_task: JoinHandle<()>,
+    drained: CancellationToken,
     others: Vec<JoinHandle<()>>,
     closing: CancellationToken,
 }
@@ -83,8 +84,9 @@
     let closing = CancellationToken::new();
 
     let app = callers::router(Arc::clone(&instance));
-    let stopping = instance.stopping.clone();
-    let callers_task = tokio::spawn(listener::serve(callers_socket, app, options, stopping));
+    let drained = CancellationToken::new();
+    let callers_task = listener::serve(callers_socket, app, options, drained.clone());
+    let callers_task = tokio::spawn(callers_task);
 
     let app = admin::router(Arc::clone(&instance));
     let admin_task = listener::serve(admin_socket, app, options, closing.clone());
@@ -108,6 +110,7 @@
         peers,
         admin: admin_addr,
         callers_task,
+        drained,
         others,
         closing,
     })
@@ -122,20 +125,25 @@
 }
 
 impl Running {
-    /// Stops as planned: no new requests, and those in progress run to their ends.
+    /// Stops as planned. While the balancer hears of it, requests are still taken;
+    /// then they are refused as not run, and those in progress run to their ends.
     /// Gives the number of requests that the drain time cut.
     pub async fn stop(mut self) -> usize {
         let instance = Arc::clone(&self.instance);
+        let limits = instance.settings.limits;
         info!(instance.log, "stopping"; "requests" => instance.requests.len());
+        instance.unready.cancel();
+        tokio::time::sleep(Duration::from_millis(limits.notice_ms)).await;
         instance.stopping.cancel();
         instance.requests.close();
-        let drained = async {
-            // A connection may be gone while its stream still frees caches.
-            let _ = (&mut self.callers_task).await;
+        let drain = async {
             instance.requests.wait().await;
+            // What was answered last may still be on its way to callers.
+            self.drained.cancel();
+            let _ = (&mut self.callers_task).await;
         };
-        let time = Duration::from_millis(instance.settings.limits.drain_ms);
-        let cut = match tokio::time::timeout(time, drained).await {
+        let time = Duration::from_millis(limits.drain_ms);
+        let cut = match tokio::time::timeout(time, drain).await {
             Ok(()) => 0,
             Err(_) => instance.requests.len(),
         };
@@ -151,6 +159,7 @@
     /// Ends at once. Gives the number of requests that this cut.
     pub fn abort(self) -> usize {
         let cut = self.instance.requests.len();
+        self.instance.unready.cancel();
         self.instance.stopping.cancel();
         self.callers_task.abort();
         self.end();
--- a/programs/tests/process/services.rs
+++ b/programs/tests/process/services.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use hemlockwind_standin::caller::Caller;
 use hemlockwind_standin::sample;
 use hemlockwind_standin::service::Ran;
 use http::StatusCode;
@@ -9,7 +10,6 @@
 use serde_json::json;
 use uuid::Uuid;
 
-use crate::caller::Caller;
 use crate::site::Site;
 use crate::site::eventually;
 use crate::site::get;
@@ -43,12 +43,7 @@
 async fn set_faults(site: &Site, faults: Value) {
     let body = serde_json::to_vec(&faults).unwrap();
     let service = Caller::new(site.service_addr, "");
-    assert!(
-        service
-            .json("PUT", "/_standin/faults", body)
-            .await
-            .is_some()
-    );
+    assert!(service.json("PUT", "/_standin/faults", body).await.is_ok());
 }
 
 fn key() -> String {
