--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -13,6 +13,7 @@
 use crate::configuration;
 use crate::instance::Instance;
 use crate::pool;
+use crate::slots;
 
 /// `Peers` answers other instances for this one.
 pub struct Peers {
@@ -30,7 +31,11 @@
                 let reply = configuration::on_message(&self.instance, from, message);
                 reply.unwrap_or_else(|e| refused(&e))
             }
-            Request::Membership(_) | Request::Dispatch(_) => refused(&Error::Stopping),
+            Request::Dispatch(dispatch) => match slots::dispatch(&self.instance, dispatch).await {
+                Ok(reply) => Reply::Dispatch(reply.into()),
+                Err(error) => refused(&error),
+            },
+            Request::Membership(_) => refused(&Error::Stopping),
         }
     }
 }
