Stand-ins: a call that arrived takes effect though its caller goes

Cause: a handler that waits is dropped with its connection, so a service or platform that answers late ran nothing for callers that were killed.

--- a/crates/standin/src/platform/routes.rs
+++ b/crates/standin/src/platform/routes.rs
@@ -61,25 +61,32 @@
     next: Next,
 ) -> Response {
     let allowed = platform.count(req.method() == Method::PUT);
-    let faults = platform.faults();
-    if faults.delay_ms > 0 {
+    // A call that arrived takes effect, even when its caller goes meanwhile.
+    let answering = tokio::spawn(async move {
+        let faults = platform.faults();
         tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+        match platform.faults().outage {
+            Some(Outage::Refuse) => StatusCode::SERVICE_UNAVAILABLE.into_response(),
+            Some(Outage::Reset) => lost(),
+            None if allowed => next.run(req).await,
+            None => StatusCode::TOO_MANY_REQUESTS.into_response(),
+        }
+    });
+    let answer = answering.await;
+    let answer = answer.unwrap_or_else(|_| StatusCode::INTERNAL_SERVER_ERROR.into_response());
+    if answer.extensions().get::<Lost>().is_some() {
+        gate.cut();
+        std::future::pending::<()>().await;
     }
-    match platform.faults().outage {
-        Some(Outage::Refuse) => return StatusCode::SERVICE_UNAVAILABLE.into_response(),
-        Some(Outage::Reset) => return cut(&gate).await,
-        None => (),
-    }
-    if !allowed {
-        return StatusCode::TOO_MANY_REQUESTS.into_response();
-    }
-    next.run(req).await
+    answer
 }
 
-/// Cuts the connection, so that no answer arrives.
-async fn cut(gate: &Gate) -> Response {
-    gate.cut();
-    std::future::pending().await
+/// `Lost` marks an answer that must not arrive, since its connection is cut.
+#[derive(Clone, Copy, Debug)]
+struct Lost;
+
+fn lost() -> Response {
+    (Extension(Lost), StatusCode::SERVICE_UNAVAILABLE).into_response()
 }
 
 pub async fn get(State(platform): State<Arc<Platform>>, Path(name): Path<String>) -> Response {
@@ -99,7 +106,6 @@
 
 pub async fn write(
     State(platform): State<Arc<Platform>>,
-    Extension(gate): Extension<Arc<Gate>>,
     Path(name): Path<String>,
     Json(write): Json<Write>,
 ) -> Response {
@@ -107,7 +113,7 @@
         Ok(value) if value.len() > VALUE_LIMIT => StatusCode::PAYLOAD_TOO_LARGE.into_response(),
         Ok(_) => match platform.write(&name, write) {
             Written::Done(version) => Json(platform::Written { version }).into_response(),
-            Written::Lost => cut(&gate).await,
+            Written::Lost => lost(),
             Written::Conflict => StatusCode::CONFLICT.into_response(),
         },
         Err(_) => StatusCode::BAD_REQUEST.into_response(),
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -197,11 +197,8 @@
     if faults.freeze {
         std::future::pending::<()>().await;
     }
-    if faults.delay_ms > 0 {
-        tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
-    }
     let key = headers.get(IDEMPOTENCY_KEY);
-    let (entry, lose) = service.run(Call {
+    let call = Call {
         method: method.to_string(),
         path: uri
             .path_and_query()
@@ -209,7 +206,15 @@
             .unwrap_or_default(),
         key: key.map(|key| String::from_utf8_lossy(key.as_bytes()).into_owned()),
         body: String::from_utf8_lossy(&body).into_owned(),
+    };
+    // A call that arrived runs, even when its caller goes meanwhile.
+    let running = tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+        service.run(call)
     });
+    let Ok((entry, lose)) = running.await else {
+        return StatusCode::INTERNAL_SERVER_ERROR.into_response();
+    };
     if lose {
         gate.cut();
         std::future::pending::<()>().await;
