--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -5,6 +5,7 @@
 use async_trait::async_trait;
 
 use hemlockwind_core::Error;
+use hemlockwind_core::Result;
 use hemlockwind_protocol::peer::Handler;
 use hemlockwind_protocol::peer::Reply;
 use hemlockwind_protocol::peer::Request;
@@ -22,14 +23,8 @@
 impl Handler for Peers {
     async fn handle(&self, from: &str, req: Request) -> Reply {
         match req {
-            Request::Tickets(tickets) => {
-                pool::on_tickets(&self.instance, from, tickets);
-                Reply::Done
-            }
-            Request::Grants(grants) => {
-                pool::on_grants(&self.instance, from, grants);
-                Reply::Done
-            }
+            Request::Tickets(tickets) => done(pool::on_tickets(&self.instance, from, tickets)),
+            Request::Grants(grants) => done(pool::on_grants(&self.instance, from, grants)),
             Request::Membership(_) | Request::Configuration(_) | Request::Dispatch(_) => {
                 refused(&Error::Stopping)
             }
@@ -37,6 +32,14 @@
     }
 }
 
+/// The reply to a message that needs no answer.
+fn done(result: Result<()>) -> Reply {
+    match result {
+        Ok(()) => Reply::Done,
+        Err(e) => refused(&e),
+    }
+}
+
 /// The refusal with `error`.
 pub fn refused(error: &Error) -> Reply {
     Reply::Refused(error.code().number(), error.to_string())
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -16,6 +16,7 @@
 use hemlockwind_core::Error;
 use hemlockwind_core::Result;
 use hemlockwind_core::collections::HashMap;
+use hemlockwind_core::directory::Directory;
 use hemlockwind_core::engine::RequestId;
 use hemlockwind_core::names::DataCentreKey;
 use hemlockwind_core::names::InstanceKey;
@@ -39,6 +40,9 @@
 const TICK: Duration = Duration::from_millis(20);
 /// Time between two looks at capacity and duties.
 const REVIEW: Duration = Duration::from_millis(250);
+/// What stands between the model and the data centre in a pool's name; neither
+/// may hold it.
+const SEPARATOR: char = '@';
 /// Milliseconds that start a session after one that began a moment earlier.
 const SESSION_MS: u64 = 1;
 
@@ -54,7 +58,7 @@
 
 /// `Pool` is one pool: the driver's side, and the home where the duty is here.
 struct Pool {
-    name: wire::Pool,
+    name: Arc<str>,
     session: u64,
     driver: Driver,
     home: Option<Home>,
@@ -166,10 +170,7 @@
         let now = instance.edges.clock.now();
         let session = instance.edges.clock.wall().as_millis();
         Arc::new(Mutex::new(Pool {
-            name: wire::Pool {
-                model: directory.models.name(key.0).to_string(),
-                data_centre: directory.data_centres.name(key.1).to_string(),
-            },
+            name: name(&directory, key),
             session,
             driver: Driver::new(driver::Options::default(), session, now),
             home: None,
@@ -263,18 +264,26 @@
     }
 }
 
+/// The name of a pool among instances.
+fn name(directory: &Directory, (model, centre): PoolKey) -> Arc<str> {
+    let model = directory.models.name(model);
+    let centre = directory.data_centres.name(centre);
+    format!("{model}{SEPARATOR}{centre}").into()
+}
+
 /// Sends messages to other instances, in order for each of them.
-fn send(instance: &Instance, name: &wire::Pool, messages: Vec<Message>) {
+fn send(instance: &Instance, name: &str, messages: Vec<Message>) {
     let now = instance.edges.clock.now();
     for message in messages {
         let (to, req) = match message {
             Message::ToHome(to, report) => {
-                let names = &instance.directory.read().organisations;
-                let tickets = wire::Tickets::new(name.clone(), report, now, names);
+                let directory = instance.directory.read();
+                let organisation = |key| directory.organisations.name(key).to_string();
+                let tickets = wire::Tickets::from_report(name.into(), now, report, organisation);
                 (to, Request::Tickets(tickets))
             }
             Message::ToDriver(to, grants) => {
-                let grants = wire::Grants::new(name.clone(), grants, now);
+                let grants = wire::Grants::from_grants(name.into(), now, grants);
                 (to, Request::Grants(grants))
             }
         };
@@ -308,36 +317,49 @@
 }
 
 /// Takes a driver's report that arrived from the instance `from`.
-pub fn on_tickets(instance: &Instance, from: &str, tickets: wire::Tickets) {
+///
+/// # Errors
+///
+/// `Error::PeerFrame` when the report breaks its bounds.
+pub fn on_tickets(instance: &Instance, from: &str, tickets: wire::Tickets) -> Result<()> {
     let now = instance.edges.clock.now();
-    let Some(key) = key(instance, &tickets.model, &tickets.data_centre) else {
-        return;
-    };
-    let mut directory = instance.directory.write();
-    let from = directory.instances.intern(from);
-    let report = tickets.report(now, &mut directory.organisations);
+    let key = key(instance, &tickets.pool)?;
+    let from = instance.directory.write().instances.intern(from);
+    let config = instance.config.load();
+    let directory = instance.directory.read();
+    let report = tickets.into_report(now, |name| {
+        let key = directory.organisations.key(name)?;
+        Some((key, config.organisations.get(&key)?.share))
+    })?;
     drop(directory);
     review(instance, key);
     on_home(instance, key, home::Event::Report(from, report));
+    Ok(())
 }
 
 /// Takes grants that arrived from the instance `from`.
-pub fn on_grants(instance: &Instance, from: &str, grants: wire::Grants) {
+///
+/// # Errors
+///
+/// `Error::PeerFrame` when the grants break their bounds.
+pub fn on_grants(instance: &Instance, from: &str, grants: wire::Grants) -> Result<()> {
     let now = instance.edges.clock.now();
-    let Some(key) = key(instance, &grants.model, &grants.data_centre) else {
-        return;
-    };
+    let key = key(instance, &grants.pool)?;
     let from = instance.directory.write().instances.intern(from);
-    let grants = grants.grants(now);
+    let grants = grants.into_grants(now)?;
     on_driver(instance, key, driver::Event::Grants(from, grants));
+    Ok(())
 }
 
-/// The pool of these names.
-fn key(instance: &Instance, model: &str, data_centre: &str) -> Option<PoolKey> {
+/// The pool of this name.
+fn key(instance: &Instance, name: &str) -> Result<PoolKey> {
     let directory = instance.directory.read();
-    let model = directory.models.key(model)?;
-    let data_centre = directory.data_centres.key(data_centre)?;
-    Some((model, data_centre))
+    let names = name.split_once(SEPARATOR);
+    let key = names.and_then(|(model, centre)| {
+        let model = directory.models.key(model)?;
+        Some((model, directory.data_centres.key(centre)?))
+    });
+    key.ok_or_else(|| Error::peer_frame(format!("there is no pool {name}")))
 }
 
 /// Keeps the pools going until the instance ends.
@@ -389,10 +411,7 @@
 fn review(instance: &Instance, key: PoolKey) {
     let pool = pool(instance, key);
     let me = instance.duties.me();
-    let name = {
-        let pool = pool.lock();
-        format!("{}@{}", pool.name.model, pool.name.data_centre)
-    };
+    let name = Arc::clone(&pool.lock().name);
     let holder = instance.duties.holder(Duty::Pool(&name), key.1);
     let holder = holder.map(|member| member.key);
     let is_here = holder == Some(me);
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -73,6 +73,9 @@
     pub step_ms: u64,
     /// Milliseconds that one prefill may take at a backend server.
     pub prefill_ms: u64,
+    /// Milliseconds for which a stopping instance still takes requests, so that
+    /// the balancer hears that it is not ready.
+    pub notice_ms: u64,
     /// Milliseconds that requests in flight have at a planned stop.
     pub drain_ms: u64,
 }
@@ -86,6 +89,7 @@
             requests: 4_096,
             step_ms: 1_000,
             prefill_ms: 5_000,
+            notice_ms: 1_000,
             drain_ms: 60_000,
         }
     }
@@ -101,6 +105,7 @@
     optional("requests", Kind::Integer(1, 1_000_000)),
     optional("step_ms", Kind::Integer(1, TIME_LIMIT_MS)),
     optional("prefill_ms", Kind::Integer(1, TIME_LIMIT_MS)),
+    optional("notice_ms", Kind::Integer(0, TIME_LIMIT_MS)),
     optional("drain_ms", Kind::Integer(0, TIME_LIMIT_MS)),
 ];
 
--- a/programs/src/bin/hemlockwindd.rs
+++ b/programs/src/bin/hemlockwindd.rs
@@ -75,7 +75,7 @@
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
-        () = running.instance.stopping.cancelled() => {}
+        () = running.instance.unready.cancelled() => {}
     }
     let cut = tokio::select! {
         cut = running.stop() => cut,
--- a/programs/tests/callers.rs
+++ b/programs/tests/callers.rs
@@ -225,7 +225,7 @@
     }
     let (status, _) = send(Request::post(site.admin("/v1/drain")), "").await;
     assert_eq!(status, 401);
-    assert!(!site.running.instance.stopping.is_cancelled());
+    assert!(!site.running.instance.unready.is_cancelled());
     let (status, _) = send(Request::get(site.admin("/healthz")), "").await;
     assert_eq!(status, 200);
 }
