--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -19,7 +19,6 @@
 use hemlockwind_core::engine::StepId;
 use hemlockwind_core::engine::Token;
 use hemlockwind_core::names::BackendServerKey;
-use hemlockwind_core::names::DataCentreKey;
 use hemlockwind_core::names::ModelKey;
 use hemlockwind_core::names::OrganisationKey;
 use hemlockwind_core::names::Rank;
@@ -98,7 +97,7 @@
         () = out.closed() => return,
     };
     match slot {
-        Ok((slot, centre)) => run(instance, work, centre, slot, out).await,
+        Ok(slot) => run(instance, work, slot, out).await,
         Err(error) => {
             instance.metrics.count("requests.refused", 1);
             let ran = Attempts::default().ran();
@@ -108,13 +107,11 @@
     }
 }
 
-/// Waits for a slot of the pool in the own data centre, or in another one when
-/// the own servers don't join or keep the request waiting past its target.
-async fn admit(instance: &Arc<Instance>, work: &Work) -> Result<(Slot, DataCentreKey)> {
-    let centres = instance.fleet.centres(work.model);
-    let centre = spill(instance, work, &centres);
-    let centre =
-        centre.ok_or_else(|| Error::no_path(format!("layers 0..{}", work.model_layers)))?;
+/// Waits for a slot of one of the model's pools.
+async fn admit(instance: &Arc<Instance>, work: &Work) -> Result<Slot> {
+    if instance.fleet.centres(work.model).is_empty() {
+        return Err(Error::no_path(format!("layers 0..{}", work.model_layers)));
+    }
     let layers = u64::from(work.model_layers);
     let tokens = u64::from(work.max_tokens) + work.prompt_tokens();
     let ticket = Ticket {
@@ -126,31 +123,11 @@
         deadline: work.deadline,
         running: false,
     };
-    let slot = pool::acquire(instance, (work.model, centre), ticket).await?;
-    Ok((slot, centre))
-}
-
-/// The data centre whose pool a request goes to: the first of `centres`, unless
-/// its wait passes the rank's target and another one's is shorter.
-fn spill(instance: &Instance, work: &Work, centres: &[DataCentreKey]) -> Option<DataCentreKey> {
-    let wait = |centre: DataCentreKey| pool::wait(instance, (work.model, centre), work.rank);
-    let &near = centres.first()?;
-    let config = instance.config.load();
-    let target = config.ranks.get(usize::from(work.rank.0));
-    if target.is_none_or(|target| wait(near) <= target.first_token) {
-        return Some(near);
-    }
-    centres.iter().copied().min_by_key(|&centre| wait(centre))
+    pool::acquire(instance, work.model, ticket).await
 }
 
 /// Drives a stream that has a slot.
-async fn run(
-    instance: Arc<Instance>,
-    work: Work,
-    centre: DataCentreKey,
-    slot: Slot,
-    out: UnboundedSender<Progress>,
-) {
+async fn run(instance: Arc<Instance>, work: Work, slot: Slot, out: UnboundedSender<Progress>) {
     let limits = instance.settings.limits;
     let options = Options {
         request: work.id,
@@ -168,7 +145,6 @@
     let (tx, rx) = mpsc::unbounded_channel();
     let driver = Driver {
         last_token_at: work.arrived_at,
-        centre,
         slot,
         instance,
         work,
@@ -194,7 +170,6 @@
 /// `Driver` is the stream's state with its ways in and out.
 struct Driver {
     instance: Arc<Instance>,
-    centre: DataCentreKey,
     slot: Slot,
     work: Work,
     stream: Stream,
@@ -271,7 +246,7 @@
             return;
         }
         let fleet = &self.instance.fleet;
-        match fleet.choose(now, (self.work.model, self.centre), avoid, keep) {
+        match fleet.choose(now, (self.work.model, self.slot.centre), avoid, keep) {
             Some(path) => {
                 self.count(path.stages.iter().map(|stage| stage.server).collect());
                 self.events.push_back(Event::Path(path));
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -35,7 +35,7 @@
 use crate::fleet::Fleet;
 use crate::health::Health;
 use crate::lanes::Lanes;
-use crate::pool::Pools;
+use crate::pool::Shards;
 use crate::slots::Owned;
 
 /// `Edges` holds the adapters to everything outside the process. Another
@@ -94,7 +94,7 @@
     /// Who does what for the data centre.
     pub duties: Duties,
     /// The pools that this instance uses.
-    pub pools: Pools,
+    pub pools: Shards,
     /// The slots of idempotency keys that this instance owns.
     pub owned: Owned,
     /// The batches of steps on their way to engines.
@@ -140,7 +140,7 @@
             fleet: Arc::new(Fleet::new(data_centre)),
             health: Health::new(edges.clock.now()),
             duties,
-            pools: Pools::default(),
+            pools: Shards::default(),
             owned: Owned::new(&me.name),
             lanes: Arc::new(lanes),
             metrics,
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -1,8 +1,8 @@
-//! Slots of pools: requests wait here until the pool's home grants them one.
+//! Slots of pools: requests wait here until a pool's home grants them one.
 //!
 //! A pool is the engines of one model in one data centre. Every instance has the
-//! driver's side of each pool that it uses; the instance with the duty also has
-//! the pool's home.
+//! drivers' side of all pools of a model; the instance with the duty also has the
+//! home of the pool in its own data centre.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,6 +16,7 @@
 use hemlockwind_core::Error;
 use hemlockwind_core::Result;
 use hemlockwind_core::collections::HashMap;
+use hemlockwind_core::config::RankTarget;
 use hemlockwind_core::directory::Directory;
 use hemlockwind_core::engine::RequestId;
 use hemlockwind_core::names::DataCentreKey;
@@ -25,12 +26,17 @@
 use hemlockwind_membership::Duty;
 use hemlockwind_protocol::peer::Request;
 use hemlockwind_protocol::peer::queueing as wire;
-use hemlockwind_queueing::Driver;
 use hemlockwind_queueing::Home;
+use hemlockwind_queueing::Pools;
+use hemlockwind_queueing::Spill;
 use hemlockwind_queueing::Ticket;
 use hemlockwind_queueing::driver;
 use hemlockwind_queueing::home;
 use hemlockwind_queueing::message::Finished;
+use hemlockwind_queueing::message::Grants;
+use hemlockwind_queueing::message::Report;
+use hemlockwind_queueing::pools;
+use hemlockwind_queueing::spill;
 use hemlockwind_queueing::ticket::Reason;
 use hemlockwind_queueing::ticket::Refusal;
 
@@ -43,39 +49,51 @@
 /// What stands between the model and the data centre in a pool's name; neither
 /// may hold it.
 const SEPARATOR: char = '@';
-/// Milliseconds that start a session after one that began a moment earlier.
-const SESSION_MS: u64 = 1;
+/// Ranks that a pool's messages may tell of.
+const RANKS: u8 = 16;
+/// Time for a message to another data centre and back.
+const ROUND_TRIP: Duration = Duration::from_millis(2);
+/// What another data centre's pool must save at least.
+const SPILL_GAIN: Duration = Duration::from_millis(100);
 
 /// `PoolKey` names a pool: a model in a data centre.
 pub type PoolKey = (ModelKey, DataCentreKey);
 
-/// `Pools` holds this instance's side of all pools.
+/// `Shards` holds this instance's side of all pools, a shard for each model.
 #[derive(Default)]
-pub struct Pools {
-    pools: Mutex<HashMap<PoolKey, Arc<Mutex<Pool>>>>,
+pub struct Shards {
+    shards: Mutex<HashMap<ModelKey, Arc<Mutex<Shard>>>>,
     outboxes: Mutex<HashMap<InstanceKey, UnboundedSender<Request>>>,
 }
 
-/// `Pool` is one pool: the driver's side, and the home where the duty is here.
-struct Pool {
-    name: Arc<str>,
+/// `Shard` is the pools of one model, and the home of the own data centre's pool
+/// where the duty is here.
+struct Shard {
+    own: DataCentreKey,
+    me: InstanceKey,
     session: u64,
-    driver: Driver,
+    ranks: Vec<RankTarget>,
+    pools: Pools,
     home: Option<Home>,
-    starts: HashMap<RequestId, oneshot::Sender<Result<(), Refusal>>>,
+    starts: HashMap<RequestId, oneshot::Sender<Start>>,
 }
 
-/// `Message` is on its way between a driver's side and a home.
+/// `Start` is the pool whose slot a request has, or why it has none.
+type Start = Result<DataCentreKey, Refusal>;
+
+/// `Message` is for another instance.
 enum Message {
-    ToHome(InstanceKey, hemlockwind_queueing::message::Report),
-    ToDriver(InstanceKey, hemlockwind_queueing::message::Grants),
+    ToHome(DataCentreKey, InstanceKey, Report),
+    ToDriver(InstanceKey, Grants),
 }
 
 /// `Slot` is the right to run one request; it ends with this value.
 pub struct Slot {
     instance: Arc<Instance>,
-    key: PoolKey,
+    model: ModelKey,
     request: RequestId,
+    /// The data centre whose pool gave the slot.
+    pub centre: DataCentreKey,
     /// The cost that the request really had, in tokens times layers.
     pub cost: u64,
 }
@@ -86,60 +104,58 @@
             request: self.request,
             cost: self.cost,
         };
-        let event = driver::Event::Finish(finished);
-        on_driver(&self.instance, self.key, event);
+        on_pools(&self.instance, self.model, pools::Event::Finish(finished));
     }
 }
 
 /// `Waiting` withdraws a ticket whose caller is gone.
-struct Waiting {
-    instance: Arc<Instance>,
-    key: PoolKey,
+struct Waiting<'a> {
+    instance: &'a Instance,
+    model: ModelKey,
     request: RequestId,
     is_over: bool,
 }
 
-impl Drop for Waiting {
+impl Drop for Waiting<'_> {
     fn drop(&mut self) {
-        if !self.is_over {
-            // A grant may have crossed; then the request has a slot to give back.
-            on_driver(
-                &self.instance,
-                self.key,
-                driver::Event::Withdraw(self.request),
-            );
-            let finished = Finished {
-                request: self.request,
-                cost: 0,
-            };
-            on_driver(&self.instance, self.key, driver::Event::Finish(finished));
+        if self.is_over {
+            return;
         }
+        let withdraw = pools::Event::Withdraw(self.request);
+        on_pools(self.instance, self.model, withdraw);
+        // A grant may have crossed; then the request has a slot to give back.
+        let finished = Finished {
+            request: self.request,
+            cost: 0,
+        };
+        on_pools(self.instance, self.model, pools::Event::Finish(finished));
     }
 }
 
-/// Waits for a slot of the pool `key`.
+/// Waits for a slot of one of the model's pools.
 ///
 /// # Errors
 ///
 /// `Error::QueueFull`, `Error::DeadlineUnmeetable` or `Error::DeadlinePassed`.
-pub async fn acquire(instance: &Arc<Instance>, key: PoolKey, ticket: Ticket) -> Result<Slot> {
+pub async fn acquire(instance: &Arc<Instance>, model: ModelKey, ticket: Ticket) -> Result<Slot> {
     let (tx, rx) = oneshot::channel();
-    let pool = pool(instance, key);
-    pool.lock().starts.insert(ticket.request, tx);
+    let shard = shard(instance, model);
+    shard.lock().starts.insert(ticket.request, tx);
     let mut waiting = Waiting {
-        instance: Arc::clone(instance),
-        key,
+        instance,
+        model,
         request: ticket.request,
         is_over: false,
     };
-    on_driver(instance, key, driver::Event::Submit(ticket));
+    on_pools(instance, model, pools::Event::Submit(ticket));
     let answer = rx.await;
     waiting.is_over = true;
     match answer {
-        Ok(Ok(())) => Ok(Slot {
+        Ok(Ok(centre)) => Ok(Slot {
             instance: Arc::clone(instance),
-            key,
+            model,
             request: ticket.request,
+            centre,
             cost: ticket.cost,
         }),
         Ok(Err(refusal)) => Err(error(refusal, instance.edges.clock.now())),
@@ -157,136 +173,132 @@
     }
 }
 
-/// The estimated wait of a new ticket in the pool.
-pub fn wait(instance: &Instance, key: PoolKey, rank: hemlockwind_core::names::Rank) -> Duration {
-    pool(instance, key).lock().driver.wait(rank)
-}
-
-/// The pool `key`, a new one when it was not used yet.
-fn pool(instance: &Instance, key: PoolKey) -> Arc<Mutex<Pool>> {
-    let mut pools = instance.pools.pools.lock();
-    let pool = pools.entry(key).or_insert_with(|| {
-        let directory = instance.directory.read();
+/// The pools of a model, new ones when they were not used yet.
+fn shard(instance: &Instance, model: ModelKey) -> Arc<Mutex<Shard>> {
+    let mut shards = instance.pools.shards.lock();
+    let shard = shards.entry(model).or_insert_with(|| {
         let now = instance.edges.clock.now();
         let session = instance.edges.clock.wall().as_millis();
-        Arc::new(Mutex::new(Pool {
-            name: name(&directory, key),
+        let ranks = instance.config.load().ranks.clone();
+        let options = pools::Options {
+            local: instance.data_centre,
+            ranks: RANKS,
+            driver: driver::Options::default(),
+        };
+        let spill = Spill::new(spill_options(&ranks));
+        Arc::new(Mutex::new(Shard {
+            own: instance.data_centre,
+            me: instance.duties.me(),
             session,
-            driver: Driver::new(driver::Options::default(), session, now),
+            ranks,
+            pools: Pools::new(options, spill, session, now),
             home: None,
             starts: HashMap::default(),
         }))
     });
-    Arc::clone(pool)
+    Arc::clone(shard)
 }
 
-/// Gives the driver's side of a pool an event, and carries out what follows.
-fn on_driver(instance: &Instance, key: PoolKey, event: driver::Event) {
+/// Gives the pools of a model an event, and carries out what follows.
+fn on_pools(instance: &Instance, model: ModelKey, event: pools::Event) {
     let now = instance.edges.clock.now();
-    let pool = pool(instance, key);
-    let mut messages = Vec::new();
-    {
-        let mut pool = pool.lock();
-        let actions = pool.driver.on_event(now, event);
-        pool.perform(actions, &mut messages);
-        pool.settle(instance.duties.me(), now, &mut messages);
-    }
-    send(instance, &pool.lock().name, messages);
+    let shard = shard(instance, model);
+    let messages = shard.lock().on_pools(now, event);
+    send(instance, model, messages);
 }
 
-/// Gives the home of a pool an event, if it is here.
-fn on_home(instance: &Instance, key: PoolKey, event: home::Event) {
+/// Gives the home of the own data centre's pool an event, if it is here.
+fn on_home(instance: &Instance, model: ModelKey, event: home::Event) {
     let now = instance.edges.clock.now();
-    let pool = pool(instance, key);
-    let mut messages = Vec::new();
-    {
-        let mut pool = pool.lock();
-        let Some(home) = pool.home.as_mut() else {
-            return;
-        };
-        let actions = home.on_event(now, event);
-        messages.extend(actions.into_iter().map(message));
-        pool.settle(instance.duties.me(), now, &mut messages);
-    }
-    send(instance, &pool.lock().name, messages);
-}
-
-/// The message that a home wants sent.
-fn message(action: home::Action) -> Message {
-    match action {
-        home::Action::Send(to, grants) => Message::ToDriver(to, grants),
-    }
+    let shard = shard(instance, model);
+    let messages = shard.lock().on_home(now, event);
+    send(instance, model, messages);
 }
 
-impl Pool {
-    /// Carries out what the driver's side wants done.
-    fn perform(&mut self, actions: Vec<driver::Action>, messages: &mut Vec<Message>) {
+impl Shard {
+    /// Gives the pools an event; what is for other instances is left.
+    fn on_pools(&mut self, now: Instant, event: pools::Event) -> Vec<Message> {
+        let actions = self.pools.on_event(now, event);
+        let mut away = Vec::new();
         for action in actions {
             match action {
-                driver::Action::Start(request) => self.answer(request, Ok(())),
-                driver::Action::Refuse(refusal) => self.answer(refusal.request, Err(refusal)),
-                driver::Action::Send(to, report) => messages.push(Message::ToHome(to, report)),
+                pools::Action::Start(request, centre) => self.answer(request, Ok(centre)),
+                pools::Action::Refuse(refusal) => self.answer(refusal.request, Err(refusal)),
+                pools::Action::Send(centre, to, report) if to == self.me && centre == self.own => {
+                    let event = home::Event::Report(self.me, report);
+                    away.extend(self.on_home(now, event));
+                }
+                pools::Action::Send(centre, to, report) => {
+                    away.push(Message::ToHome(centre, to, report));
+                }
             }
         }
+        away
+    }
+
+    /// Gives the home an event; what is for other instances is left.
+    fn on_home(&mut self, now: Instant, event: home::Event) -> Vec<Message> {
+        let Some(home) = self.home.as_mut() else {
+            return Vec::new();
+        };
+        let actions = home.on_event(now, event);
+        let mut away = Vec::new();
+        for home::Action::Send(to, grants) in actions {
+            if to == self.me {
+                let event = pools::Event::Grants(self.own, self.me, grants);
+                away.extend(self.on_pools(now, event));
+            } else {
+                away.push(Message::ToDriver(to, grants));
+            }
+        }
+        away
     }
 
     /// Tells a waiting request what became of its ticket.
-    fn answer(&mut self, request: RequestId, answer: Result<(), Refusal>) {
+    fn answer(&mut self, request: RequestId, answer: Start) {
         if let Some(start) = self.starts.remove(&request) {
             // A request that is gone has withdrawn its ticket.
             let _ = start.send(answer);
         }
     }
 
-    /// Delivers the messages between the two sides here, until only those for
-    /// other instances are left.
-    fn settle(&mut self, me: InstanceKey, now: Instant, messages: &mut Vec<Message>) {
-        let mut away = Vec::new();
-        while let Some(message_now) = messages.pop() {
-            match message_now {
-                Message::ToHome(to, report) if to == me => {
-                    let Some(home) = self.home.as_mut() else {
-                        continue;
-                    };
-                    let actions = home.on_event(now, home::Event::Report(me, report));
-                    messages.extend(actions.into_iter().map(message));
-                }
-                Message::ToDriver(to, grants) if to == me => {
-                    let event = driver::Event::Grants(me, grants);
-                    let actions = self.driver.on_event(now, event);
-                    self.perform(actions, messages);
-                }
-                other => away.push(other),
-            }
+    /// Begins or ends the home here, and begins a new one when the ranks change.
+    fn set_home(&mut self, is_here: bool, options: home::Options, wall_ms: u64, now: Instant) {
+        if !is_here {
+            self.home = None;
+        } else if self.home.is_none() {
+            self.session = wall_ms.max(self.session + 1);
+            self.home = Some(Home::new(options, self.session, now));
         }
-        away.reverse();
-        *messages = away;
     }
 }
 
 /// The name of a pool among instances.
-fn name(directory: &Directory, (model, centre): PoolKey) -> Arc<str> {
+fn name(directory: &Directory, (model, centre): PoolKey) -> String {
     let model = directory.models.name(model);
     let centre = directory.data_centres.name(centre);
-    format!("{model}{SEPARATOR}{centre}").into()
+    format!("{model}{SEPARATOR}{centre}")
 }
 
 /// Sends messages to other instances, in order for each of them.
-fn send(instance: &Instance, name: &str, messages: Vec<Message>) {
+fn send(instance: &Instance, model: ModelKey, messages: Vec<Message>) {
     let now = instance.edges.clock.now();
     for message in messages {
+        let directory = instance.directory.read();
         let (to, req) = match message {
-            Message::ToHome(to, report) => {
-                let directory = instance.directory.read();
+            Message::ToHome(centre, to, report) => {
+                let name = name(&directory, (model, centre));
                 let organisation = |key| directory.organisations.name(key).to_string();
-                let tickets = wire::Tickets::from_report(name.into(), now, report, organisation);
+                let tickets = wire::Tickets::from_report(name, now, report, organisation);
                 (to, Request::Tickets(tickets))
             }
             Message::ToDriver(to, grants) => {
-                let grants = wire::Grants::from_grants(name.into(), now, grants);
+                let name = name(&directory, (model, instance.data_centre));
+                let grants = wire::Grants::from_grants(name, now, grants);
                 (to, Request::Grants(grants))
             }
         };
+        drop(directory);
         // A lost message is made good by the next whole report.
         let _ = outbox(instance, to).send(req);
     }
@@ -332,8 +344,9 @@
         Some((key, config.organisations.get(&key)?.share))
     })?;
     drop(directory);
-    review(instance, key);
-    on_home(instance, key, home::Event::Report(from, report));
+    if key.1 == instance.data_centre {
+        on_home(instance, key.0, home::Event::Report(from, report));
+    }
     Ok(())
 }
 
@@ -347,7 +360,7 @@
     let key = key(instance, &grants.pool)?;
     let from = instance.directory.write().instances.intern(from);
     let grants = grants.into_grants(now)?;
-    on_driver(instance, key, driver::Event::Grants(from, grants));
+    on_pools(instance, key.0, pools::Event::Grants(key.1, from, grants));
     Ok(())
 }
 
@@ -366,80 +379,93 @@
 pub async fn run(instance: Arc<Instance>) {
     let mut review_at = instance.edges.clock.now();
     loop {
-        prepare(&instance);
-        let keys: Vec<_> = instance.pools.pools.lock().keys().copied().collect();
         let now = instance.edges.clock.now();
         let is_review = now >= review_at;
         if is_review {
             review_at = now + REVIEW;
         }
-        for key in keys {
+        // A model's pools begin before its first request needs them.
+        let config = instance.config.load_full();
+        for &model in config.models.keys() {
             if is_review {
-                review(&instance, key);
+                review(&instance, model);
             }
-            tick(&instance, key, now);
+            tick(&instance, model, now);
         }
         tokio::time::sleep(TICK).await;
     }
 }
 
-/// Opens the pools of the own data centre before the first request needs them.
-fn prepare(instance: &Instance) {
-    let config = instance.config.load();
-    for &model in config.models.keys() {
-        pool(instance, (model, instance.data_centre));
-    }
-}
-
 /// Lets deadlines of both sides come.
-fn tick(instance: &Instance, key: PoolKey, now: Instant) {
-    let pool = pool(instance, key);
-    let (driver_at, home_at) = {
-        let pool = pool.lock();
-        let home_at = pool.home.as_ref().map(Home::next_deadline);
-        (pool.driver.next_deadline(), home_at)
+fn tick(instance: &Instance, model: ModelKey, now: Instant) {
+    let shard = shard(instance, model);
+    let (pools_at, home_at) = {
+        let shard = shard.lock();
+        let home_at = shard.home.as_ref().map(Home::next_deadline);
+        (shard.pools.next_deadline(), home_at)
     };
-    if driver_at <= now {
-        on_driver(instance, key, driver::Event::Tick);
+    if pools_at <= now {
+        on_pools(instance, model, pools::Event::Tick);
     }
     if home_at.is_some_and(|at| at <= now) {
-        on_home(instance, key, home::Event::Tick);
+        on_home(instance, model, home::Event::Tick);
     }
 }
 
-/// Looks at who is the pool's home and what the pool can take.
-fn review(instance: &Instance, key: PoolKey) {
-    let pool = pool(instance, key);
-    let me = instance.duties.me();
-    let name = Arc::clone(&pool.lock().name);
-    let holder = instance.duties.holder(Duty::Pool(&name), key.1);
-    let holder = holder.map(|member| member.key);
-    let is_here = holder == Some(me);
-    {
-        let mut pool = pool.lock();
-        if is_here && pool.home.is_none() {
+/// Looks at who the pools' homes are and what the own pool can take.
+fn review(instance: &Instance, model: ModelKey) {
+    take_ranks(instance, model);
+    let mut centres = instance.fleet.centres(model);
+    if !centres.contains(&instance.data_centre) {
+        centres.push(instance.data_centre);
+    }
+    for centre in centres {
+        let name = name(&instance.directory.read(), (model, centre));
+        let holder = instance.duties.holder(Duty::Pool(&name), centre);
+        let holder = holder.map(|member| member.key);
+        if centre == instance.data_centre {
+            review_home(instance, model, holder == Some(instance.duties.me()));
+        } else {
             let now = instance.edges.clock.now();
-            pool.session += SESSION_MS;
-            let session = pool.session.max(instance.edges.clock.wall().as_millis());
-            pool.home = Some(Home::new(options(instance), session, now));
-        } else if !is_here {
-            pool.home = None;
+            let shard = shard(instance, model);
+            shard.lock().pools.insert(now, centre, ROUND_TRIP);
         }
+        on_pools(instance, model, pools::Event::Home(centre, holder));
+    }
+}
+
+/// Takes over the ranks of the configuration in force.
+fn take_ranks(instance: &Instance, model: ModelKey) {
+    let shard = shard(instance, model);
+    let mut shard = shard.lock();
+    let config = instance.config.load();
+    if shard.ranks != config.ranks {
+        shard.ranks.clone_from(&config.ranks);
+        let options = spill_options(&config.ranks);
+        shard.pools.set_spill(options);
+        // The drivers tell the next home, which has the new floors, all they have.
+        shard.home = None;
     }
+}
+
+/// Begins or ends the home of the own data centre's pool, and tells it its size.
+fn review_home(instance: &Instance, model: ModelKey, is_here: bool) {
+    let centre = instance.data_centre;
+    let wall_ms = instance.edges.clock.wall().as_millis();
+    let now = instance.edges.clock.now();
+    let options = home_options(instance);
+    let shard = shard(instance, model);
+    shard.lock().set_home(is_here, options, wall_ms, now);
     if is_here {
-        let capacity = instance.fleet.capacity(key.0, key.1);
-        on_home(
-            instance,
-            key,
-            home::Event::Drivers(instance.duties.of(key.1)),
-        );
-        on_home(instance, key, home::Event::Capacity(capacity));
+        let drivers = instance.duties.of(centre);
+        on_home(instance, model, home::Event::Drivers(drivers));
+        let capacity = instance.fleet.capacity(model, centre);
+        on_home(instance, model, home::Event::Capacity(capacity));
     }
-    on_driver(instance, key, driver::Event::Home(holder));
 }
 
 /// The options of a home under the configuration in force.
-fn options(instance: &Instance) -> home::Options {
+fn home_options(instance: &Instance) -> home::Options {
     let config = instance.config.load();
     home::Options {
         floors: config.ranks.iter().map(|rank| rank.floor).collect(),
@@ -447,3 +473,11 @@
         ..home::Options::default()
     }
 }
+
+/// The options of spilling: a rank waits at home up to its target.
+fn spill_options(ranks: &[RankTarget]) -> spill::Options {
+    spill::Options {
+        targets: ranks.iter().map(|rank| rank.first_token).collect(),
+        gain: SPILL_GAIN,
+    }
+}
--- a/crates/state/queueing/src/pools.rs
+++ b/crates/state/queueing/src/pools.rs
@@ -19,6 +19,7 @@
 use crate::message::Finished;
 use crate::message::Grants;
 use crate::message::Report;
+use crate::spill;
 use crate::spill::Spill;
 use crate::spill::View;
 use crate::ticket::Refusal;
@@ -112,6 +113,11 @@
             .or_insert(Pool { driver, round_trip });
     }
 
+    /// Takes over other targets.
+    pub fn set_spill(&mut self, options: spill::Options) {
+        self.spill.set_options(options);
+    }
+
     /// Takes one event and tells what to do.
     pub fn on_event(&mut self, now: Instant, event: Event) -> Vec<Action> {
         match event {
--- a/crates/state/queueing/src/spill.rs
+++ b/crates/state/queueing/src/spill.rs
@@ -42,6 +42,11 @@
         }
     }
 
+    /// Takes over other options.
+    pub fn set_options(&mut self, options: Options) {
+        self.options = options;
+    }
+
     /// Takes a newer view of the pool in `data_centre`, or forgets it.
     pub fn update(&mut self, data_centre: DataCentreKey, view: Option<View>) {
         match view {
