--- a/crates/coordination/lease/src/holder.rs
+++ b/crates/coordination/lease/src/holder.rs
@@ -14,6 +14,9 @@
 /// A lease is renewed when this part of its duration has passed.
 const RENEW_DIVISOR: u32 = 3;
 
+/// Tries that the holder has before others, when the platform is back.
+const FIRST_CHANCE: u32 = 3;
+
 /// Writes of unknown outcome whose start is remembered.
 const UNSETTLED_LIMIT: usize = 16;
 
@@ -186,7 +189,7 @@
             }
             Event::PlatformDown => {
                 self.busy = false;
-                self.act_at = now + self.options.retry;
+                self.wait_out(now);
             }
         }
         self.next_action(now)
@@ -201,14 +204,22 @@
         match outcome {
             Outcome::Done(version) => self.own(write, version),
             Outcome::Conflict => self.settled = false,
-            Outcome::Refused => self.act_at = now + self.options.retry,
+            Outcome::Refused => self.wait_out(now),
             Outcome::Unknown => {
                 self.settled = false;
-                self.act_at = now + self.options.retry;
+                self.wait_out(now);
             }
         }
     }
 
+    /// The platform fails. When it is back, the present holder renews first.
+    fn wait_out(&mut self, now: Instant) {
+        self.act_at = now + self.options.retry;
+        if let Observed::Other { takeover_at, .. } = &mut self.observed {
+            *takeover_at = (*takeover_at).max(now + self.options.retry * FIRST_CHANCE);
+        }
+    }
+
     fn read(&mut self, now: Instant, object: Option<(Value, ObjectVersion)>) {
         let Some((value, version)) = object else {
             self.settled |= self.version.is_none();
--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -45,6 +45,8 @@
 
 /// Slots of each data centre. All instances must agree on it.
 pub const COUNT: u16 = 32;
+/// Instances that read each slot's lease, to take it when its owner is gone.
+const CANDIDATES: usize = 2;
 /// How long a slot's lease lasts without a renewal.
 const LEASE: Duration = Duration::from_secs(20);
 /// The time between tries to reach the platform.
@@ -122,11 +124,17 @@
 
 /// Keeps the leases of the slots that this instance should own.
 pub async fn run(instance: Arc<Instance>) {
+    // At first only one for each slot, so that the slots spread over the instances.
+    let all_at = instance.edges.clock.now() + LEASE;
     loop {
+        let is_start = instance.edges.clock.now() < all_at;
+        let candidates = if is_start { 1 } else { CANDIDATES };
         for slot in 0..COUNT {
             let duty = Duty::Slot(u32::from(slot));
-            let is_mine = instance.duties.holds(duty, instance.data_centre, 1);
-            let event = lease::Event::Candidate(is_mine);
+            let may_take = instance
+                .duties
+                .holds(duty, instance.data_centre, candidates);
+            let event = lease::Event::Candidate(may_take);
             on_event(&instance, Event::Lease(slot, event));
         }
         on_event(&instance, Event::Tick);
