--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -10,6 +10,7 @@
 use hemlockwind_protocol::peer::Reply;
 use hemlockwind_protocol::peer::Request;
 
+use crate::configuration;
 use crate::instance::Instance;
 use crate::pool;
 use crate::slots;
@@ -26,11 +27,15 @@
         match req {
             Request::Tickets(tickets) => done(pool::on_tickets(&self.instance, from, tickets)),
             Request::Grants(grants) => done(pool::on_grants(&self.instance, from, grants)),
+            Request::Configuration(message) => {
+                let reply = configuration::on_message(&self.instance, from, message);
+                reply.unwrap_or_else(|e| refused(&e))
+            }
             Request::Dispatch(dispatch) => match slots::dispatch(&self.instance, dispatch).await {
                 Ok(reply) => Reply::Dispatch(reply.into()),
                 Err(error) => refused(&error),
             },
-            Request::Membership(_) | Request::Configuration(_) => refused(&Error::Stopping),
+            Request::Membership(_) => refused(&Error::Stopping),
         }
     }
 }
