--- a/crates/coordination/claims/src/slots.rs
+++ b/crates/coordination/claims/src/slots.rs
@@ -193,6 +193,11 @@
         owned.count()
     }
 
+    /// Whether all slots were given up after [`Event::Stop`].
+    pub fn is_released(&self) -> bool {
+        self.slots.iter().all(|slot| slot.holder.is_released())
+    }
+
     /// The number of keys that are remembered.
     pub fn keys(&self) -> usize {
         self.slots.iter().map(|s| s.memory.len()).sum()
@@ -513,10 +518,9 @@
         return Verdict::Reply(Reply::Unknown(lapsed()));
     }
     let made = req.key.time();
-    let oldest = made
-        .into_iter()
-        .chain([time_of(req.id).unwrap_or_default()]);
-    if oldest.min().is_some_and(|time| time < memory.floor()) {
+    let sent = time_of(req.id).unwrap_or_default();
+    // A key without time is guarded by its claim instead.
+    if made.is_some_and(|made| made.min(sent) < memory.floor()) {
         let error = Error::outcome_unknown("the key is older than what its owner remembers");
         return Verdict::Reply(Reply::Unknown(error));
     }
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -30,11 +30,13 @@
 use hemlockwind_telemetry::Histograms;
 use hemlockwind_telemetry::Metrics;
 
+use crate::configuration::Spread;
 use crate::duties::Duties;
 use crate::fleet::Fleet;
 use crate::health::Health;
 use crate::lanes::Lanes;
 use crate::pool::Pools;
+use crate::slots::Owned;
 
 /// `Edges` holds the adapters to everything outside the process. Another
 /// implementation of a trait goes in here and nowhere else.
@@ -83,6 +85,8 @@
     pub directory: RwLock<Directory>,
     /// The configuration in force; reading it takes no lock.
     pub config: ArcSwap<Config>,
+    /// The replica of the configuration.
+    pub spread: Spread,
     /// The backend servers and their load.
     pub fleet: Arc<Fleet>,
     /// What is believed of the backend servers.
@@ -91,6 +95,8 @@
     pub duties: Duties,
     /// The pools that this instance uses.
     pub pools: Pools,
+    /// The slots of idempotency keys that this instance owns.
+    pub owned: Owned,
     /// The batches of steps on their way to engines.
     pub lanes: Arc<Lanes>,
     /// Counters and gauges.
@@ -130,10 +136,12 @@
             log,
             directory: RwLock::new(directory),
             config: ArcSwap::default(),
+            spread: Spread::new(edges.clock.now(), duties.me()),
             fleet: Arc::new(Fleet::new(data_centre)),
             health: Health::new(edges.clock.now()),
             duties,
             pools: Pools::default(),
+            owned: Owned::new(&me.name),
             lanes: Arc::new(lanes),
             metrics,
             histograms: Histograms::default(),
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -10,8 +10,10 @@
 use hemlockwind_protocol::peer::Reply;
 use hemlockwind_protocol::peer::Request;
 
+use crate::configuration;
 use crate::instance::Instance;
 use crate::pool;
+use crate::slots;
 
 /// `Peers` answers other instances for this one.
 pub struct Peers {
@@ -25,9 +27,15 @@
         match req {
             Request::Tickets(tickets) => done(pool::on_tickets(&self.instance, from, tickets)),
             Request::Grants(grants) => done(pool::on_grants(&self.instance, from, grants)),
-            Request::Membership(_) | Request::Configuration(_) | Request::Dispatch(_) => {
-                refused(&Error::Stopping)
+            Request::Configuration(message) => {
+                let reply = configuration::on_message(&self.instance, from, message);
+                reply.unwrap_or_else(|e| refused(&e))
             }
+            Request::Dispatch(dispatch) => match slots::dispatch(&self.instance, dispatch).await {
+                Ok(reply) => Reply::Dispatch(reply.into()),
+                Err(error) => refused(&error),
+            },
+            Request::Membership(_) => refused(&Error::Stopping),
         }
     }
 }
--- a/programs/tests/process/main.rs
+++ b/programs/tests/process/main.rs
@@ -4,5 +4,6 @@
 mod failures;
 mod leaving;
 mod process;
+mod services;
 mod site;
 mod stop;
