--- /dev/null
+++ b/programs/tests/process/loans.rs
@@ -0,0 +1,265 @@
+//! Loans run at most once, and what callers are told of them is true.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use hemlockwind_standin::caller::Caller;
+use hemlockwind_standin::caller::Failure;
+use hemlockwind_standin::service::Ran;
+use serde_json::Value;
+use serde_json::json;
+use tokio::task::JoinSet;
+use uuid::Uuid;
+
+use crate::site::Site;
+use crate::site::eventually;
+use crate::site::get;
+use crate::site::set;
+
+const PATH: &str = "/v1/services/ledger/loans";
+/// Instances of the site, two of them in the home data centre.
+const INSTANCES: u8 = 4;
+/// Callers that send loan after loan.
+const CALLERS: usize = 8;
+/// Times that a caller sends a loan, each through another instance.
+const TRIES: usize = 3;
+/// How long slots may take to have an owner after the start.
+const START: Duration = Duration::from_secs(30);
+/// Time before, in and after a failure.
+const PHASE: Duration = Duration::from_millis(1_500);
+
+/// `Told` is what a caller is told of a loan.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Told {
+    /// It ran, as this entry of the service.
+    Entry(u64),
+    /// Nothing was run.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+/// `Loan` is a loan with all that its caller was told, try by try.
+struct Loan {
+    body: String,
+    told: Vec<Told>,
+}
+
+/// A key that tells its time, or one that doesn't.
+fn key(number: usize) -> String {
+    if number.is_multiple_of(2) {
+        Uuid::now_v7().to_string()
+    } else {
+        format!("loan-{}", Uuid::new_v4())
+    }
+}
+
+async fn lend(caller: &Caller, key: &str, body: &str) -> Told {
+    let headers = [("idempotency-key", key)];
+    match caller.call("POST", PATH, &headers, body.into()).await {
+        Ok((status, answer)) => {
+            let answer: Value = serde_json::from_slice(&answer).unwrap();
+            if status.is_success() {
+                return Told::Entry(answer["entry"].as_u64().unwrap());
+            }
+            match answer["ran"].as_str() {
+                Some("no") => Told::NotRun,
+                Some("unknown") => Told::Unknown,
+                _ => panic!("{status}: {answer}"),
+            }
+        }
+        Err(Failure::Refused) => Told::NotRun,
+        Err(Failure::Cut(_) | Failure::Status(..)) => Told::Unknown,
+    }
+}
+
+/// How often each loan really ran, by its body.
+async fn counts(site: &Site) -> HashMap<String, u64> {
+    let ran: Ran = get(site.service_addr, "/_standin/ran").await;
+    let mut counts = HashMap::new();
+    for count in ran.calls {
+        *counts.entry(count.call.body).or_default() += count.count;
+    }
+    counts
+}
+
+/// Starts a site whose slots have owners.
+async fn start(name: &str) -> Site {
+    let site = Site::start_with(name, INSTANCES).await;
+    for (index, instance) in site.instances.iter().enumerate() {
+        eventually("loans are served", START, || async move {
+            let body = format!("first {}", Uuid::new_v4());
+            let told = lend(&instance.caller, &key(index), &body).await;
+            matches!(told, Told::Entry(_))
+        })
+        .await;
+    }
+    site
+}
+
+/// Sends loans through all instances until `stop`; a loan that was not answered
+/// is sent again with its key through another instance.
+fn send_loans(site: &Site, stop: &Arc<AtomicBool>) -> JoinSet<Vec<Loan>> {
+    let callers: Vec<_> = site.instances.iter().map(|i| i.caller.clone()).collect();
+    let mut tasks = JoinSet::new();
+    for n in 0..CALLERS {
+        let callers = callers.clone();
+        let stop = Arc::clone(stop);
+        tasks.spawn(async move {
+            let mut loans = Vec::new();
+            while !stop.load(Ordering::Relaxed) {
+                let number = loans.len();
+                let key = key(number);
+                let body = format!("loan {n} {number}");
+                let mut told = Vec::new();
+                for turn in 0..TRIES {
+                    let caller = &callers[(n + number + turn) % callers.len()];
+                    told.push(lend(caller, &key, &body).await);
+                    if matches!(told.last(), Some(Told::Entry(_))) {
+                        break;
+                    }
+                }
+                loans.push(Loan { body, told });
+            }
+            loans
+        });
+    }
+    tasks
+}
+
+/// Checks what was told against what ran. Gives the share of loans answered.
+async fn check(name: &str, site: &Site, loans: &[Loan]) -> f64 {
+    // What is still on its way runs now or never.
+    tokio::time::sleep(PHASE).await;
+    let counts = counts(site).await;
+    let mut answered = 0;
+    for loan in loans {
+        let count = counts.get(&loan.body).copied().unwrap_or_default();
+        assert!(
+            count <= 1,
+            "{} ran {count} times: {:?}",
+            loan.body,
+            loan.told
+        );
+        if loan.told.iter().all(|told| *told == Told::NotRun) {
+            assert_eq!(count, 0, "{}: {:?}", loan.body, loan.told);
+        }
+        if let Some(Told::Entry(_)) = loan.told.last() {
+            assert_eq!(count, 1, "{}: {:?}", loan.body, loan.told);
+            answered += 1;
+        }
+    }
+    let share = f64::from(answered) / loans.len() as f64;
+    println!(
+        "{name}: {} loans, {:.3} of them answered",
+        loans.len(),
+        share
+    );
+    share
+}
+
+#[tokio::test]
+async fn loan_repeated_at_all_instances_runs_once() {
+    let site = start("repeated").await;
+    for number in 0..6 {
+        let key = key(number);
+        let body = format!("repeated {number}");
+        let callers = site.instances.iter().chain(&site.instances);
+        let sent = callers.map(|instance| lend(&instance.caller, &key, &body));
+        let told = futures::future::join_all(sent).await;
+        let entries = told.iter().filter(|told| matches!(told, Told::Entry(_)));
+        let entries: Vec<_> = entries.collect();
+        assert!(!entries.is_empty(), "{told:?}");
+        assert!(entries.iter().all(|entry| *entry == entries[0]), "{told:?}");
+        assert_eq!(counts(&site).await.get(&body), Some(&1));
+    }
+}
+
+#[tokio::test]
+async fn loan_answer_lost_is_unknown_for_ever() {
+    let site = start("lost").await;
+    for number in 0..2 {
+        set(
+            site.service_addr,
+            "/_standin/faults",
+            &json!({"lose_answers": 1}),
+        )
+        .await;
+        let key = key(number);
+        let body = format!("lost {number}");
+        for instance in site.instances.iter().chain(&site.instances) {
+            let told = lend(&instance.caller, &key, &body).await;
+            assert_eq!(told, Told::Unknown);
+            assert_eq!(counts(&site).await.get(&body), Some(&1));
+        }
+    }
+}
+
+#[tokio::test]
+async fn loan_instances_killed_at_most_once() {
+    let mut site = start("loans-killed").await;
+    set(
+        site.service_addr,
+        "/_standin/faults",
+        &json!({"delay_ms": 5}),
+    )
+    .await;
+    let stop = Arc::new(AtomicBool::new(false));
+    let tasks = send_loans(&site, &stop);
+    tokio::time::sleep(PHASE).await;
+    // Both data centres lose one; instance 0 is of the home data centre.
+    for index in [0, 1] {
+        site.instances[index].process.kill();
+        tokio::time::sleep(PHASE).await;
+    }
+    stop.store(true, Ordering::Relaxed);
+    let loans = tasks.join_all().await.into_iter().flatten();
+    let share = check("two instances killed", &site, &loans.collect::<Vec<_>>()).await;
+    assert!(share > 0.0);
+}
+
+#[tokio::test]
+async fn loan_platform_down_at_most_once() {
+    let site = start("loans-outage").await;
+    let stop = Arc::new(AtomicBool::new(false));
+    let tasks = send_loans(&site, &stop);
+    for faults in [
+        json!({}),
+        json!({"outage": "reset"}),
+        json!({"lose_probability": 0.3}),
+    ] {
+        set(site.platform_addr, "/_standin/faults", &faults).await;
+        tokio::time::sleep(PHASE).await;
+    }
+    stop.store(true, Ordering::Relaxed);
+    let loans = tasks.join_all().await.into_iter().flatten();
+    let share = check("platform down", &site, &loans.collect::<Vec<_>>()).await;
+    assert!(share > 0.0);
+}
+
+#[tokio::test]
+async fn loan_instance_paused_at_most_once() {
+    let site = start("loans-paused").await;
+    set(
+        site.service_addr,
+        "/_standin/faults",
+        &json!({"delay_ms": 5}),
+    )
+    .await;
+    let stop = Arc::new(AtomicBool::new(false));
+    let tasks = send_loans(&site, &stop);
+    for _ in 0..2 {
+        tokio::time::sleep(PHASE).await;
+        site.instances[0].process.signal("STOP");
+        tokio::time::sleep(3 * PHASE).await;
+        site.instances[0].process.signal("CONT");
+    }
+    tokio::time::sleep(PHASE).await;
+    stop.store(true, Ordering::Relaxed);
+    let loans = tasks.join_all().await.into_iter().flatten();
+    let share = check("instance paused twice", &site, &loans.collect::<Vec<_>>()).await;
+    assert!(share > 0.0);
+}
--- a/programs/tests/process/main.rs
+++ b/programs/tests/process/main.rs
@@ -3,6 +3,7 @@
 mod completions;
 mod failures;
 mod leaving;
+mod loans;
 mod process;
 mod site;
 mod stop;
