--- a/programs/tests/process/loans.rs
+++ b/programs/tests/process/loans.rs
@@ -6,9 +6,11 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use bytes::Bytes;
 use hemlockwind_standin::caller::Caller;
 use hemlockwind_standin::caller::Failure;
 use hemlockwind_standin::service::Ran;
+use http::StatusCode;
 use serde_json::Value;
 use serde_json::json;
 use tokio::task::JoinSet;
@@ -28,6 +30,8 @@
 const TRIES: usize = 3;
 /// How long slots may take to have an owner after the start.
 const START: Duration = Duration::from_secs(30);
+/// How long a caller waits before it sends a loan through another instance.
+const PATIENCE: Duration = Duration::from_secs(1);
 /// Time before, in and after a failure.
 const PHASE: Duration = Duration::from_millis(1_500);
 
@@ -57,22 +61,33 @@
     }
 }
 
+/// Sends a loan. Whoever waits too long gives up, but the call goes on.
 async fn lend(caller: &Caller, key: &str, body: &str) -> Told {
-    let headers = [("idempotency-key", key)];
-    match caller.call("POST", PATH, &headers, body.into()).await {
-        Ok((status, answer)) => {
-            let answer: Value = serde_json::from_slice(&answer).unwrap();
-            if status.is_success() {
-                return Told::Entry(answer["entry"].as_u64().unwrap());
-            }
-            match answer["ran"].as_str() {
-                Some("no") => Told::NotRun,
-                Some("unknown") => Told::Unknown,
-                _ => panic!("{status}: {answer}"),
-            }
-        }
-        Err(Failure::Refused) => Told::NotRun,
-        Err(Failure::Cut(_) | Failure::Status(..)) => Told::Unknown,
+    let (caller, key, body) = (caller.clone(), key.to_owned(), body.to_owned());
+    let call = tokio::spawn(async move {
+        let headers = [("idempotency-key", key.as_str())];
+        caller.call("POST", PATH, &headers, body.into()).await
+    });
+    match tokio::time::timeout(PATIENCE, call).await {
+        Ok(answer) => told(answer.unwrap()),
+        Err(_) => Told::Unknown,
+    }
+}
+
+fn told(answer: Result<(StatusCode, Bytes), Failure>) -> Told {
+    let (status, answer) = match answer {
+        Ok(answer) => answer,
+        Err(Failure::Refused) => return Told::NotRun,
+        Err(Failure::Cut(_) | Failure::Status(..)) => return Told::Unknown,
+    };
+    let answer: Value = serde_json::from_slice(&answer).unwrap();
+    if status.is_success() {
+        return Told::Entry(answer["entry"].as_u64().unwrap());
+    }
+    match answer["ran"].as_str() {
+        Some("no") => Told::NotRun,
+        Some("unknown") => Told::Unknown,
+        _ => panic!("{status}: {answer}"),
     }
 }
 
