--- a/programs/tests/process/loans.rs
+++ b/programs/tests/process/loans.rs
@@ -278,3 +278,42 @@
     let share = check("instance paused twice", &site, &loans.collect::<Vec<_>>()).await;
     assert!(share > 0.0);
 }
+
+#[tokio::test]
+async fn loan_failures_together_at_most_once() {
+    let mut site = start("loans-together").await;
+    set(
+        site.service_addr,
+        "/_standin/faults",
+        &json!({"delay_ms": 5}),
+    )
+    .await;
+    let stop = Arc::new(AtomicBool::new(false));
+    let tasks = send_loans(&site, &stop);
+    tokio::time::sleep(PHASE).await;
+    // Both instances of the home data centre fail while the platform is down.
+    set(
+        site.platform_addr,
+        "/_standin/faults",
+        &json!({"outage": "reset"}),
+    )
+    .await;
+    site.instances[0].process.signal("STOP");
+    tokio::time::sleep(PHASE).await;
+    site.instances[2].process.kill();
+    tokio::time::sleep(PHASE).await;
+    let faults = json!({"lose_probability": 0.3, "delay_ms": 50});
+    set(site.platform_addr, "/_standin/faults", &faults).await;
+    tokio::time::sleep(PHASE).await;
+    site.instances[0].process.signal("CONT");
+    tokio::time::sleep(2 * PHASE).await;
+    stop.store(true, Ordering::Relaxed);
+    let loans = tasks.join_all().await.into_iter().flatten();
+    let share = check(
+        "paused, killed, platform down",
+        &site,
+        &loans.collect::<Vec<_>>(),
+    )
+    .await;
+    assert!(share > 0.0);
+}
