Limits: start at the configured limit, and search down where no idle delay is known

A limit that starts at one stream would hold a pool's capacity down until it is learned, and an instance that sends little to a server would never learn it. It now starts at the configured limit. A server that is full from the start then shows no idle delay, so its limit is halved as long as the delay falls with it.

Whole streams are compared now.

--- a/crates/state/limits/src/limit.rs
+++ b/crates/state/limits/src/limit.rs
@@ -1,11 +1,13 @@
 //! The number of streams that a backend server takes, learned from step delays.
 //!
-//! The limit rises by one stream for each round of steps while it is in use, and
-//! falls by a tenth, at most once a step, when steps take longer than the
-//! tolerance allows over the shortest delay (AIMD). Until the first fall it rises
-//! by one stream for each step. The shortest delay is forgotten only for one that
-//! was measured on a server with little work: under full load it would creep up
-//! with the limit that it is to hold.
+//! The limit starts at the configured one. It rises by one stream for each round of
+//! steps while it is in use, and falls by a tenth, at most once a step, when steps
+//! take longer than the tolerance allows over the shortest delay (AIMD). The
+//! shortest delay is forgotten only for one that was measured on a server with
+//! little work: under full load it would creep up with the limit that it is to hold.
+//!
+//! A server that is full from the start shows no such delay. Its limit is halved as
+//! long as the delay falls with it.
 
 use std::time::Duration;
 
@@ -20,6 +22,8 @@
 const IN_USE: f64 = 0.9;
 /// The part of the limit up to which a server has little work.
 const LITTLE: f64 = 0.5;
+/// The part of the limit up to which a server counts as drained to it.
+const DRAINED: f64 = 1.1;
 /// The time after which the shortest delay is replaced by a newer one.
 const WINDOW: Duration = Duration::from_secs(30);
 /// The age at which a load report counts no more.
@@ -41,10 +45,21 @@
     streams: f64,
     shortest: Shortest,
     steady_until: Instant,
-    starting: bool,
+    phase: Phase,
     report: Option<Cap>,
 }
 
+/// `Phase` is how the limit changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// No delay with little work is known. Holds the delay before the last halving.
+    Searching(Option<Duration>),
+    /// The limit rises by one stream for each step until it falls.
+    Rising,
+    /// The limit rises by one stream for each round of steps.
+    Steady,
+}
+
 /// `Cap` is what a load report leaves for this holder.
 #[derive(Clone, Copy, Debug)]
 struct Cap {
@@ -53,15 +68,15 @@
 }
 
 impl Limit {
-    /// A limit that starts at the least one. `min` above `max` counts as `max`.
+    /// A limit that starts at the configured one. `min` above `max` counts as `max`.
     pub fn new(bounds: Bounds) -> Self {
         let min = bounds.min.min(bounds.max);
         Self {
             bounds: Bounds { min, ..bounds },
-            streams: f64::from(min),
+            streams: f64::from(bounds.max),
             shortest: Shortest::default(),
             steady_until: Instant::ZERO,
-            starting: true,
+            phase: Phase::Searching(None),
             report: None,
         }
     }
@@ -77,12 +92,24 @@
         reported.clamp(self.bounds.min, self.bounds.max)
     }
 
+    /// Whether the limit still looks for a delay with little work.
+    pub fn is_searching(&self) -> bool {
+        matches!(self.phase, Phase::Searching(_))
+    }
+
     /// Takes the delay of a decode step that ran beside `in_flight` streams.
     pub fn on_result(&mut self, now: Instant, delay: Duration, in_flight: u32) {
-        let used = f64::from(in_flight) / self.streams.max(1.0);
+        // Only whole streams can be in flight.
+        let used = f64::from(in_flight) / self.streams.floor().max(1.0);
+        if let Phase::Searching(before) = self.phase {
+            self.search(now, delay, used, before);
+            return;
+        }
         if self.at_least() {
             // Less work can't be measured, so this delay is the shortest.
-            self.starting |= self.shortest.replace(now, delay);
+            if self.shortest.replace(now, delay) {
+                self.phase = Phase::Rising;
+            }
         } else {
             self.shortest.update(now, delay, used <= LITTLE);
         }
@@ -114,11 +141,30 @@
         self.streams <= f64::from(self.bounds.min)
     }
 
-    fn increase(&mut self) {
-        let by = if self.starting {
-            1.0
+    /// Halves the limit as long as the delay falls with it.
+    fn search(&mut self, now: Instant, delay: Duration, used: f64, before: Option<Duration>) {
+        self.shortest.update(now, delay, true);
+        if used <= LITTLE {
+            self.phase = Phase::Steady;
+            return;
+        }
+        if !(IN_USE..=DRAINED).contains(&used) {
+            return;
+        }
+        let falls = before.is_none_or(|before| before > delay.mul_f64(TOLERANCE));
+        if falls && !self.at_least() {
+            self.phase = Phase::Searching(Some(delay));
+            self.set(self.streams / 2.0);
         } else {
-            1.0 / self.streams.max(1.0)
+            // The last halving was one too many.
+            self.phase = Phase::Rising;
+        }
+    }
+
+    fn increase(&mut self) {
+        let by = match self.phase {
+            Phase::Rising => 1.0,
+            Phase::Searching(_) | Phase::Steady => 1.0 / self.streams.max(1.0),
         };
         self.set(self.streams + by);
     }
@@ -127,7 +173,9 @@
     fn decrease(&mut self, now: Instant, delay: Duration) {
         if now >= self.steady_until {
             self.steady_until = now + delay;
-            self.starting = false;
+            if self.phase == Phase::Rising {
+                self.phase = Phase::Steady;
+            }
             self.set(self.streams * DECREASE);
         }
     }
