--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -30,11 +30,13 @@
 use hemlockwind_telemetry::Histograms;
 use hemlockwind_telemetry::Metrics;
 
+use crate::configuration::Spread;
 use crate::duties::Duties;
 use crate::fleet::Fleet;
 use crate::health::Health;
 use crate::lanes::Lanes;
 use crate::pool::Pools;
+use crate::slots::Owned;
 
 /// `Edges` holds the adapters to everything outside the process. Another
 /// implementation of a trait goes in here and nowhere else.
@@ -83,6 +85,8 @@
     pub directory: RwLock<Directory>,
     /// The configuration in force; reading it takes no lock.
     pub config: ArcSwap<Config>,
+    /// The replica of the configuration.
+    pub spread: Spread,
     /// The backend servers and their load.
     pub fleet: Arc<Fleet>,
     /// What is believed of the backend servers.
@@ -91,12 +95,16 @@
     pub duties: Duties,
     /// The pools that this instance uses.
     pub pools: Pools,
+    /// The slots of idempotency keys that this instance owns.
+    pub owned: Owned,
     /// The batches of steps on their way to engines.
     pub lanes: Arc<Lanes>,
     /// Counters and gauges.
     pub metrics: Metrics,
     /// Histograms by organisation and rank.
     pub histograms: Histograms,
+    /// Set when a planned stop begins: the balancer should send nothing more.
+    pub unready: CancellationToken,
     /// Set when the instance stops taking requests.
     pub stopping: CancellationToken,
     /// Requests in progress; a planned stop waits for them.
@@ -128,13 +136,16 @@
             log,
             directory: RwLock::new(directory),
             config: ArcSwap::default(),
+            spread: Spread::new(edges.clock.now(), duties.me()),
             fleet: Arc::new(Fleet::new(data_centre)),
             health: Health::new(edges.clock.now()),
             duties,
             pools: Pools::default(),
+            owned: Owned::new(&me.name),
             lanes: Arc::new(lanes),
             metrics,
             histograms: Histograms::default(),
+            unready: CancellationToken::new(),
             stopping: CancellationToken::new(),
             requests: TaskTracker::new(),
             room: Arc::new(room),
@@ -146,7 +157,7 @@
 
     /// Whether a balancer should send requests here.
     pub fn is_ready(&self) -> bool {
-        !self.stopping.is_cancelled() && self.config.load().version.0 > 0
+        !self.unready.is_cancelled() && self.config.load().version.0 > 0
     }
 
     /// The name of a rank, for people.
--- a/programs/tests/process/main.rs
+++ b/programs/tests/process/main.rs
@@ -1,9 +1,9 @@
 //! The whole system as real processes, under failure.
 
-mod caller;
 mod completions;
 mod failures;
 mod leaving;
 mod process;
+mod services;
 mod site;
 mod stop;
