Limits: fall only when no step was quick for a while

A decrease for each late step reads one overload out of any lateness: with half of the steps up to ten times late on a server that is not overloaded, the limit of 64 falls (limit_bears_jitter, seen failing with the rule removed). The limit now falls by a fifth when all steps for 100 ms, and at least one step's time, were late. A refusal for being full caps the limit at what was in flight, and no longer counts as a late step.

--- a/crates/state/limits/src/limit.rs
+++ b/crates/state/limits/src/limit.rs
@@ -1,8 +1,9 @@
 //! The number of streams that a backend server takes, learned from step delays.
 //!
 //! The limit starts at the configured one. It rises by one stream for each round of
-//! steps while it is in use, and falls by a tenth, at most once a step, when steps
-//! take longer than the tolerance allows over the shortest delay (AIMD). The
+//! steps while it is in use, and falls by a fifth when all steps for a while took
+//! longer than the tolerance allows over the shortest delay (AIMD). One quick step
+//! shows that the others were late for another reason than a full server. The
 //! shortest delay is forgotten only for one that was measured on a server with
 //! little work: under full load it would creep up with the limit that it is to hold.
 //!
@@ -15,7 +16,7 @@
 use hemlockwind_core::time::Instant;
 
 /// The part that is left of the limit after a decrease.
-const DECREASE: f64 = 0.9;
+const DECREASE: f64 = 0.8;
 /// The delay, in shortest delays, above which the server is taken as overloaded.
 const TOLERANCE: f64 = 1.5;
 /// The part of the limit that must be in use for it to rise.
@@ -24,6 +25,8 @@
 const LITTLE: f64 = 0.5;
 /// The part of the limit up to which a server counts as drained to it.
 const DRAINED: f64 = 1.1;
+/// The time for which all steps must be late, at least one step's.
+const PATIENCE: Duration = Duration::from_millis(100);
 /// The time after which the shortest delay is replaced by a newer one.
 const WINDOW: Duration = Duration::from_secs(30);
 /// The age at which a load report counts no more.
@@ -44,7 +47,8 @@
     bounds: Bounds,
     streams: f64,
     shortest: Shortest,
-    steady_until: Instant,
+    /// When the limit falls unless a step is quick before.
+    falls_at: Option<Instant>,
     phase: Phase,
     report: Option<Cap>,
 }
@@ -75,7 +79,7 @@
             bounds: Bounds { min, ..bounds },
             streams: f64::from(bounds.max),
             shortest: Shortest::default(),
-            steady_until: Instant::ZERO,
+            falls_at: None,
             phase: Phase::Searching(None),
             report: None,
         }
@@ -114,15 +118,17 @@
             self.shortest.update(now, delay, used <= LITTLE);
         }
         if delay > self.shortest.get().mul_f64(TOLERANCE) {
-            self.decrease(now, delay);
-        } else if used >= IN_USE {
+            self.late(now, delay);
+            return;
+        }
+        self.falls_at = None;
+        if used >= IN_USE {
             self.increase();
         }
     }
 
     /// Takes a refusal for being full, beside `in_flight` streams.
-    pub fn on_refusal(&mut self, now: Instant, in_flight: u32) {
-        self.decrease(now, self.shortest.get());
+    pub fn on_refusal(&mut self, in_flight: u32) {
         self.set(self.streams.min(f64::from(in_flight)));
     }
 
@@ -169,15 +175,17 @@
         self.set(self.streams + by);
     }
 
-    /// Lowers the limit, once for all the steps that the same overload delayed.
-    fn decrease(&mut self, now: Instant, delay: Duration) {
-        if now >= self.steady_until {
-            self.steady_until = now + delay;
-            if self.phase == Phase::Rising {
-                self.phase = Phase::Steady;
-            }
-            self.set(self.streams * DECREASE);
+    /// Lowers the limit when there was no quick step since the first late one.
+    fn late(&mut self, now: Instant, delay: Duration) {
+        let falls_at = *self.falls_at.get_or_insert(now + delay.max(PATIENCE));
+        if now < falls_at {
+            return;
+        }
+        self.falls_at = None;
+        if self.phase == Phase::Rising {
+            self.phase = Phase::Steady;
         }
+        self.set(self.streams * DECREASE);
     }
 
     fn set(&mut self, streams: f64) {
