Driver: count a stream only on the path that it took; refusals are no step times

A path that replaces a leaving server is not taken when it differs in more than that server, and one over a server that began to leave meanwhile is not taken either. The driver counted the stream on it all the same, so the load of both paths was wrong until the next choice. It now asks the stream. A refusal comes back at once and was taken into the step time of its server, which made full servers look quick.

Found by reading; no test at the driver shows it.

--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -14,9 +14,11 @@
 use hemlockwind_core::attempt::Attempt;
 use hemlockwind_core::attempt::Attempts;
 use hemlockwind_core::engine::Incarnation;
+use hemlockwind_core::engine::Output;
 use hemlockwind_core::engine::RequestId;
 use hemlockwind_core::engine::Step;
 use hemlockwind_core::engine::StepId;
+use hemlockwind_core::engine::StepResult;
 use hemlockwind_core::engine::Token;
 use hemlockwind_core::names::BackendServerKey;
 use hemlockwind_core::names::DataCentreKey;
@@ -233,7 +235,12 @@
                 }
             };
             self.learn(&event);
+            let may_change_path = matches!(event, Event::Path(_) | Event::Imported { .. });
             actions = self.stream.on_event(self.instance.edges.clock.now(), event);
+            if may_change_path {
+                // The stream need not take the path that it was given.
+                self.count(self.stream.servers().collect());
+            }
         }
         self.count(Vec::new());
         let tokens = u64::from(self.stream.tokens()) + self.work.prompt_tokens();
@@ -261,7 +268,7 @@
         }
     }
 
-    /// Chooses a path and counts the stream on its servers.
+    /// Chooses a path.
     fn choose(&mut self, avoid: &[BackendServerKey], keep: &[Stage]) {
         let now = self.instance.edges.clock.now();
         let is_late_retry = self.stream.incarnation() >= FREE_INCARNATIONS;
@@ -272,10 +279,7 @@
         }
         let fleet = &self.instance.fleet;
         match fleet.choose(now, (self.work.model, self.centre), avoid, keep) {
-            Some(path) => {
-                self.count(path.stages.iter().map(|stage| stage.server).collect());
-                self.events.push_back(Event::Path(path));
-            }
+            Some(path) => self.events.push_back(Event::Path(path)),
             None => self.events.push_back(Event::NoPath),
         }
     }
@@ -395,6 +399,11 @@
             return;
         };
         match event {
+            // A refusal takes no step's time.
+            Event::Result(StepResult {
+                output: Output::Refused(_),
+                ..
+            }) => {}
             Event::Result(result) if result.id == outstanding.id && !outstanding.prefill => {
                 let now = self.instance.edges.clock.now();
                 let time = now.since(outstanding.sent_at);
--- a/crates/state/stream/src/stream.rs
+++ b/crates/state/stream/src/stream.rs
@@ -145,6 +145,11 @@
         self.incarnation
     }
 
+    /// The backend servers of the path that the stream is on.
+    pub fn servers(&self) -> impl Iterator<Item = BackendServerKey> {
+        self.path.iter().map(|hop| hop.stage.server)
+    }
+
     fn on_path(&mut self, now: Instant, path: Path, actions: &mut Vec<Action>) {
         match self.state {
             State::Choosing => self.prefill(now, path, actions),
