--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -415,22 +415,26 @@
 /// Looks at who the pools' homes are and what the own pool can take.
 fn review(instance: &Instance, model: ModelKey) {
     take_ranks(instance, model);
-    let mut centres = instance.fleet.centres(model);
-    if !centres.contains(&instance.data_centre) {
-        centres.push(instance.data_centre);
-    }
+    let open = instance.fleet.centres(model);
+    let mut centres = instance.duties.other_centres(instance.data_centre);
+    centres.push(instance.data_centre);
+    centres.extend(&open);
+    centres.sort_unstable();
+    centres.dedup();
     for centre in centres {
         let name = name(&instance.directory.read(), (model, centre));
         let holder = instance.duties.holder(Duty::Pool(&name), centre);
         let holder = holder.map(|member| member.key);
         if centre == instance.data_centre {
             review_home(instance, model, holder == Some(instance.duties.me()));
-        } else {
+        } else if open.contains(&centre) {
             let now = instance.edges.clock.now();
             let shard = shard(instance, model);
             shard.lock().pools.insert(now, centre, ROUND_TRIP);
         }
         on_pools(instance, model, pools::Event::Home(centre, holder));
+        let is_open = open.contains(&centre);
+        on_pools(instance, model, pools::Event::Open(centre, is_open));
     }
 }
 
