Membership: probes on a ring, denials, duties, departures

Cause: the platform's list lags, duties must move within 2 s of a death, and a leaving backend server must be known everywhere within 3 s, for 2 KB/s.

Found by the fuzz on the way: departures were never told again after a cut healed (now a digest of their own), and an instance that started while most contacts were dead asked them one a second (now one after the other).

--- a/crates/coordination/configuration/src/chunk.rs
+++ b/crates/coordination/configuration/src/chunk.rs
@@ -16,13 +16,16 @@
 pub const CHUNK_LIMIT_BYTES: usize = 16 << 10;
 /// The size of a leaf at least, in bytes, but for the last one.
 const LEAF_MIN_BYTES: usize = 512;
-/// A leaf ends where these bits of the rolling hash are zero: 1 KiB after
-/// the least size, on average.
-const LEAF_MASK: u64 = 0x3ff << 54;
+/// A leaf ends where these bits of the rolling hash are zero: 256 bytes
+/// after the least size, on average.
+const LEAF_MASK: u64 = 0xff << 56;
 /// The size of a digest, in bytes.
 const DIGEST_BYTES: usize = 32;
-/// A node ends after a digest with these bits zero: 16 digests on average.
-const NODE_MASK: u8 = 0x0f;
+/// Digests in a node at least, but for the last one.
+const NODE_MIN: usize = 4;
+/// A node ends after a digest with these bits zero: 8 digests after the least
+/// number, on average.
+const NODE_MASK: u8 = 0x07;
 /// The levels of nodes above the leaves at most.
 const DEPTH_LIMIT: u8 = 6;
 
@@ -89,9 +92,9 @@
     let mut parts = Vec::new();
     let mut part = Vec::new();
     for digest in level {
-        let pair = part.len() >= 2 * DIGEST_BYTES;
+        let enough = part.len() >= NODE_MIN * DIGEST_BYTES;
         let cut = part.last().is_some_and(|&byte: &u8| byte & NODE_MASK == 0);
-        if pair && cut || part.len() + DIGEST_BYTES > CHUNK_LIMIT_BYTES {
+        if enough && cut || part.len() + DIGEST_BYTES > CHUNK_LIMIT_BYTES {
             parts.push(Bytes::from(std::mem::take(&mut part)));
         }
         part.extend_from_slice(&digest.0);
--- a/crates/coordination/configuration/src/head.rs
+++ b/crates/coordination/configuration/src/head.rs
@@ -12,7 +12,7 @@
 /// The size of an author's name at most, in bytes.
 pub const AUTHOR_LIMIT_BYTES: usize = 64;
 /// The number of recent changes that a head names.
-pub const RECENT_LIMIT: usize = 12;
+pub const RECENT_LIMIT: usize = 8;
 /// A tree has at most one chunk for each so many bytes, beside a few.
 const BYTES_PER_CHUNK: u64 = 256;
 /// The chunks that any tree may have.
--- a/crates/coordination/configuration/tests/chunk.rs
+++ b/crates/coordination/configuration/tests/chunk.rs
@@ -97,5 +97,5 @@
         "{} chunks; new ones and their bytes: {sizes:?}",
         known.len()
     );
-    assert!(sizes.iter().all(|&(n, size)| n <= 8 && size <= 16 << 10));
+    assert!(sizes.iter().all(|&(n, size)| n <= 10 && size <= 8 << 10));
 }
--- a/crates/coordination/membership/src/contacts.rs
+++ b/crates/coordination/membership/src/contacts.rs
@@ -1,9 +1,14 @@
 //! Instances of other data centres, of which a few are contacts.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::Rng;
+use rand::seq::IndexedRandom;
+use rand::seq::IteratorRandom;
+
 use hemlockwind_core::time::Instant;
 
 use crate::member::Identity;
@@ -12,6 +17,8 @@
 
 /// Contacts in each other data centre.
 pub(crate) const CONTACTS: usize = 4;
+/// Contacts in each other data centre that are probed before others.
+const FIRST: usize = 2;
 /// The time for which an instance that did not answer is left out.
 const AVOID_FOR: Duration = Duration::from_secs(10);
 
@@ -74,17 +81,47 @@
     pub fn each(&self, now: Instant) -> Vec<Vec<&Identity>> {
         let all = self.by_data_centre.values();
         all.filter(|contacts| !contacts.is_empty())
-            .map(|contacts| best(now, contacts))
+            .map(|contacts| best(now, contacts).take(CONTACTS))
+            .map(|contacts| contacts.map(|contact| &contact.identity).collect())
             .collect()
     }
+
+    /// The number of other data centres.
+    pub fn len(&self) -> usize {
+        self.by_data_centre.len()
+    }
+
+    /// A random instance of data centre number `at`: one of the first contacts,
+    /// or any.
+    pub fn choose<R: Rng>(
+        &self,
+        now: Instant,
+        at: usize,
+        first: bool,
+        rng: &mut R,
+    ) -> Option<&Identity> {
+        let contacts = self.by_data_centre.values().nth(at)?;
+        if first {
+            let best: Vec<_> = best(now, contacts).take(FIRST).collect();
+            return best.choose(rng).map(|contact| &contact.identity);
+        }
+        let live = contacts.values().filter(|c| c.avoid_until <= now);
+        let chosen = live.choose(rng).or_else(|| contacts.values().choose(rng));
+        chosen.map(|contact| &contact.identity)
+    }
+
+    /// The first contact in the same data centre as `identity` that answers, as
+    /// far as is known.
+    pub fn another(&self, now: Instant, identity: &Identity) -> Option<&Identity> {
+        let contacts = self.by_data_centre.get(&identity.data_centre)?;
+        let first = best(now, contacts).next()?;
+        (first.avoid_until <= now).then_some(&first.identity)
+    }
 }
 
-fn best(now: Instant, contacts: &BTreeMap<Arc<str>, Contact>) -> Vec<&Identity> {
+fn best(now: Instant, contacts: &BTreeMap<Arc<str>, Contact>) -> impl Iterator<Item = &Contact> {
     let mut order: Vec<_> = contacts.values().collect();
-    order.sort_by_key(|c| (c.avoid_until > now, std::cmp::Reverse(c.score)));
-    order
-        .into_iter()
-        .take(CONTACTS)
-        .map(|c| &c.identity)
-        .collect()
+    let avoid = |contact: &Contact| contact.avoid_until.max(now);
+    order.sort_by_key(|contact| (avoid(contact), Reverse(contact.score)));
+    order.into_iter()
 }
--- a/crates/coordination/membership/src/departures.rs
+++ b/crates/coordination/membership/src/departures.rs
@@ -4,11 +4,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use hemlockwind_core::time::Instant;
+use hemlockwind_core::time::WallTime;
 
 /// Backend servers in the list at most.
 const LIMIT: usize = 4_096;
-/// The time after which an entry that nobody repeats is dropped.
+/// The time after its observation when an entry that nobody repeats is dropped,
+/// by the wall clock, so that it ends everywhere and peers don't bring it back.
 const KEEP_FOR: Duration = Duration::from_secs(120);
 
 /// `Departure` tells whether a backend server is leaving.
@@ -33,6 +37,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Departures {
     entries: BTreeMap<Arc<str>, Entry>,
+    digest: u64,
 }
 
 impl Departures {
@@ -48,12 +53,17 @@
         leaving.map(|(name, _)| name)
     }
 
-    /// What to tell others when `name` was seen leaving or back at `wall_ms`;
-    /// `None` when that is known and needs no repetition yet.
+    /// A number that is the same where the same is known.
+    pub const fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// What to tell others when `name` was seen leaving or back; `None` when that
+    /// is known and needs no repetition yet.
     pub fn observe(
         &self,
         now: Instant,
-        wall_ms: u64,
+        wall: WallTime,
         name: &Arc<str>,
         leaving: bool,
     ) -> Option<Departure> {
@@ -66,22 +76,29 @@
         let above = known.map_or(0, |entry| entry.departure.incarnation + 1);
         Some(Departure {
             name: Arc::clone(name),
-            incarnation: wall_ms.max(above),
+            incarnation: wall.as_millis().max(above),
             leaving,
         })
     }
 
-    /// Takes `departure` if it is newer than what is known; tells whether it was.
-    pub fn apply(&mut self, now: Instant, departure: Departure) -> bool {
+    /// Takes `departure` if it is newer than what is known and not yet over; tells
+    /// whether it did.
+    pub fn apply(&mut self, now: Instant, wall: WallTime, departure: Departure) -> bool {
         let known = self.entries.get(&departure.name);
         if known.is_some_and(|entry| entry.departure.incarnation >= departure.incarnation) {
             return false;
         }
+        let ends = WallTime::from_millis(departure.incarnation) + KEEP_FOR;
+        if ends <= wall {
+            return false;
+        }
         if known.is_none() && self.entries.len() >= LIMIT {
             self.drop_oldest();
         }
         let name = Arc::clone(&departure.name);
-        let expires_at = now + KEEP_FOR;
+        self.remove(&name);
+        self.digest ^= hash(&departure);
+        let expires_at = now + ends.since(wall);
         let entry = Entry {
             departure,
             expires_at,
@@ -92,7 +109,9 @@
 
     /// Drops what nobody has repeated.
     pub fn expire(&mut self, now: Instant) {
-        self.entries.retain(|_, entry| entry.expires_at > now);
+        let over = self.entries.iter().filter(|(_, e)| e.expires_at <= now);
+        let over: Vec<_> = over.map(|(name, _)| Arc::clone(name)).collect();
+        over.iter().for_each(|name| self.remove(name));
     }
 
     /// All entries, for a peer that may have missed some.
@@ -103,7 +122,21 @@
     fn drop_oldest(&mut self) {
         let oldest = self.entries.values().min_by_key(|entry| entry.expires_at);
         if let Some(name) = oldest.map(|entry| Arc::clone(&entry.departure.name)) {
-            self.entries.remove(&name);
+            self.remove(&name);
         }
     }
+
+    fn remove(&mut self, name: &str) {
+        if let Some(entry) = self.entries.remove(name) {
+            self.digest ^= hash(&entry.departure);
+        }
+    }
+}
+
+/// The part of the digest that one entry makes.
+fn hash(departure: &Departure) -> u64 {
+    let mut bytes = departure.name.as_bytes().to_vec();
+    bytes.extend(departure.incarnation.to_le_bytes());
+    bytes.push(u8::from(departure.leaving));
+    xxh3_64(&bytes)
 }
--- a/crates/coordination/membership/src/members.rs
+++ b/crates/coordination/membership/src/members.rs
@@ -26,14 +26,22 @@
 use crate::rendezvous::Duty;
 use crate::table::Table;
 
-/// The mean time between two probes of the instances that this one monitors.
-const PROBE_PERIOD: Duration = Duration::from_millis(300);
 /// The instances that each one monitors: its successors on a ring.
-const MONITORED: usize = 3;
-/// The mean time between probes of a dead instance, or of a random one.
-const SPARE_PERIOD: Duration = Duration::from_millis(600);
+const MONITORED: usize = 2;
+/// The mean time between two probes of the monitored instances.
+const PROBE_PERIOD: Duration = Duration::from_millis(400);
+/// Up to so many instances in a data centre, more of them are monitored, faster:
+/// several that die at once are then a larger part of those that would notice.
+const SMALL: usize = 16;
+const MONITORED_SMALL: usize = 3;
+const PROBE_PERIOD_SMALL: Duration = Duration::from_millis(300);
+/// The mean time between two probes of instances that are taken for dead.
+const DEAD_PERIOD: Duration = Duration::from_millis(600);
+/// The mean time between two probes of random instances.
+const RANDOM_PERIOD: Duration = Duration::from_millis(1_200);
 /// The mean time between two probes of contacts in other data centres.
-const REMOTE_PERIOD: Duration = Duration::from_millis(1_000);
+const REMOTE_PERIOD: Duration = Duration::from_millis(2_000);
+const REMOTE_PERIOD_SMALL: Duration = Duration::from_millis(1_000);
 /// The time that an instance has for an answer, and again by way of others.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(130);
 /// The time that a contact in another data centre has for an answer.
@@ -65,8 +73,10 @@
 pub struct Told {
     /// The sender, as it believes of itself.
     pub me: News,
-    /// A number that is the same where the same is believed.
+    /// A number that is the same where the same is believed of instances.
     pub digest: u64,
+    /// A number that is the same where the same backend servers are leaving.
+    pub departures_digest: u64,
     /// News of instances.
     pub news: Vec<News>,
     /// News of backend servers.
@@ -141,6 +151,13 @@
     deadline: Instant,
 }
 
+/// `Pace` is how many instances one probes, and how often.
+struct Pace {
+    monitored: usize,
+    probe: Duration,
+    remote: Duration,
+}
+
 /// `Members` is what one instance believes of the others.
 #[derive(Clone, Debug)]
 pub struct Members {
@@ -161,6 +178,7 @@
     remote_at: Instant,
     flush_at: Instant,
     sync_at: Instant,
+    sync_departures_at: Instant,
 }
 
 impl Members {
@@ -183,6 +201,7 @@
             remote_at: now,
             flush_at: Instant::NEVER,
             sync_at: now,
+            sync_departures_at: now,
             me: me.clone(),
         };
         let news = News {
@@ -299,6 +318,7 @@
         for departure in told.departures {
             actions.extend(self.on_departure(now, departure));
         }
+        actions.extend(self.sync_departures(now, &sender, told.departures_digest));
         actions
     }
 
@@ -348,7 +368,8 @@
     }
 
     fn on_departure(&mut self, now: Instant, departure: Departure) -> Vec<Action> {
-        if !self.departures.apply(now, departure.clone()) {
+        let wall = self.wall(now);
+        if !self.departures.apply(now, wall, departure.clone()) {
             return Vec::new();
         }
         self.tell(now, Item::Departure(departure.clone()));
@@ -376,10 +397,8 @@
     }
 
     fn observe(&mut self, now: Instant, name: &Arc<str>, leaving: bool) -> Vec<Action> {
-        let wall = self.started_wall + now.since(self.started_at);
-        let seen = self
-            .departures
-            .observe(now, wall.as_millis(), name, leaving);
+        let wall = self.wall(now);
+        let seen = self.departures.observe(now, wall, name, leaving);
         seen.map_or_else(Vec::new, |departure| self.on_departure(now, departure))
     }
 
@@ -429,15 +448,28 @@
         if digest == self.table.digest() || now < self.sync_at {
             return Vec::new();
         }
-        let bytes = self.table.len() as u64 * ENTRY_BYTES;
-        let period = Duration::from_millis(bytes * 1_000 / SYNC_BYTES_PER_S);
-        self.sync_at = now + period.max(SYNC_PERIOD_MIN);
+        self.sync_at = now + sync_period(self.table.len());
         vec![Action::Send(
             peer.addr,
             Message::Sync(self.whole(now), true),
         )]
     }
 
+    /// Tells all departures to a peer that knows of others.
+    fn sync_departures(&mut self, now: Instant, peer: &Identity, digest: u64) -> Vec<Action> {
+        if digest == self.departures.digest() || now < self.sync_departures_at {
+            return Vec::new();
+        }
+        let all: Vec<_> = self.departures.all().cloned().collect();
+        self.sync_departures_at = now + sync_period(all.len());
+        let told = self.told(Vec::new(), all);
+        vec![Action::Send(peer.addr, Message::Tell(told))]
+    }
+
+    fn wall(&self, now: Instant) -> WallTime {
+        self.started_wall + now.since(self.started_at)
+    }
+
     fn whole(&self, now: Instant) -> Told {
         let live = self.table.iter().filter(|m| m.expires_at > now);
         let news = live.map(|member| member.news.clone());
@@ -448,6 +480,7 @@
         Told {
             me: self.own(),
             digest: self.table.digest(),
+            departures_digest: self.departures.digest(),
             news,
             departures,
         }
@@ -523,17 +556,19 @@
         actions.extend(self.expire_probes(now, rng));
         actions.extend(self.expire_members(now));
         if self.probe_at <= now {
-            self.probe_at = now + jittered(rng, PROBE_PERIOD);
-            actions.extend(self.probe_monitored(now));
+            let Pace {
+                monitored, probe, ..
+            } = self.pace();
+            self.probe_at = now + jittered(rng, probe);
+            actions.extend(self.probe_monitored(now, monitored));
         }
         if self.spare_at <= now {
-            self.spare_at = now + jittered(rng, SPARE_PERIOD);
             actions.extend(self.probe_spare(now, rng));
         }
         if self.remote_at <= now {
-            self.remote_at = now + jittered(rng, REMOTE_PERIOD);
+            self.remote_at = now + jittered(rng, self.pace().remote);
             self.departures.expire(now);
-            actions.extend(self.probe_remote(now));
+            actions.extend(self.probe_remote(now, rng));
         }
         if self.flush_at <= now {
             actions.extend(self.flush(now, rng));
@@ -555,7 +590,7 @@
             match probe.stage {
                 Stage::Direct => actions.extend(self.ask_helpers(now, rng, number, probe)),
                 Stage::Indirect => actions.extend(self.suspect(now, probe)),
-                Stage::Remote => self.contacts.avoid(now, &probe.target.name),
+                Stage::Remote => actions.extend(self.try_another(now, &probe.target)),
                 Stage::Relay(..) | Stage::Spare => {}
             }
         }
@@ -622,8 +657,23 @@
         actions
     }
 
-    fn probe_monitored(&mut self, now: Instant) -> Option<Action> {
-        let monitored = self.table.successors(&self.me.name, MONITORED);
+    fn pace(&self) -> Pace {
+        if self.table.len() <= SMALL {
+            return Pace {
+                monitored: MONITORED_SMALL,
+                probe: PROBE_PERIOD_SMALL,
+                remote: REMOTE_PERIOD_SMALL,
+            };
+        }
+        Pace {
+            monitored: MONITORED,
+            probe: PROBE_PERIOD,
+            remote: REMOTE_PERIOD,
+        }
+    }
+
+    fn probe_monitored(&mut self, now: Instant, n: usize) -> Option<Action> {
+        let monitored = self.table.successors(&self.me.name, n);
         let turn = self.turn.checked_rem(monitored.len())?;
         let target = monitored[turn].clone();
         self.turn = turn + 1;
@@ -634,6 +684,12 @@
     fn probe_spare<R: Rng>(&mut self, now: Instant, rng: &mut R) -> Option<Action> {
         let dead = self.table.iter().filter(|m| m.news.state == State::Dead);
         let dead: Vec<_> = dead.map(|m| m.news.clone()).collect();
+        let period = if dead.is_empty() {
+            RANDOM_PERIOD
+        } else {
+            DEAD_PERIOD
+        };
+        self.spare_at = now + jittered(rng, period);
         if !dead.is_empty() {
             self.spare_turn += 1;
             let target = &dead[self.spare_turn % dead.len()];
@@ -646,17 +702,41 @@
         Some(self.probe(now, &target, Stage::Direct, PROBE_TIMEOUT))
     }
 
-    fn probe_remote(&mut self, now: Instant) -> Option<Action> {
-        let each = self.contacts.each(now);
-        let contacts: Vec<_> = each.iter().flat_map(|of| of.iter().take(2)).collect();
-        let turn = self.remote_turn.checked_rem(contacts.len())?;
-        let target = News {
-            identity: (*contacts[turn]).clone(),
+    /// Probes a contact in the data centre whose turn it is; at first, in each.
+    fn probe_remote<R: Rng>(&mut self, now: Instant, rng: &mut R) -> Vec<Action> {
+        // Who tells others of departures must know the first contacts; the rest
+        // probe any, lest the first ones be overrun.
+        let forwarders = self.table.holders(Duty::Departures, FORWARDERS);
+        let first = forwarders.contains(&self.me.name);
+        let data_centres = self.contacts.len();
+        let turns = match self.remote_turn {
+            0 => data_centres,
+            _ => data_centres.min(1),
+        };
+        let contacts = (0..turns).filter_map(|turn| {
+            let at = (self.remote_turn + turn) % data_centres;
+            self.contacts.choose(now, at, first, rng)
+        });
+        let contacts: Vec<_> = contacts.cloned().collect();
+        self.remote_turn += turns;
+        let probes = contacts.into_iter();
+        probes.map(|to| self.probe_contact(now, to)).collect()
+    }
+
+    fn probe_contact(&mut self, now: Instant, to: Identity) -> Action {
+        let news = News {
+            identity: to,
             incarnation: Incarnation(0),
             state: State::Live,
         };
-        self.remote_turn = turn + 1;
-        Some(self.probe(now, &target, Stage::Remote, REMOTE_TIMEOUT))
+        self.probe(now, &news, Stage::Remote, REMOTE_TIMEOUT)
+    }
+
+    /// Leaves out a contact that did not answer, and probes another one.
+    fn try_another(&mut self, now: Instant, silent: &Identity) -> Option<Action> {
+        self.contacts.avoid(now, &silent.name);
+        let another = self.contacts.another(now, silent)?.clone();
+        Some(self.probe_contact(now, another))
     }
 
     /// Tells what is new to a few random peers.
@@ -683,6 +763,13 @@
     }
 }
 
+/// The time until the next whole table, after one with so many entries.
+fn sync_period(entries: usize) -> Duration {
+    let bytes = entries as u64 * ENTRY_BYTES;
+    let period = Duration::from_millis(bytes * 1_000 / SYNC_BYTES_PER_S);
+    period.max(SYNC_PERIOD_MIN)
+}
+
 fn split(items: Vec<Item>) -> (Vec<News>, Vec<Departure>) {
     let mut news = Vec::new();
     let mut departures = Vec::new();
--- a/crates/protocol/src/peer/membership.rs
+++ b/crates/protocol/src/peer/membership.rs
@@ -36,8 +36,10 @@
 pub struct Told {
     /// The sender, as it believes of itself.
     pub me: News,
-    /// A number that is the same where the same is believed.
+    /// A number that is the same where the same is believed of instances.
     pub digest: u64,
+    /// A number that is the same where the same backend servers are leaving.
+    pub departures_digest: u64,
     /// News of instances.
     pub news: Vec<News>,
     /// News of backend servers.
@@ -163,6 +165,7 @@
         Self {
             me: told.me.into(),
             digest: told.digest,
+            departures_digest: told.departures_digest,
             news: told.news.into_iter().map(News::from).collect(),
             departures: told.departures.into_iter().map(Departure::from).collect(),
         }
@@ -182,6 +185,7 @@
         Ok(Self {
             me: told.me.try_into()?,
             digest: told.digest,
+            departures_digest: told.departures_digest,
             news: news.collect::<Result<_>>()?,
             departures: departures.collect::<Result<_>>()?,
         })
