Sheet: the planners' CSV, checked whole, put into the document

The protocol crate puts a sheet into the document and reports the compiler's faults by row. Ruled out: a check of the column count alone, the rows' order as the ranks' order, ambiguous thousands; see docs/design/sheet.md.

--- /dev/null
+++ b/crates/coordination/sheet/src/difference.rs
@@ -0,0 +1,80 @@
+//! What a sheet would change.
+
+use std::collections::BTreeMap;
+
+use crate::column::Column;
+use crate::column::Kind;
+use crate::sheet::Sheet;
+
+/// `Difference` is one entry that a sheet would add, remove or change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Difference {
+    /// What it is.
+    pub kind: Kind,
+    /// Its name.
+    pub name: String,
+    /// What would happen to it.
+    pub change: Change,
+}
+
+/// `Change` is what would happen to an entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// It is new.
+    Added,
+    /// It goes.
+    Removed,
+    /// Cells change: the column, what was there and what will be.
+    Changed(Vec<(Column, String, String)>),
+}
+
+type Entries = BTreeMap<(Kind, String), BTreeMap<Column, String>>;
+
+/// What leads from `before` to `after`, by kind and name.
+pub fn differences(before: &Sheet, after: &Sheet) -> Vec<Difference> {
+    let (before, after) = (entries(before), entries(after));
+    let mut keys: Vec<_> = before.keys().chain(after.keys()).collect();
+    keys.sort_unstable();
+    keys.dedup();
+    let changed = keys.into_iter().filter_map(|key| {
+        let change = match (before.get(key), after.get(key)) {
+            (None, _) => Change::Added,
+            (_, None) => Change::Removed,
+            (Some(old), Some(new)) if old == new => return None,
+            (Some(old), Some(new)) => Change::Changed(changed(old, new)),
+        };
+        let (kind, name) = key.clone();
+        Some(Difference { kind, name, change })
+    });
+    changed.collect()
+}
+
+fn changed(
+    old: &BTreeMap<Column, String>,
+    new: &BTreeMap<Column, String>,
+) -> Vec<(Column, String, String)> {
+    let cell = |of: &BTreeMap<Column, String>, column| of.get(&column).cloned().unwrap_or_default();
+    let all = Column::ALL.iter();
+    let cells = all.map(|&column| (column, cell(old, column), cell(new, column)));
+    cells.filter(|(_, old, new)| old != new).collect()
+}
+
+fn entries(sheet: &Sheet) -> Entries {
+    let mut entries = Entries::new();
+    let mut add = |kind, name: &String, cells: Vec<_>| {
+        entries.insert((kind, name.clone()), cells.into_iter().collect());
+    };
+    for entry in &sheet.pipelines {
+        add(Kind::Pipeline, &entry.name, entry.cells());
+    }
+    for entry in &sheet.ranks {
+        add(Kind::Rank, &entry.name, entry.cells());
+    }
+    for entry in &sheet.organisations {
+        add(Kind::Organisation, &entry.name, entry.cells());
+    }
+    for entry in &sheet.backend_servers {
+        add(Kind::BackendServer, &entry.name, entry.cells());
+    }
+    entries
+}
--- /dev/null
+++ b/crates/coordination/sheet/src/sheet.rs
@@ -0,0 +1,170 @@
+//! What a sheet says, checked.
+
+use std::net::SocketAddr;
+
+use jiff::civil::Date;
+
+use crate::column::Column;
+
+/// `Sheet` is one day's intent. For each kind that it holds, it holds all.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Sheet {
+    /// The day that it is for.
+    pub day: Date,
+    /// The pipelines.
+    pub pipelines: Vec<Pipeline>,
+    /// The ranks, the most urgent first.
+    pub ranks: Vec<Rank>,
+    /// The organisations.
+    pub organisations: Vec<Organisation>,
+    /// The backend servers.
+    pub backend_servers: Vec<BackendServer>,
+}
+
+/// `Pipeline` is a name that callers use for a model.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Pipeline {
+    /// The row in the sheet, or 0.
+    pub row: usize,
+    /// The name.
+    pub name: String,
+    /// The model's name.
+    pub model: String,
+    /// Tokens in an answer at most.
+    pub max_tokens: u32,
+}
+
+/// `Rank` is a rank with its targets.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Rank {
+    /// The row in the sheet, or 0.
+    pub row: usize,
+    /// The name.
+    pub name: String,
+    /// The place; 1 is the most urgent.
+    pub urgency: u32,
+    /// The target for the first token, in milliseconds.
+    pub first_token_ms: u32,
+    /// The target between tokens, in milliseconds.
+    pub between_tokens_ms: u32,
+    /// The default deadline, in milliseconds.
+    pub deadline_ms: u32,
+    /// The share of capacity kept in a flood of others, 0 to 1.
+    pub floor: f64,
+}
+
+/// `Organisation` is an organisation with its share.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Organisation {
+    /// The row in the sheet, or 0.
+    pub row: usize,
+    /// The name.
+    pub name: String,
+    /// The weight beside others.
+    pub share: f64,
+    /// The rank of requests that name none.
+    pub rank: String,
+    /// The data centre that decides about its idempotency keys.
+    pub home: String,
+}
+
+/// `BackendServer` is one runner.
+#[derive(Clone, Debug, PartialEq)]
+pub struct BackendServer {
+    /// The row in the sheet, or 0.
+    pub row: usize,
+    /// The name.
+    pub name: String,
+    /// The data centre.
+    pub data_centre: String,
+    /// The IP number and port.
+    pub address: SocketAddr,
+    /// What it serves.
+    pub role: Role,
+    /// Streams or calls in flight at most.
+    pub limit: u32,
+    /// Whether it refuses orders with an old fencing token.
+    pub checks_fencing: bool,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
+/// `Role` is what a backend server serves.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Role {
+    /// A range of a model's layers.
+    Engine {
+        /// The model's name.
+        model: String,
+        /// The first layer.
+        first_layer: u16,
+        /// The last layer, which it holds too.
+        last_layer: u16,
+    },
+    /// A plain service.
+    Service(String),
+}
+
+impl Pipeline {
+    /// What the row says, beside the name.
+    pub fn cells(&self) -> Vec<(Column, String)> {
+        vec![
+            (Column::Model, self.model.clone()),
+            (Column::MaxTokens, self.max_tokens.to_string()),
+        ]
+    }
+}
+
+impl Rank {
+    /// What the row says, beside the name.
+    pub fn cells(&self) -> Vec<(Column, String)> {
+        vec![
+            (Column::Urgency, self.urgency.to_string()),
+            (Column::FirstTokenMs, self.first_token_ms.to_string()),
+            (Column::BetweenTokensMs, self.between_tokens_ms.to_string()),
+            (Column::DeadlineMs, self.deadline_ms.to_string()),
+            (Column::Floor, self.floor.to_string()),
+        ]
+    }
+}
+
+impl Organisation {
+    /// What the row says, beside the name.
+    pub fn cells(&self) -> Vec<(Column, String)> {
+        vec![
+            (Column::Share, self.share.to_string()),
+            (Column::Rank, self.rank.clone()),
+            (Column::Home, self.home.clone()),
+        ]
+    }
+}
+
+impl BackendServer {
+    /// What the row says, beside the name.
+    pub fn cells(&self) -> Vec<(Column, String)> {
+        let mut cells = vec![
+            (Column::DataCentre, self.data_centre.clone()),
+            (Column::Address, self.address.to_string()),
+            (Column::Limit, self.limit.to_string()),
+            (Column::ChecksFencing, yes_no(self.checks_fencing)),
+            (Column::Leaving, yes_no(self.leaving)),
+        ];
+        match &self.role {
+            Role::Engine {
+                model,
+                first_layer,
+                last_layer,
+            } => cells.extend([
+                (Column::Model, model.clone()),
+                (Column::FirstLayer, first_layer.to_string()),
+                (Column::LastLayer, last_layer.to_string()),
+            ]),
+            Role::Service(service) => cells.push((Column::Service, service.clone())),
+        }
+        cells
+    }
+}
+
+fn yes_no(value: bool) -> String {
+    if value { "yes" } else { "no" }.into()
+}
--- /dev/null
+++ b/crates/coordination/sheet/src/table.rs
@@ -0,0 +1,153 @@
+//! From text to rows of cells under known columns.
+
+use std::collections::BTreeMap;
+
+use csv::ReaderBuilder;
+use csv::StringRecord;
+
+use crate::column::Column;
+use crate::fault::Fault;
+
+/// The separators that spreadsheet programs use.
+const DELIMITERS: [u8; 3] = [b',', b';', b'\t'];
+/// Rows in a sheet at most.
+const ROW_LIMIT: usize = 100_000;
+
+/// `Row` is one row that is not blank.
+pub(crate) struct Row {
+    /// The line of the file, from 1.
+    pub number: usize,
+    /// Cells that are not blank, trimmed.
+    pub cells: BTreeMap<Column, String>,
+}
+
+/// `Table` holds the rows under the first one.
+pub(crate) struct Table {
+    /// The row with the columns' names.
+    pub header: usize,
+    /// The columns that it names.
+    pub columns: Vec<Column>,
+    /// The rows that are not blank.
+    pub rows: Vec<Row>,
+}
+
+/// Splits `text` by the separator that gives the most known columns.
+pub(crate) fn split(text: &str, faults: &mut Vec<Fault>) -> Option<Table> {
+    let text = without_separator_line(text);
+    let delimiter = DELIMITERS
+        .into_iter()
+        .max_by_key(|&delimiter| known_columns(text, delimiter))?;
+    let mut records = records(text, delimiter);
+    records.retain(|(_, record)| record.iter().any(|cell| !cell.trim().is_empty()));
+    if records.len() > ROW_LIMIT {
+        faults.push(fault(
+            1,
+            None,
+            format!("a sheet has at most {ROW_LIMIT} rows"),
+        ));
+        return None;
+    }
+    let mut records = records.into_iter();
+    let Some((header, names)) = records.next() else {
+        faults.push(fault(1, None, "the sheet is empty".into()));
+        return None;
+    };
+    let columns = read_header(header, &names, faults);
+    let rows = records.map(|(number, record)| read_row(number, &record, &names, faults));
+    Some(Table {
+        rows: rows.collect(),
+        header,
+        columns: columns.into_iter().flatten().collect(),
+    })
+}
+
+/// `text` without a first line such as `sep=;`, of which the line break stays so
+/// that rows keep their numbers.
+fn without_separator_line(text: &str) -> &str {
+    let is_line = text
+        .get(..4)
+        .is_some_and(|start| start.eq_ignore_ascii_case("sep="));
+    let end = text.find(['\r', '\n']).filter(|_| is_line);
+    end.map_or(text, |end| &text[end..])
+}
+
+fn known_columns(text: &str, delimiter: u8) -> usize {
+    let all = records(
+        text.get(..text.len().min(8 << 10)).unwrap_or(text),
+        delimiter,
+    );
+    let filled = |record: &StringRecord| record.iter().any(|cell| !cell.trim().is_empty());
+    let header = all.iter().find(|(_, record)| filled(record));
+    header.map_or(0, |(_, record)| {
+        record.iter().filter_map(Column::parse).count()
+    })
+}
+
+/// All records with their lines.
+fn records(text: &str, delimiter: u8) -> Vec<(usize, StringRecord)> {
+    let mut reader = ReaderBuilder::new()
+        .delimiter(delimiter)
+        .has_headers(false)
+        .flexible(true)
+        .from_reader(text.as_bytes());
+    let (mut at, mut line) = (0, 1);
+    // Text is valid UTF-8 and every width is allowed, so no record fails.
+    let records = reader.records().filter_map(Result::ok).map(|record| {
+        let start = record.position().map_or(0, csv::Position::byte);
+        let start = usize::try_from(start).unwrap_or(at);
+        let bytes = text.as_bytes().get(at..).unwrap_or_default();
+        // The reader counts blank lines to the record after them.
+        let blank = text.as_bytes().get(start..).unwrap_or_default();
+        let blank = blank
+            .iter()
+            .take_while(|&&b| b == b'\r' || b == b'\n')
+            .count();
+        let passed = start + blank - at;
+        let ends = bytes.iter().take(passed).filter(|&&b| b == b'\n').count();
+        line += ends;
+        at += passed;
+        (line, record)
+    });
+    records.collect()
+}
+
+fn read_header(row: usize, names: &StringRecord, faults: &mut Vec<Fault>) -> Vec<Option<Column>> {
+    let mut columns = Vec::new();
+    for name in names.iter().map(str::trim) {
+        let column = Column::parse(name);
+        if column.is_none() && !name.is_empty() {
+            faults.push(fault(row, None, format!("there is no column {name:?}")));
+        }
+        if let Some(column) = column.filter(|_| columns.contains(&column)) {
+            faults.push(fault(row, Some(column), "the column is there twice".into()));
+        }
+        columns.push(column);
+    }
+    columns
+}
+
+fn read_row(
+    number: usize,
+    record: &StringRecord,
+    names: &StringRecord,
+    faults: &mut Vec<Fault>,
+) -> Row {
+    let mut cells = BTreeMap::new();
+    for (at, cell) in record.iter().map(str::trim).enumerate() {
+        let name = names.get(at).unwrap_or_default().trim();
+        if cell.is_empty() {
+            continue;
+        }
+        if let Some(column) = Column::parse(name) {
+            cells.insert(column, cell.into());
+        } else if name.is_empty() {
+            let text = format!("{cell:?} stands under no column");
+            faults.push(fault(number, None, text));
+        }
+    }
+    Row { number, cells }
+}
+
+fn fault(row: usize, column: Option<Column>, text: String) -> Fault {
+    Fault { row, column, text }
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod peer;
 pub mod platform;
 pub mod problem;
+pub mod sheet;
