--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -10,8 +10,11 @@
 
 use hemlockwind_core::collections::HashMap;
 use hemlockwind_core::collections::HashSet;
+use hemlockwind_core::config::BackendServer;
 use hemlockwind_core::config::Config;
 use hemlockwind_core::config::Role;
+use hemlockwind_core::engine::LoadReport;
+use hemlockwind_core::layers::LayerRange;
 use hemlockwind_core::names::BackendServerKey;
 use hemlockwind_core::names::DataCentreKey;
 use hemlockwind_core::names::ModelKey;
@@ -19,6 +22,7 @@
 use hemlockwind_core::time::Instant;
 use hemlockwind_routing::Graph;
 use hemlockwind_routing::Path;
+use hemlockwind_routing::Report;
 use hemlockwind_routing::Server;
 use hemlockwind_routing::Stage;
 
@@ -29,16 +33,23 @@
 /// Weight of a new measurement of a step's time, in parts of this number.
 const SMOOTHING: u32 = 8;
 
+/// The time after the last word of a leaving server in which it gets no new work.
+const LEAVING_LIFETIME: Duration = Duration::from_secs(30);
 /// News of leaving servers that a slow stream may have waiting.
 const NEWS: usize = 256;
 
-/// `Fleet` holds a graph for each model, each under its own lock.
+/// `GraphKey` names a graph: a model in one data centre, or in all of them.
+type GraphKey = (ModelKey, Option<DataCentreKey>);
+
+/// `Fleet` holds a graph for each model and data centre, and one for each model
+/// over all data centres, each under its own lock.
 pub struct Fleet {
     data_centre: DataCentreKey,
-    graphs: ArcSwap<HashMap<ModelKey, Arc<Mutex<Graph>>>>,
+    graphs: ArcSwap<HashMap<GraphKey, Arc<Mutex<Graph>>>>,
     servers: ArcSwap<HashMap<BackendServerKey, Place>>,
-    doubted: Mutex<HashMap<BackendServerKey, Instant>>,
-    leaving: Mutex<HashSet<BackendServerKey>>,
+    down: Mutex<HashSet<BackendServerKey>>,
+    ejected: Mutex<HashSet<BackendServerKey>>,
+    leaving: Mutex<HashMap<BackendServerKey, Instant>>,
     left: broadcast::Sender<BackendServerKey>,
 }
 
@@ -62,7 +73,8 @@
             data_centre,
             graphs: ArcSwap::default(),
             servers: ArcSwap::default(),
-            doubted: Mutex::default(),
+            down: Mutex::default(),
+            ejected: Mutex::default(),
             leaving: Mutex::default(),
             left: broadcast::Sender::new(NEWS),
         }
@@ -76,14 +88,6 @@
     /// Takes over the backend servers of `config`, and keeps what was learned of
     /// those that stay.
     pub fn apply(&self, config: &Config) {
-        let old = self.graphs.load();
-        let mut graphs: HashMap<ModelKey, Arc<Mutex<Graph>>> = HashMap::default();
-        for (&key, model) in &config.models {
-            let same = |graph: &&Arc<Mutex<Graph>>| graph.lock().model_layers() == model.layers;
-            let kept = old.get(&key).filter(same).cloned();
-            let graph = kept.unwrap_or_else(|| Arc::new(Mutex::new(Graph::new(model.layers))));
-            graphs.insert(key, graph);
-        }
         let mut places = HashMap::default();
         for (&key, server) in &config.backend_servers {
             let place = Place {
@@ -93,47 +97,67 @@
                 data_centre: server.data_centre,
             };
             places.insert(key, place);
+        }
+        let graphs = self.kept(config);
+        for (&key, server) in &config.backend_servers {
             let Role::Engine { model, layers } = server.role else {
                 continue;
             };
-            let Some(graph) = graphs.get(&model) else {
-                continue;
-            };
-            let mut graph = graph.lock();
-            let available = !server.leaving && !self.leaving.lock().contains(&key);
-            let is_known = graph.update(key, |known| {
-                known.layers = layers;
-                known.limit = server.limit;
-                known.available = available;
-            });
-            if !is_known {
-                let is_near = server.data_centre == self.data_centre;
-                graph.insert(Server {
-                    available,
-                    step_time: STEP_TIME,
-                    link_time: if is_near { Duration::ZERO } else { REMOTE_LINK },
-                    limit: server.limit,
-                    ..Server::new(key, layers, server.data_centre)
-                });
+            for graph in both(&graphs, model, server.data_centre) {
+                self.upsert(&mut graph.lock(), key, server, layers);
             }
         }
-        for (model, graph) in &graphs {
-            let mut graph = graph.lock();
-            let gone: Vec<_> = graph.servers().map(|server| server.key).collect();
-            for key in gone {
-                let place: Option<&Place> = places.get(&key);
-                let stays = place.is_some_and(
-                    |p| matches!(p.role, Role::Engine { model: m, .. } if m == *model),
-                );
-                if !stays {
-                    graph.remove(key);
-                }
-            }
+        for (&key, graph) in &graphs {
+            retain(key, &mut graph.lock(), &places);
         }
         self.graphs.store(Arc::new(graphs));
         self.servers.store(Arc::new(places));
     }
 
+    /// The graphs that `config` needs: the present ones where they still fit.
+    fn kept(&self, config: &Config) -> HashMap<GraphKey, Arc<Mutex<Graph>>> {
+        let old = self.graphs.load();
+        let mut graphs: HashMap<GraphKey, Arc<Mutex<Graph>>> = HashMap::default();
+        let servers = config.backend_servers.values();
+        let centres: HashSet<_> = servers.map(|server| Some(server.data_centre)).collect();
+        for (&model_key, model) in &config.models {
+            for &centre in centres.iter().chain([&None]) {
+                let key = (model_key, centre);
+                let fits = |g: &&Arc<Mutex<Graph>>| g.lock().model_layers() == model.layers;
+                let kept = old.get(&key).filter(fits).cloned();
+                let new = || Arc::new(Mutex::new(Graph::new(model.layers)));
+                graphs.insert(key, kept.unwrap_or_else(new));
+            }
+        }
+        graphs
+    }
+
+    /// Adds a server to a graph, or changes what the configuration says of it.
+    fn upsert(
+        &self,
+        graph: &mut Graph,
+        key: BackendServerKey,
+        server: &BackendServer,
+        layers: LayerRange,
+    ) {
+        let available = !server.leaving && self.is_available(key);
+        let is_known = graph.update(key, |known| {
+            known.layers = layers;
+            known.limit = server.limit;
+            known.available = available;
+        });
+        if !is_known {
+            let is_near = server.data_centre == self.data_centre;
+            graph.insert(Server {
+                available,
+                step_time: STEP_TIME,
+                link_time: if is_near { Duration::ZERO } else { REMOTE_LINK },
+                limit: server.limit,
+                ..Server::new(key, layers, server.data_centre)
+            });
+        }
+    }
+
     /// The place of a backend server.
     pub fn place(&self, key: BackendServerKey) -> Option<Place> {
         self.servers.load().get(&key).copied()
@@ -144,22 +168,39 @@
         self.servers.load_full()
     }
 
-    /// The graph of a model.
-    pub fn graph(&self, model: ModelKey) -> Option<Arc<Mutex<Graph>>> {
-        self.graphs.load().get(&model).cloned()
-    }
-
-    /// Chooses a path and counts the stream on its servers.
+    /// Chooses a path in the data centre `centre`, or over all of them when its
+    /// servers don't join.
     pub fn choose(
         &self,
         now: Instant,
-        model: ModelKey,
+        (model, centre): (ModelKey, DataCentreKey),
         avoid: &[BackendServerKey],
         keep: &[Stage],
     ) -> Option<Path> {
-        let graph = self.graph(model)?;
-        let graph = graph.lock();
-        graph.choose(now, &mut rand::rng(), avoid, keep)
+        let graphs = self.graphs.load();
+        let choose = |key: GraphKey| {
+            let graph = graphs.get(&key)?.lock();
+            graph.choose(now, &mut rand::rng(), avoid, keep)
+        };
+        choose((model, Some(centre))).or_else(|| choose((model, None)))
+    }
+
+    /// The streams that the servers of a model in a data centre carry at most.
+    pub fn capacity(&self, model: ModelKey, centre: DataCentreKey) -> u32 {
+        let graphs = self.graphs.load();
+        let graph = graphs.get(&(model, Some(centre)));
+        let streams = graph.map_or(0, |graph| graph.lock().bound_streams());
+        u32::try_from(streams).unwrap_or(u32::MAX)
+    }
+
+    /// The data centres whose servers of a model join to a whole path, the own one first.
+    pub fn centres(&self, model: ModelKey) -> Vec<DataCentreKey> {
+        let graphs = self.graphs.load();
+        let of_model = graphs.keys().filter(|key| key.0 == model);
+        let mut centres: Vec<_> = of_model.filter_map(|key| key.1).collect();
+        centres.retain(|&centre| self.capacity(model, centre) > 0);
+        centres.sort_unstable_by_key(|&centre| (centre != self.data_centre, centre));
+        centres
     }
 
     /// Counts a stream on a server.
@@ -182,39 +223,81 @@
         });
     }
 
-    /// Makes a server available or not for new streams.
-    pub fn set_available(&self, key: BackendServerKey, available: bool) {
-        let is_leaving = self.leaving.lock().contains(&key);
-        let is_leaving = is_leaving || self.place(key).is_some_and(|place| place.leaving);
+    /// Takes in a server's own report of its load.
+    pub fn reported(&self, key: BackendServerKey, now: Instant, report: LoadReport) {
         self.with(key, |graph| {
-            graph.update(key, |server| server.available = available && !is_leaving);
+            graph.update(key, |server| {
+                server.report = Some(Report::new(now, report.streams, server.in_flight));
+            });
         });
     }
 
-    /// Notes that a server is leaving. Returns whether that is news.
-    pub fn leave(&self, key: BackendServerKey) -> bool {
-        let is_news = self.leaving.lock().insert(key);
-        self.set_available(key, false);
+    /// Notes whether a server was found to be down.
+    pub fn set_down(&self, key: BackendServerKey, is_down: bool) {
+        set(&self.down, key, is_down);
+        self.refresh(key);
+    }
+
+    /// Notes whether a server is left out after failures.
+    pub fn set_ejected(&self, key: BackendServerKey, is_ejected: bool) {
+        set(&self.ejected, key, is_ejected);
+        self.refresh(key);
+    }
+
+    /// Whether a server may get new streams.
+    fn is_available(&self, key: BackendServerKey) -> bool {
+        let is_out = self.down.lock().contains(&key) || self.ejected.lock().contains(&key);
+        !is_out && !self.leaving.lock().contains_key(&key)
+    }
+
+    /// Makes a server available or not in its graphs.
+    fn refresh(&self, key: BackendServerKey) {
+        let is_leaving = self.place(key).is_some_and(|place| place.leaving);
+        let available = self.is_available(key) && !is_leaving;
+        self.with(key, |graph| {
+            graph.update(key, |server| server.available = available);
+        });
+    }
+
+    /// The servers that hold a range of a model's layers.
+    pub fn holders(&self, (model, layers): (ModelKey, LayerRange)) -> Vec<BackendServerKey> {
+        let places = self.servers.load();
+        let role = Role::Engine { model, layers };
+        let holders = places.iter().filter(|(_, place)| place.role == role);
+        holders.map(|(&key, _)| key).collect()
+    }
+
+    /// Notes that a server is leaving, until no source says so any more. Returns
+    /// whether that is news.
+    pub fn leave(&self, key: BackendServerKey, now: Instant) -> bool {
+        let expires_at = now + LEAVING_LIFETIME;
+        let is_news = self.leaving.lock().insert(key, expires_at).is_none();
         if is_news {
+            self.refresh(key);
             // Without streams nobody listens.
             let _ = self.left.send(key);
         }
         is_news
     }
 
-    /// The servers that are leaving.
-    pub fn leaving(&self) -> Vec<BackendServerKey> {
-        self.leaving.lock().iter().copied().collect()
-    }
-
-    /// Begins a probe of a server in doubt, unless one is under way.
-    pub fn doubt(&self, key: BackendServerKey, now: Instant) -> bool {
-        self.doubted.lock().insert(key, now).is_none()
+    /// Takes back servers of which no source said for long that they are leaving.
+    pub fn expire(&self, now: Instant) {
+        let mut returned = Vec::new();
+        self.leaving.lock().retain(|&key, expires_at| {
+            let stays = now < *expires_at;
+            if !stays {
+                returned.push(key);
+            }
+            stays
+        });
+        for key in returned {
+            self.refresh(key);
+        }
     }
 
-    /// Ends a probe.
-    pub fn settle(&self, key: BackendServerKey) {
-        self.doubted.lock().remove(&key);
+    /// The servers that are leaving.
+    pub fn leaving(&self) -> Vec<BackendServerKey> {
+        self.leaving.lock().keys().copied().collect()
     }
 
     /// The servers of a service, those of the own data centre first.
@@ -225,7 +308,7 @@
             .iter()
             .filter(|(key, place)| {
                 let serves = matches!(place.role, Role::Service { service: s } if s == service);
-                serves && !place.leaving && !leaving.contains(*key)
+                serves && !place.leaving && !leaving.contains_key(*key)
             })
             .map(|(&key, place)| (place.data_centre != self.data_centre, key, place.addr))
             .collect();
@@ -236,17 +319,50 @@
             .collect()
     }
 
-    /// Runs `f` on the graph that holds a server.
-    fn with(&self, key: BackendServerKey, f: impl FnOnce(&mut Graph)) {
-        let Some(Place {
-            role: Role::Engine { model, .. },
-            ..
-        }) = self.place(key)
-        else {
+    /// Runs `f` on the graphs that hold a server.
+    fn with(&self, key: BackendServerKey, f: impl Fn(&mut Graph)) {
+        let Some(place) = self.place(key) else {
+            return;
+        };
+        let Role::Engine { model, .. } = place.role else {
             return;
         };
-        if let Some(graph) = self.graph(model) {
+        for graph in both(&self.graphs.load(), model, place.data_centre) {
             f(&mut graph.lock());
         }
     }
 }
+
+/// Adds a server to a set, or removes it.
+fn set(of: &Mutex<HashSet<BackendServerKey>>, key: BackendServerKey, is_in: bool) {
+    if is_in {
+        of.lock().insert(key);
+    } else {
+        of.lock().remove(&key);
+    }
+}
+
+/// The graphs that hold the servers of a model in a data centre.
+fn both(
+    graphs: &HashMap<GraphKey, Arc<Mutex<Graph>>>,
+    model: ModelKey,
+    centre: DataCentreKey,
+) -> impl Iterator<Item = &Arc<Mutex<Graph>>> {
+    [(model, Some(centre)), (model, None)]
+        .into_iter()
+        .filter_map(|key| graphs.get(&key))
+}
+
+/// Removes the servers of a graph that are no longer where it looks.
+fn retain((model, centre): GraphKey, graph: &mut Graph, places: &HashMap<BackendServerKey, Place>) {
+    let stays = |key: BackendServerKey| {
+        places.get(&key).is_some_and(|place| {
+            let is_model = matches!(place.role, Role::Engine { model: of, .. } if of == model);
+            is_model && centre.is_none_or(|centre| centre == place.data_centre)
+        })
+    };
+    let keys: Vec<_> = graph.servers().map(|server| server.key).collect();
+    for key in keys.into_iter().filter(|&key| !stays(key)) {
+        graph.remove(key);
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,13 +9,18 @@
 pub mod callers;
 pub mod configuration;
 pub mod driver;
+pub mod duties;
 pub mod fleet;
+pub mod health;
 pub mod instance;
 pub mod lanes;
 pub mod listener;
 pub mod peers;
+pub mod pool;
 pub mod problem;
+pub mod slots;
 pub mod start;
+pub mod watch;
 
 pub use crate::instance::Instance;
 pub use crate::start::Running;
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -26,6 +26,9 @@
 use crate::instance::Instance;
 use crate::listener;
 use crate::peers::Peers;
+use crate::pool;
+use crate::slots;
+use crate::watch;
 
 /// `Running` is an instance with open sockets.
 pub struct Running {
@@ -38,6 +41,7 @@
     /// Where operators reach it.
     pub admin: SocketAddr,
     callers_task: JoinHandle<()>,
+    drained: CancellationToken,
     others: Vec<JoinHandle<()>>,
     closing: CancellationToken,
 }
@@ -69,7 +73,8 @@
 ) -> Result<Running> {
     let key = SharedKey::new(settings.peer_key.as_bytes());
     let options = listener::Options {
-        header_bytes: settings.limits.header_bytes,
+        // Room beyond the limit, so that a request over it still gets a numbered error.
+        header_bytes: 2 * settings.limits.header_bytes,
         header_timeout: Duration::from_millis(settings.limits.receive_ms),
     };
     let (callers_socket, callers) = open(me.callers).await?;
@@ -79,8 +84,9 @@
     let closing = CancellationToken::new();
 
     let app = callers::router(Arc::clone(&instance));
-    let stopping = instance.stopping.clone();
-    let callers_task = tokio::spawn(listener::serve(callers_socket, app, options, stopping));
+    let drained = CancellationToken::new();
+    let callers_task = listener::serve(callers_socket, app, options, drained.clone());
+    let callers_task = tokio::spawn(callers_task);
 
     let app = admin::router(Arc::clone(&instance));
     let admin_task = listener::serve(admin_socket, app, options, closing.clone());
@@ -92,6 +98,10 @@
         tokio::spawn(admin_task),
         tokio::spawn(peer_task),
         tokio::spawn(configuration::follow(Arc::clone(&instance))),
+        tokio::spawn(pool::run(Arc::clone(&instance))),
+        tokio::spawn(slots::run(Arc::clone(&instance))),
+        tokio::spawn(watch::loads(Arc::clone(&instance))),
+        tokio::spawn(watch::list(Arc::clone(&instance))),
     ];
     info!(instance.log, "started"; "callers" => %callers, "peers" => %peers, "admin" => %admin_addr);
     Ok(Running {
@@ -100,6 +110,7 @@
         peers,
         admin: admin_addr,
         callers_task,
+        drained,
         others,
         closing,
     })
@@ -114,26 +125,32 @@
 }
 
 impl Running {
-    /// Stops as planned: no new requests, and those in progress run to their ends.
+    /// Stops as planned. While the balancer hears of it, requests are still taken;
+    /// then they are refused as not run, and those in progress run to their ends.
     /// Gives the number of requests that the drain time cut.
     pub async fn stop(mut self) -> usize {
         let instance = Arc::clone(&self.instance);
+        let limits = instance.settings.limits;
         info!(instance.log, "stopping"; "requests" => instance.requests.len());
+        instance.unready.cancel();
+        tokio::time::sleep(Duration::from_millis(limits.notice_ms)).await;
         instance.stopping.cancel();
         instance.requests.close();
-        let drained = async {
-            // A connection may be gone while its stream still frees caches.
-            let _ = (&mut self.callers_task).await;
+        let drain = async {
             instance.requests.wait().await;
+            // What was answered last may still be on its way to callers.
+            self.drained.cancel();
+            let _ = (&mut self.callers_task).await;
         };
-        let time = Duration::from_millis(instance.settings.limits.drain_ms);
-        let cut = match tokio::time::timeout(time, drained).await {
+        let time = Duration::from_millis(limits.drain_ms);
+        let cut = match tokio::time::timeout(time, drain).await {
             Ok(()) => 0,
             Err(_) => instance.requests.len(),
         };
         if cut > 0 {
             warn!(instance.log, "the drain time passed"; "cut" => cut);
         }
+        slots::release(&instance).await;
         self.end();
         info!(instance.log, "stopped"; "cut" => cut);
         cut
@@ -142,6 +159,7 @@
     /// Ends at once. Gives the number of requests that this cut.
     pub fn abort(self) -> usize {
         let cut = self.instance.requests.len();
+        self.instance.unready.cancel();
         self.instance.stopping.cancel();
         self.callers_task.abort();
         self.end();
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,11 +7,15 @@
 //! really did. The paths of the fakes proper are those of
 //! `hemlockwind_protocol`.
 
+pub mod caller;
+pub mod demo;
 pub mod engine;
 mod lagged;
+pub mod load;
 pub mod model;
 pub mod oracle;
 pub mod platform;
 pub mod relay;
+pub mod sample;
 pub mod server;
 pub mod service;
