--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod peer;
 pub mod platform;
 pub mod problem;
+pub mod sheet;
