Daemon: probes between instances, duties over those that live

Cause: duties were spread over all instances of the settings, so those of a dead one stayed with it, each instance read the platform's list, and a leaving backend server was known only to whom the list or a report had told.

members.rs joins the state machine of the membership crate to the peers: duties follow who answers, departures are told on, a planned stop says so first. Two instances of each data centre read the platform's list; a new one reads it once. An observation of a leaving server is repeated every 10 s, so it outlasts the fleet's 30 s; the clocks of two instances may differ by 110 s for that.

--- a/crates/coordination/membership/src/contacts.rs
+++ b/crates/coordination/membership/src/contacts.rs
@@ -86,6 +86,17 @@
             .collect()
     }
 
+    /// All instances but those that did not answer lately; where none of a data
+    /// centre did, all of it.
+    pub fn answering(&self, now: Instant) -> impl Iterator<Item = &Identity> {
+        self.by_data_centre.values().flat_map(move |contacts| {
+            let is_cut = contacts.values().all(|c| c.avoid_until > now);
+            let answering = contacts.values();
+            let answering = answering.filter(move |c| is_cut || c.avoid_until <= now);
+            answering.map(|contact| &contact.identity)
+        })
+    }
+
     /// The number of other data centres.
     pub fn len(&self) -> usize {
         self.by_data_centre.len()
--- a/crates/coordination/membership/src/departures.rs
+++ b/crates/coordination/membership/src/departures.rs
@@ -27,6 +27,9 @@
     pub leaving: bool,
 }
 
+/// The time after which an observation is told again, so that it is not dropped.
+const REPEAT_AFTER: Duration = Duration::from_secs(10);
+
 #[derive(Clone, Debug)]
 struct Entry {
     departure: Departure,
@@ -60,16 +63,11 @@
 
     /// What to tell others when `name` was seen leaving or back; `None` when that
     /// is known and needs no repetition yet.
-    pub fn observe(
-        &self,
-        now: Instant,
-        wall: WallTime,
-        name: &Arc<str>,
-        leaving: bool,
-    ) -> Option<Departure> {
+    pub fn observe(&self, wall: WallTime, name: &Arc<str>, leaving: bool) -> Option<Departure> {
         let known = self.entries.get(name);
         let same = known.map_or(!leaving, |entry| entry.departure.leaving == leaving);
-        let fresh = known.is_none_or(|entry| entry.expires_at > now + KEEP_FOR / 2);
+        let told_at = known.map_or(0, |entry| entry.departure.incarnation);
+        let fresh = WallTime::from_millis(told_at) + REPEAT_AFTER > wall;
         if same && (fresh || !leaving) {
             return None;
         }
--- a/crates/coordination/membership/src/members.rs
+++ b/crates/coordination/membership/src/members.rs
@@ -98,6 +98,19 @@
     Sync(Told, bool),
 }
 
+impl Message {
+    /// Who sent it, by its own word.
+    pub fn sender(&self) -> &Identity {
+        match self {
+            Self::Probe(_, told)
+            | Self::Ack(_, told)
+            | Self::ProbeFor(_, _, told)
+            | Self::Tell(told)
+            | Self::Sync(told, _) => &told.me.identity,
+        }
+    }
+}
+
 /// `Event` is what the state machine hears.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -224,6 +237,20 @@
         live.map(|member| &member.news.identity)
     }
 
+    /// Instances of the own data centre that may hold duties.
+    pub fn able(&self) -> impl Iterator<Item = &Identity> {
+        let able = self.table.iter().filter(|m| match m.news.state {
+            State::Live | State::Suspect => true,
+            State::Leaving | State::Dead => false,
+        });
+        able.map(|member| &member.news.identity)
+    }
+
+    /// Instances of other data centres that answer, as far as is known.
+    pub fn remote(&self, now: Instant) -> impl Iterator<Item = &Identity> {
+        self.contacts.answering(now)
+    }
+
     /// Contacts in each other data centre, its likely watchers first.
     pub fn contacts(&self, now: Instant) -> Vec<Vec<&Identity>> {
         self.contacts.each(now)
@@ -398,7 +425,7 @@
 
     fn observe(&mut self, now: Instant, name: &Arc<str>, leaving: bool) -> Vec<Action> {
         let wall = self.wall(now);
-        let seen = self.departures.observe(now, wall, name, leaving);
+        let seen = self.departures.observe(wall, name, leaving);
         seen.map_or_else(Vec::new, |departure| self.on_departure(now, departure))
     }
 
--- a/crates/daemon/src/duties.rs
+++ b/crates/daemon/src/duties.rs
@@ -54,7 +54,9 @@
 
     /// Takes over who is believed to be live.
     pub fn set(&self, members: Vec<Member>) {
-        self.members.store(Arc::new(members));
+        if *self.members.load_full() != members {
+            self.members.store(Arc::new(members));
+        }
     }
 
     /// All instances that are believed to be live.
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -35,6 +35,7 @@
 use crate::fleet::Fleet;
 use crate::health::Health;
 use crate::lanes::Lanes;
+use crate::members::Believed;
 use crate::pool::Pools;
 use crate::slots::Owned;
 
@@ -93,6 +94,8 @@
     pub health: Health,
     /// Who does what for the data centre.
     pub duties: Duties,
+    /// What is believed of the other instances.
+    pub believed: Believed,
     /// The pools that this instance uses.
     pub pools: Pools,
     /// The slots of idempotency keys that this instance owns.
@@ -128,6 +131,7 @@
         let mut directory = Directory::default();
         let data_centre = directory.data_centres.intern(&me.data_centre);
         let duties = Duties::new(&settings, &me.name, &mut directory);
+        let believed = Believed::new(&settings, &me, &*edges.clock);
         let metrics = Metrics::new(settings.statsd, &me.name)?;
         let lanes = Lanes::new(Arc::clone(&edges.engine));
         let room = Semaphore::new(settings.limits.requests);
@@ -140,6 +144,7 @@
             fleet: Arc::new(Fleet::new(data_centre)),
             health: Health::new(edges.clock.now()),
             duties,
+            believed,
             pools: Pools::default(),
             owned: Owned::new(&me.name),
             lanes: Arc::new(lanes),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod instance;
 pub mod lanes;
 pub mod listener;
+pub mod members;
 pub mod peers;
 pub mod pool;
 pub mod problem;
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -12,6 +12,7 @@
 
 use crate::configuration;
 use crate::instance::Instance;
+use crate::members;
 use crate::pool;
 use crate::slots;
 
@@ -35,7 +36,10 @@
                 Ok(reply) => Reply::Dispatch(reply.into()),
                 Err(error) => refused(&error),
             },
-            Request::Membership(_) => refused(&Error::Stopping),
+            Request::Membership(message) => {
+                let reply = members::on_message(&self.instance, from, message);
+                reply.unwrap_or_else(|e| refused(&e))
+            }
         }
     }
 }
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -25,6 +25,7 @@
 use crate::instance::Edges;
 use crate::instance::Instance;
 use crate::listener;
+use crate::members;
 use crate::peers::Peers;
 use crate::pool;
 use crate::slots;
@@ -98,6 +99,7 @@
         tokio::spawn(admin_task),
         tokio::spawn(peer_task),
         tokio::spawn(configuration::follow(Arc::clone(&instance))),
+        tokio::spawn(members::run(Arc::clone(&instance))),
         tokio::spawn(pool::run(Arc::clone(&instance))),
         tokio::spawn(slots::run(Arc::clone(&instance))),
         tokio::spawn(watch::loads(Arc::clone(&instance))),
@@ -135,6 +137,7 @@
         instance.unready.cancel();
         tokio::time::sleep(Duration::from_millis(limits.notice_ms)).await;
         instance.stopping.cancel();
+        members::leave(&instance);
         instance.requests.close();
         let drain = async {
             instance.requests.wait().await;
--- a/crates/daemon/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -8,17 +8,23 @@
 use hemlockwind_core::config::Role;
 use hemlockwind_core::edges::ListKind;
 use hemlockwind_core::edges::ListState;
+use hemlockwind_core::edges::Listed;
 use hemlockwind_core::names::BackendServerKey;
-use hemlockwind_limits::doubt::Event;
+use hemlockwind_limits::doubt;
+use hemlockwind_membership::Duty;
+use hemlockwind_membership::Event;
 
 use crate::fleet::Place;
 use crate::health;
 use crate::instance::Instance;
+use crate::members;
 
 /// Time between two reports of one engine.
 const LOAD_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Time between two readings of the platform's list.
 const LIST_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Instances of a data centre that read the platform's list.
+const LIST_READERS: usize = 2;
 
 /// Asks the engines that this instance watches for their load, again and again.
 pub async fn loads(instance: Arc<Instance>) {
@@ -61,34 +67,56 @@
             }
         }
         // A probe over a new connection judges, not one lost report.
-        Err(_) => health::on_doubt(instance, server, Event::StepTimedOut),
+        Err(_) => health::on_doubt(instance, server, doubt::Event::StepTimedOut),
     }
 }
 
-/// Reads the platform's list, again and again.
+/// Reads the platform's list, again and again, while that is this instance's duty
+/// or it has just started. The others hear of leaving servers from those that do.
 pub async fn list(instance: Arc<Instance>) {
+    let mut is_new = true;
     loop {
+        let has_duty = instance
+            .duties
+            .holds(Duty::List, instance.data_centre, LIST_READERS);
         // In an outage the other sources go on.
-        if let Ok(list) = instance.edges.platform.instances().await {
-            let leaving = list.into_iter().filter(|listed| match listed.kind {
-                ListKind::BackendServer => listed.state == ListState::Leaving,
-                ListKind::Instance => false,
-            });
-            for listed in leaving {
-                let directory = instance.directory.read();
-                let key = directory.backend_servers.key(&listed.name);
-                drop(directory);
-                if let Some(key) = key {
-                    leave(&instance, key, "the platform's list");
-                }
-            }
+        if (is_new || has_duty)
+            && let Ok(list) = instance.edges.platform.instances().await
+        {
+            is_new = false;
+            take_list(&instance, list);
         }
         tokio::time::sleep(LIST_INTERVAL).await;
     }
 }
 
+fn take_list(instance: &Arc<Instance>, list: Vec<Listed>) {
+    for listed in &list {
+        let is_leaving = match listed.kind {
+            ListKind::BackendServer => listed.state == ListState::Leaving,
+            ListKind::Instance => false,
+        };
+        let key = instance.directory.read().backend_servers.key(&listed.name);
+        if let Some(key) = key.filter(|_| is_leaving) {
+            leave(instance, key, "the platform's list");
+        }
+    }
+    members::on_event(instance, Event::List(list));
+}
+
+/// Notes that a server is leaving, and lets the others know.
+pub fn leave(instance: &Arc<Instance>, server: BackendServerKey, source: &str) {
+    let name = instance.directory.read().backend_servers.name(server);
+    note(instance, server, source);
+    let event = Event::Observed {
+        backend_server: name,
+        leaving: true,
+    };
+    members::on_event(instance, event);
+}
+
 /// Notes that a server is leaving.
-pub fn leave(instance: &Instance, server: BackendServerKey, source: &str) {
+pub fn note(instance: &Instance, server: BackendServerKey, source: &str) {
     if instance.fleet.leave(server, instance.edges.clock.now()) {
         let name = instance.directory.read().backend_servers.name(server);
         info!(instance.log, "a backend server is leaving"; "backend_server" => &*name, "source" => source);
