--- a/crates/hemlockwind/benches/decisions/main.rs
+++ b/crates/hemlockwind/benches/decisions/main.rs
@@ -1,12 +1,13 @@
-//! Time of each decision against the number of backend servers, with its slope.
+//! Time of each decision against the number of servers or organisations.
 //!
 //! `cargo bench --bench decisions` prints one line for each decision: the median
-//! time at each size and the time that each further thousand servers adds. The
-//! aim is no cost for a request that grows with the number of all servers.
+//! time at each size and the time that each further thousand adds. The aim is no
+//! cost for a request that grows with the number of all of them.
 
 mod fleet;
 mod limits;
 mod paths;
+mod queueing;
 mod routing;
 mod stream;
 mod table;
@@ -19,6 +20,8 @@
 
 /// The numbers of backend servers.
 const SERVERS: [usize; 3] = [40, 1_000, 10_000];
+/// The numbers of organisations.
+const ORGANISATIONS: [usize; 3] = [10, 1_000, 23_000];
 /// The layers of the model.
 const LAYERS: u16 = 32;
 /// The time of a step on an idle server.
@@ -39,13 +42,15 @@
         .measurement_time(MEASUREMENT)
         .without_plots();
     let mut c = c.configure_from_args();
-    let mut table = Table::default();
-    routing::choose_path(&mut c, &mut table);
-    stream::take_result(&mut c, &mut table);
-    limits::learn_limits(&mut c, &mut table);
-    routing::bound_flow(&mut c, &mut table);
-    // The grants of `hemlockwind::queueing` belong here, against organisations.
-    table.print();
+    let mut servers = Table::new("backend servers");
+    routing::choose_path(&mut c, &mut servers);
+    stream::take_result(&mut c, &mut servers);
+    limits::learn_limits(&mut c, &mut servers);
+    routing::bound_flow(&mut c, &mut servers);
+    let mut organisations = Table::new("organisations");
+    queueing::grant_tickets(&mut c, &mut organisations);
+    servers.print();
+    organisations.print();
     paths::print();
     c.final_summary();
 }
--- /dev/null
+++ b/crates/hemlockwind/benches/decisions/queueing.rs
@@ -0,0 +1,135 @@
+//! The grants of a pool's home.
+
+use std::time::Duration;
+
+use criterion::Criterion;
+use uuid::Uuid;
+
+use hemlockwind::core::engine::RequestId;
+use hemlockwind::core::names::InstanceKey;
+use hemlockwind::core::names::Names;
+use hemlockwind::core::names::OrganisationKey;
+use hemlockwind::core::names::Rank;
+use hemlockwind::core::time::Instant;
+use hemlockwind::queueing::Home;
+use hemlockwind::queueing::Ticket;
+use hemlockwind::queueing::home::Action;
+use hemlockwind::queueing::home::Event;
+use hemlockwind::queueing::home::Options;
+use hemlockwind::queueing::message::Finished;
+use hemlockwind::queueing::message::Grants;
+use hemlockwind::queueing::message::Report;
+use hemlockwind::queueing::message::Stamp;
+
+use crate::ORGANISATIONS;
+use crate::table::Table;
+
+/// The cost of a request, in tokens times layers.
+const COST: u64 = 3_200;
+/// The time between two reports.
+const INTERVAL: Duration = Duration::from_millis(1);
+
+/// `Pool` is a home with one slot and one driver, which has a ticket of each
+/// organisation waiting.
+struct Pool {
+    home: Home,
+    driver: InstanceKey,
+    organisations: Vec<OrganisationKey>,
+    now: Instant,
+    seen: Stamp,
+    reports: u64,
+    tickets: usize,
+    running: RequestId,
+}
+
+impl Pool {
+    fn new(organisations: usize) -> Self {
+        let options = Options {
+            credits: 0,
+            ..Options::default()
+        };
+        let mut names = Names::default();
+        let mut keys = Names::default();
+        let organisations = (0..organisations).map(|i| keys.intern(&i.to_string()));
+        let mut pool = Self {
+            home: Home::new(options, 1, Instant::ZERO),
+            driver: names.intern("driver"),
+            organisations: organisations.collect(),
+            now: Instant::from_millis(10_000),
+            seen: Stamp::default(),
+            reports: 0,
+            tickets: 0,
+            running: RequestId(Uuid::nil()),
+        };
+        let live = Event::Drivers(vec![pool.driver]);
+        pool.home.on_event(pool.now, live);
+        pool.home.on_event(pool.now, Event::Capacity(1));
+        let tickets: Vec<_> = (0..pool.organisations.len())
+            .map(|_| pool.ticket())
+            .collect();
+        pool.report(tickets, Vec::new());
+        pool
+    }
+
+    /// The next ticket, of the organisations in turn.
+    fn ticket(&mut self) -> Ticket {
+        let index = self.tickets;
+        self.tickets += 1;
+        Ticket {
+            request: RequestId(Uuid::from_u128(index as u128)),
+            organisation: self.organisations[index % self.organisations.len()],
+            share: 1.0,
+            rank: Rank(0),
+            cost: COST,
+            deadline: Instant::NEVER,
+            running: false,
+        }
+    }
+
+    /// Reports, and takes the grant of one request.
+    fn report(&mut self, tickets: Vec<Ticket>, finished: Vec<Finished>) {
+        self.now = self.now + INTERVAL;
+        self.reports += 1;
+        let report = Report {
+            stamp: Stamp {
+                session: 1,
+                number: self.reports,
+            },
+            seen: self.seen,
+            whole: self.reports == 1,
+            tickets,
+            finished,
+            waiting: self.organisations.len() as u32,
+            ..Report::default()
+        };
+        let event = Event::Report(self.driver, report);
+        let Action::Send(_, grants) = self.home.on_event(self.now, event).remove(0);
+        let Grants {
+            stamp,
+            granted,
+            resend,
+            ..
+        } = grants;
+        assert!(!resend, "driver and home count the same tickets");
+        self.seen = stamp;
+        self.running = granted[0];
+    }
+
+    /// One request ends, another one asks, and one is granted.
+    fn turn(&mut self) {
+        let finished = Finished {
+            request: self.running,
+            cost: COST,
+        };
+        let ticket = self.ticket();
+        self.report(vec![ticket], vec![finished]);
+    }
+}
+
+/// One ticket granted, out of one of each organisation.
+pub fn grant_tickets(c: &mut Criterion, table: &mut Table) {
+    for size in ORGANISATIONS {
+        let mut pool = Pool::new(size);
+        table.measure(c, "queueing: grant", size, || pool.turn());
+    }
+}
--- a/crates/hemlockwind/benches/decisions/table.rs
+++ b/crates/hemlockwind/benches/decisions/table.rs
@@ -4,15 +4,20 @@
 
 use criterion::Criterion;
 
-use crate::SERVERS;
-
-/// `Table` holds the time of each decision at each size.
-#[derive(Default)]
+/// `Table` holds the time of each decision against the number of one thing.
 pub struct Table {
+    /// What there is a number of.
+    of: &'static str,
     rows: BTreeMap<String, BTreeMap<usize, Vec<f64>>>,
 }
 
 impl Table {
+    /// A table without decisions yet.
+    pub fn new(of: &'static str) -> Self {
+        let rows = BTreeMap::new();
+        Self { of, rows }
+    }
+
     /// Measures `run` with criterion and keeps its samples, in nanoseconds.
     pub fn measure(&mut self, c: &mut Criterion, name: &str, size: usize, mut run: impl FnMut()) {
         let sizes = self.rows.entry(name.into()).or_default();
@@ -31,12 +36,18 @@
     }
 
     pub fn print(&self) {
-        println!("\nmedian time in ns at each number of backend servers");
+        println!("\nmedian time in ns at each number of {}", self.of);
         print!("{:<28}", "decision");
-        for size in SERVERS {
+        for size in self
+            .rows
+            .values()
+            .next()
+            .into_iter()
+            .flat_map(BTreeMap::keys)
+        {
             print!("{size:>10}");
         }
-        println!("{:>22}", "ns per 1,000 servers");
+        println!("{:>16}", "ns per 1,000");
         for (name, sizes) in &self.rows {
             print!("{name:<28}");
             let points: Vec<_> = sizes
@@ -46,15 +57,16 @@
             for (_, time) in &points {
                 print!("{time:>10.0}");
             }
-            println!("{:>22.2}", slope(&points) * 1_000.0);
+            println!("{:>16.2}", slope(&points) * 1_000.0);
         }
     }
 }
 
+/// The median, not a number when a filter left no samples.
 fn median(samples: &[f64]) -> f64 {
     let mut samples = samples.to_vec();
     samples.sort_by(f64::total_cmp);
-    samples[samples.len() / 2]
+    samples.get(samples.len() / 2).copied().unwrap_or(f64::NAN)
 }
 
 /// The slope of the line of least squares.
