Stream: the route apart from the state machine; moves to other paths in the fuzz

Removing two rules of a move was not seen by any test: that the new path differs in one server only, and that this server is not unwanted. The fuzz now offers paths of kept stages and unwanted servers and compares each move with the path that was offered; a test of one case shows the second.

--- a/crates/state/stream/src/lib.rs
+++ b/crates/state/stream/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod dispatch;
 pub mod event;
 pub mod options;
+pub mod route;
 pub mod stream;
 
 pub use hemlockwind_routing::Path;
--- /dev/null
+++ b/crates/state/stream/src/route.rs
@@ -0,0 +1,81 @@
+//! The stages that a stream runs on, each with the incarnation of its KV cache.
+
+use hemlockwind_core::engine::Incarnation;
+use hemlockwind_core::names::BackendServerKey;
+
+use crate::Path;
+use crate::Stage;
+
+/// `Hop` is a stage with the incarnation of its KV cache.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Hop {
+    /// The stage.
+    pub stage: Stage,
+    /// The incarnation that the stage's steps name.
+    pub incarnation: Incarnation,
+}
+
+/// `Route` is the path of a stream. It is empty before the first one.
+#[derive(Clone, Debug, Default)]
+pub struct Route {
+    hops: Vec<Hop>,
+}
+
+impl Route {
+    /// The route over a path whose KV caches all belong to `incarnation`.
+    pub fn new(path: Path, incarnation: Incarnation) -> Self {
+        let stages = path.stages.into_iter();
+        let hops = stages.map(|stage| Hop { stage, incarnation }).collect();
+        Self { hops }
+    }
+
+    /// The hop at `index`.
+    ///
+    /// # Panics
+    ///
+    /// When the route has no such hop.
+    pub fn hop(&self, index: usize) -> Hop {
+        self.hops[index]
+    }
+
+    /// Whether the hop at `index` has the last layer.
+    pub fn is_last(&self, index: usize) -> bool {
+        index + 1 == self.hops.len()
+    }
+
+    /// The stages, the one with layer 0 first.
+    pub fn stages(&self) -> impl Iterator<Item = Stage> {
+        self.hops.iter().map(|hop| hop.stage)
+    }
+
+    /// The hop of `from` and the server that `path` has in its place, when the two
+    /// differ in nothing else.
+    pub fn replacement(
+        &self,
+        from: BackendServerKey,
+        path: &Path,
+    ) -> Option<(usize, BackendServerKey)> {
+        let index = self.stages().position(|stage| stage.server == from)?;
+        let to = path.stages.get(index)?.server;
+        let mut other = path.stages.clone();
+        other[index].server = from;
+        (to != from && self.stages().eq(other)).then_some((index, to))
+    }
+
+    /// Puts a server with a KV cache of `incarnation` in the place of another one,
+    /// which is returned.
+    ///
+    /// # Panics
+    ///
+    /// When the route has no such hop.
+    pub fn replace(
+        &mut self,
+        index: usize,
+        to: BackendServerKey,
+        incarnation: Incarnation,
+    ) -> BackendServerKey {
+        let hop = &mut self.hops[index];
+        hop.incarnation = incarnation;
+        std::mem::replace(&mut hop.stage.server, to)
+    }
+}
--- a/crates/state/stream/src/stream.rs
+++ b/crates/state/stream/src/stream.rs
@@ -17,7 +17,6 @@
 use hemlockwind_core::time::Instant;
 
 use crate::Path;
-use crate::Stage;
 use crate::action::Action;
 use crate::action::Finish;
 use crate::avoid::Avoid;
@@ -25,6 +24,8 @@
 use crate::dispatch::Outstanding;
 use crate::event::Event;
 use crate::options::Options;
+use crate::route::Hop;
+use crate::route::Route;
 
 /// The pause before a path is asked for again when there was none.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
@@ -34,7 +35,7 @@
 pub struct Stream {
     options: Options,
     state: State,
-    path: Vec<Hop>,
+    route: Route,
     incarnation: Incarnation,
     prefills: u32,
     generated: Vec<u32>,
@@ -44,13 +45,6 @@
     dispatches: Dispatches,
 }
 
-/// `Hop` is a stage of the path with the incarnation of its KV cache.
-#[derive(Clone, Copy, Debug)]
-struct Hop {
-    stage: Stage,
-    incarnation: Incarnation,
-}
-
 /// `State` is what a stream waits for.
 #[derive(Clone, Copy, Debug)]
 enum State {
@@ -83,7 +77,7 @@
         let mut stream = Self {
             options,
             state: State::Choosing,
-            path: Vec::new(),
+            route: Route::default(),
             incarnation: Incarnation(0),
             prefills: 0,
             generated: Vec::new(),
@@ -147,7 +141,7 @@
 
     /// The backend servers of the path that the stream is on.
     pub fn servers(&self) -> impl Iterator<Item = BackendServerKey> {
-        self.path.iter().map(|hop| hop.stage.server)
+        self.route.stages().map(|stage| stage.server)
     }
 
     fn on_path(&mut self, now: Instant, path: Path, actions: &mut Vec<Action>) {
@@ -175,7 +169,7 @@
         if outstanding.id != result.id {
             return;
         }
-        let last = outstanding.hop + 1 == self.path.len();
+        let last = self.route.is_last(outstanding.hop);
         match result.output {
             Output::Refused(refusal) => self.on_refusal(now, outstanding, refusal, actions),
             Output::Activation(data) if !last => {
@@ -310,7 +304,7 @@
     }
 
     fn ask(&self, actions: &mut Vec<Action>) {
-        let stages = self.path.iter().map(|hop| hop.stage);
+        let stages = self.route.stages();
         actions.push(Action::Choose {
             avoid: self.avoid.list(),
             keep: stages.filter(|s| !self.avoid.contains(s.server)).collect(),
@@ -343,9 +337,7 @@
         self.release_all_but(&path, actions);
         self.incarnation.0 += 1;
         self.prefills += 1;
-        let incarnation = self.incarnation;
-        let hops = path.stages.into_iter();
-        self.path = hops.map(|stage| Hop { stage, incarnation }).collect();
+        self.route = Route::new(path, self.incarnation);
         self.leaving.clear();
         let input = Input::Prompt {
             text: self.options.prompt.clone(),
@@ -373,7 +365,7 @@
             return;
         }
         while let Some(from) = self.leaving.pop() {
-            if self.path.iter().any(|hop| hop.stage.server == from) {
+            if self.servers().any(|server| server == from) {
                 self.state = State::Replacing { from };
                 self.ask(actions);
                 return;
@@ -397,7 +389,8 @@
         path: &Path,
         actions: &mut Vec<Action>,
     ) {
-        let Some((hop, to)) = self.replacement(from, path) else {
+        let replacement = self.route.replacement(from, path);
+        let Some((hop, to)) = replacement.filter(|&(_, to)| !self.avoid.contains(to)) else {
             self.decode(now, actions);
             return;
         };
@@ -417,34 +410,11 @@
         });
     }
 
-    fn replacement(
-        &self,
-        from: BackendServerKey,
-        path: &Path,
-    ) -> Option<(usize, BackendServerKey)> {
-        if path.stages.len() != self.path.len() {
-            return None;
-        }
-        let mut place = None;
-        for (index, (hop, new)) in self.path.iter().zip(&path.stages).enumerate() {
-            if hop.stage.layers != new.layers {
-                return None;
-            }
-            if hop.stage.server == from && !self.avoid.contains(new.server) {
-                place = Some((index, new.server));
-            } else if hop.stage.server != new.server {
-                return None;
-            }
-        }
-        place
-    }
-
     /// Puts the backend server that has the KV cache now in place of the old one.
     fn adopt(&mut self, import: Import, actions: &mut Vec<Action>) {
-        let hop = &mut self.path[import.hop];
-        let from = hop.stage.server;
-        hop.stage.server = import.to;
-        hop.incarnation = import.incarnation;
+        let from = self
+            .route
+            .replace(import.hop, import.to, import.incarnation);
         self.held.retain(|&server| server != from);
         actions.push(Action::Release(from));
     }
@@ -461,7 +431,7 @@
         if self.expired(now, actions) {
             return;
         }
-        let Hop { stage, incarnation } = self.path[hop];
+        let Hop { stage, incarnation } = self.route.hop(hop);
         if prefill && self.avoid.is_leaving(stage.server) {
             let why = format!("stage {} is leaving", stage.layers);
             self.recover(now, Error::backend_refused(why), actions);
--- a/crates/state/stream/tests/recovery.rs
+++ b/crates/state/stream/tests/recovery.rs
@@ -47,7 +47,7 @@
     prop_oneof![
         12 => (0..LAYOUTS, pick).prop_map(|(layout, pick)| Op::Path { layout, pick }),
         1 => Just(Op::BrokenPath),
-        1 => server.clone().prop_map(Op::PathOver),
+        2 => server.clone().prop_map(Op::PathOver),
         1 => Just(Op::NoPath),
         40 => pick.prop_map(Op::Run),
         2 => (pick, refusal()).prop_map(|(step, why)| Op::Refuse(step, why)),
@@ -114,3 +114,20 @@
     world.drain();
     assert!(world.is_complete());
 }
+
+#[test]
+fn stream_refuses_unwanted_move() {
+    let mut world = World::new(5, 5, 1, 5_000);
+    world.apply(&Op::Path { layout: 0, pick: 0 });
+    world.run_token();
+    let leaving = world.stage_server(1);
+    let other = (0..SERVERS).find(|&server| (0..3).all(|at| world.stage_server(at) != server));
+    world.apply(&Op::Leave(leaving));
+    world.apply(&Op::Leave(other.unwrap()));
+    world.run_token();
+    // The path has the other leaving server in place of the first one.
+    world.apply(&Op::PathOver(6));
+    assert_eq!(world.stage_server(1), leaving);
+    world.drain();
+    assert!(world.is_complete());
+}
--- a/crates/state/stream/tests/world/mod.rs
+++ b/crates/state/stream/tests/world/mod.rs
@@ -108,6 +108,9 @@
     choose: Option<(Vec<BackendServerKey>, Vec<Stage>)>,
     avoid: Vec<BackendServerKey>,
     moving: Option<(BackendServerKey, BackendServerKey, Incarnation)>,
+    /// The stages of the last path that was given.
+    offered: Vec<Stage>,
+    /// The stages that the stream runs on.
     path: Vec<Stage>,
     /// The step whose result the stream must take, with its server and deadline.
     outstanding: Option<(StepId, BackendServerKey, Instant)>,
@@ -168,6 +171,7 @@
             choose: None,
             avoid: Vec::new(),
             moving: None,
+            offered: Vec::new(),
             path: Vec::new(),
             outstanding: None,
             left: HashSet::new(),
@@ -295,7 +299,11 @@
                     to,
                     incarnation,
                 } => {
-                    assert!(!self.left.contains(&to), "a move to a leaving server");
+                    assert!(!self.avoid.contains(&to), "a move to an unwanted server");
+                    let mut moved = self.path.clone();
+                    let place = moved.iter_mut().find(|stage| stage.server == from);
+                    place.unwrap().server = to;
+                    assert_eq!(moved, self.offered, "a move to another path");
                     self.held.insert(to);
                     self.moving = Some((from, to, incarnation));
                 }
@@ -319,6 +327,9 @@
         );
         if step.id.layers.start() == 0 {
             self.layers_done = 0;
+            if step.prefill {
+                self.path.clone_from(&self.offered);
+            }
         }
         assert_eq!(step.id.layers.start(), self.layers_done);
         assert!(self.unsettled.insert(step.id), "a step is sent twice");
@@ -359,32 +370,36 @@
         self.finish = Some(finish);
     }
 
+    /// Gives a path of kept stages and servers that are not avoided.
     fn give_path(&mut self, layout: usize, pick: usize) {
         let Some((avoid, keep)) = self.choose.take() else {
             return;
         };
-        let mut free: Vec<_> = self.servers.clone();
-        free.retain(|server| !avoid.contains(server));
-        let mut stages = Vec::new();
-        for (index, cut) in CUTS[layout].windows(2).enumerate() {
-            let layers = LayerRange::new(cut[0], cut[1]).unwrap();
-            if let Some(&stage) = keep.iter().find(|stage| stage.layers == layers) {
-                free.retain(|&server| server != stage.server);
-                stages.push(stage);
-            } else if !free.is_empty() {
-                let server = free.remove(pick.wrapping_add(index) % free.len());
-                stages.push(Stage { server, layers });
-            }
-        }
-        let Ok(path) = Path::new(stages, LAYERS) else {
+        let mut servers = self.servers.clone();
+        servers.retain(|server| !avoid.contains(server));
+        self.offer(join(layout, pick, servers, &keep));
+    }
+
+    /// Gives a path over servers that the stream avoids, or any when there is none.
+    fn give_path_over(&mut self, pick: usize) {
+        let Some((avoid, keep)) = self.choose.take() else {
+            return;
+        };
+        let servers = if avoid.is_empty() {
+            self.servers.clone()
+        } else {
+            avoid
+        };
+        self.offer(join(pick % LAYOUTS, pick, servers, &keep));
+    }
+
+    fn offer(&mut self, path: Option<Path>) {
+        let Some(path) = path else {
             self.event(Event::NoPath);
             return;
         };
-        self.event(Event::Path(path.clone()));
-        let prefill = self.steps.last().is_some_and(|sent| sent.step.prefill);
-        if prefill && self.outstanding.is_some() {
-            self.path = path.stages;
-        }
+        self.offered.clone_from(&path.stages);
+        self.event(Event::Path(path));
     }
 
     fn give_broken_path(&mut self) {
@@ -397,22 +412,6 @@
         self.event(Event::Path(Path { stages }));
     }
 
-    /// Gives a path over a server that the stream avoids, or any when there is none.
-    fn give_path_over(&mut self, pick: usize) {
-        let Some((avoid, _)) = self.choose.take() else {
-            return;
-        };
-        let servers = if avoid.is_empty() {
-            &self.servers
-        } else {
-            &avoid
-        };
-        let server = servers[pick % servers.len()];
-        let layers = LayerRange::new(0, LAYERS).unwrap();
-        let stages = vec![Stage { server, layers }];
-        self.event(Event::Path(Path { stages }));
-    }
-
     fn give_no_path(&mut self) {
         if self.choose.take().is_some() {
             self.event(Event::NoPath);
@@ -644,6 +643,27 @@
     })
 }
 
+/// A path of kept stages, and of `servers` where none is kept.
+fn join(
+    layout: usize,
+    pick: usize,
+    mut servers: Vec<BackendServerKey>,
+    keep: &[Stage],
+) -> Option<Path> {
+    let mut stages = Vec::new();
+    for (index, cut) in CUTS[layout].windows(2).enumerate() {
+        let layers = LayerRange::new(cut[0], cut[1]).unwrap();
+        if let Some(&stage) = keep.iter().find(|stage| stage.layers == layers) {
+            servers.retain(|&server| server != stage.server);
+            stages.push(stage);
+        } else if !servers.is_empty() {
+            let server = servers.remove(pick.wrapping_add(index) % servers.len());
+            stages.push(Stage { server, layers });
+        }
+    }
+    Path::new(stages, LAYERS).ok()
+}
+
 /// Checks that a step works on what the layers before it gave for this token.
 fn check_input(step: &Step) {
     let token = step.id.token;
