--- a/crates/coordination/membership/src/rendezvous.rs
+++ b/crates/coordination/membership/src/rendezvous.rs
@@ -15,6 +15,8 @@
     Pool(&'a str),
     /// Gives orders to the backend server of this name.
     Orders(&'a str),
+    /// Asks the backend server of this name for its load.
+    Load(&'a str),
     /// Decides about the idempotency keys of this slot.
     Slot(u32),
 }
@@ -27,6 +29,7 @@
             Self::Departures => xxh3_64_with_seed(b"departures", 0),
             Self::Pool(name) => xxh3_64_with_seed(name.as_bytes(), 1),
             Self::Orders(name) => xxh3_64_with_seed(name.as_bytes(), 2),
+            Self::Load(name) => xxh3_64_with_seed(name.as_bytes(), 4),
             Self::Slot(slot) => xxh3_64_with_seed(&slot.to_le_bytes(), 3),
         }
     }
--- a/crates/coordination/sheet/src/difference.rs
+++ b/crates/coordination/sheet/src/difference.rs
@@ -1,6 +1,7 @@
 //! What a sheet would change.
 
 use std::collections::BTreeMap;
+use std::fmt;
 
 use crate::column::Column;
 use crate::column::Kind;
@@ -28,6 +29,21 @@
     Changed(Vec<(Column, String, String)>),
 }
 
+impl fmt::Display for Difference {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}: ", self.kind.name(), self.name)?;
+        match &self.change {
+            Change::Added => write!(f, "added"),
+            Change::Removed => write!(f, "removed"),
+            Change::Changed(cells) => {
+                let cells = cells.iter();
+                let cells = cells.map(|(c, old, new)| format!("{} {old} -> {new}", c.name()));
+                write!(f, "{}", cells.collect::<Vec<_>>().join(", "))
+            }
+        }
+    }
+}
+
 type Entries = BTreeMap<(Kind, String), BTreeMap<Column, String>>;
 
 /// What leads from `before` to `after`, by kind and name.
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -5,6 +5,7 @@
 use axum::Json;
 use axum::Router;
 use axum::body::Body;
+use axum::extract::Query;
 use axum::extract::Request;
 use axum::extract::State;
 use axum::http::HeaderMap;
@@ -16,6 +17,8 @@
 use axum::response::Response;
 use axum::routing::get;
 use axum::routing::post;
+use axum::routing::put;
+use serde::Deserialize;
 use serde_json::Value;
 use serde_json::json;
 use subtle::ConstantTimeEq;
@@ -31,6 +34,7 @@
 use crate::configuration;
 use crate::instance::Instance;
 use crate::problem::Failure;
+use crate::sheet;
 
 /// The header by which an operator names himself or herself.
 const OPERATOR_HEADER: &str = "x-hemlockwind-operator";
@@ -46,6 +50,7 @@
             "/v1/configuration",
             get(read_configuration).put(write_configuration),
         )
+        .route("/v1/sheet", put(write_sheet))
         .route("/v1/drain", post(drain))
         .layer(middleware::from_fn_with_state(
             Arc::clone(&instance),
@@ -127,6 +132,43 @@
     Ok(Json(json!({"version": version.0})))
 }
 
+/// `SheetQuery` is how a sheet is to be taken.
+#[derive(Debug)]
+#[derive(Deserialize)]
+struct SheetQuery {
+    /// Whether only to show what it would change.
+    #[serde(default)]
+    dry_run: bool,
+}
+
+/// Takes the day's sheet.
+async fn write_sheet(
+    State(instance): State<Arc<Instance>>,
+    Query(query): Query<SheetQuery>,
+    headers: HeaderMap,
+    req: Body,
+) -> Result<Json<Value>, Failure> {
+    let limits = Limits {
+        body_bytes: DOCUMENT_LIMIT,
+        ..instance.settings.limits
+    };
+    let bytes = body::read(req, &limits).await?;
+    let taken = sheet::take(&instance, &bytes, query.dry_run, author(&headers)).await?;
+    let summary = match (taken.changes.len(), query.dry_run) {
+        (0, _) => "no change".to_string(),
+        (n, true) => format!("would change {n} entries"),
+        (n, false) => format!(
+            "accepted as version {}, {n} entries changed",
+            taken.version.0
+        ),
+    };
+    Ok(Json(json!({
+        "version": taken.version.0,
+        "summary": summary,
+        "changes": taken.changes,
+    })))
+}
+
 /// The version that `If-Match` names, 0 when there is to be none yet.
 fn base(headers: &HeaderMap) -> Result<Version> {
     let Some(value) = headers.get(IF_MATCH) else {
--- a/crates/daemon/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -21,6 +21,9 @@
 
 /// Time between two reports of one engine.
 const LOAD_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Instances of a data centre that ask an engine for its load; they tell the
+/// others when it is leaving.
+const LOAD_WATCHERS: usize = 2;
 /// Time between two readings of the platform's list.
 const LIST_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Instances of a data centre that read the platform's list.
@@ -48,13 +51,21 @@
 /// The engines of the own data centre that this instance has the duty to watch.
 fn watched(instance: &Instance) -> Vec<(BackendServerKey, Place)> {
     let places = instance.fleet.places();
-    let near = places.iter().filter(|(_, place)| {
+    let near = places.iter().filter(|(key, place)| {
         let is_engine = matches!(place.role, Role::Engine { .. });
-        is_engine && place.data_centre == instance.data_centre
+        is_engine && place.data_centre == instance.data_centre && has_duty(instance, **key)
     });
     near.map(|(&key, &place)| (key, place)).collect()
 }
 
+/// Whether this instance is one of those that ask an engine for its load.
+fn has_duty(instance: &Instance, server: BackendServerKey) -> bool {
+    let name = instance.directory.read().backend_servers.name(server);
+    let duty = Duty::Load(&name);
+    let duties = &instance.duties;
+    duties.holds(duty, instance.data_centre, LOAD_WATCHERS)
+}
+
 /// Takes one engine's report.
 async fn load(instance: &Arc<Instance>, server: BackendServerKey, place: Place) {
     let report = instance.edges.engine.load(place.addr, false).await;
--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -21,6 +21,8 @@
     Address,
     /// A whole number between two bounds.
     Integer(u64, u64),
+    /// A whole number between two bounds that may be negative.
+    Signed(i64, i64),
     /// Any number that is not negative.
     Number,
     /// `true` or `false`.
@@ -103,6 +105,13 @@
                     self.fault(number.range, text);
                 }
             }
+            (Kind::Signed(low, high), Value::NumberLit(number)) => {
+                let value = number.value.parse::<i64>();
+                if !value.is_ok_and(|value| (low..=high).contains(&value)) {
+                    let text = format!("must be a whole number between {low} and {high}");
+                    self.fault(number.range, text);
+                }
+            }
             (Kind::Number, Value::NumberLit(number)) => {
                 let value = number.value.parse::<f64>();
                 if !value.is_ok_and(|value| value >= 0.0 && value.is_finite()) {
@@ -153,7 +162,7 @@
     match kind {
         Kind::Text => "a string",
         Kind::Address => "a string with an IP address and a port",
-        Kind::Integer(..) => "a whole number",
+        Kind::Integer(..) | Kind::Signed(..) => "a whole number",
         Kind::Number => "a number",
         Kind::Boolean => "true or false",
         Kind::List(_) => "a list",
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -36,6 +36,9 @@
     /// Share of each pool's capacity kept free for the most urgent rank, in percent.
     #[serde(default)]
     pub headroom_percent: u32,
+    /// Minutes by which the planners' day is ahead of UTC; the sheet's day is theirs.
+    #[serde(default)]
+    pub utc_offset_minutes: i32,
     /// The instances.
     pub instances: Vec<Instance>,
 }
@@ -124,6 +127,7 @@
     optional("statsd", Kind::Address),
     optional("limits", Kind::Object(LIMITS)),
     optional("headroom_percent", Kind::Integer(0, 50)),
+    optional("utc_offset_minutes", Kind::Signed(-720, 840)),
     required("instances", Kind::List(&Kind::Object(INSTANCE))),
 ]);
 
