Daemon: a slot's second candidate is asked when the first can't be; test with a frozen owner

Cause: half of the keyed calls got 'unknown' while the instance with the first place for their slot was gone, also after another one had taken the slot. The second candidate is now asked. Both copies carry one request id, so the owner runs the key once; after a copy that got no answer 'not run' is not said.

--- a/crates/daemon/src/callers/services.rs
+++ b/crates/daemon/src/callers/services.rs
@@ -112,8 +112,8 @@
     let reply = instance.requests.spawn(async move {
         match key.filter(|_| !target.may_repeat) {
             Some((key, text)) => {
-                let dispatch = dispatch(&caller, &target, &text, call, id, now);
-                Ok(through_owner(&work, &target, &caller.name, &key, dispatch).await)
+                let dispatch = dispatch(&caller, &target, &text, call, id);
+                Ok(through_owner(&work, &target, &caller, &key, dispatch).await)
             }
             None => {
                 let tries = if target.may_repeat { TRIES } else { 1 };
@@ -173,16 +173,9 @@
     passed.chain([id]).collect()
 }
 
-fn dispatch(
-    caller: &Caller,
-    target: &Target,
-    key: &str,
-    call: Call,
-    id: Uuid,
-    now: Instant,
-) -> Dispatch {
+/// The message for the slot's owner. Its time is set when it is sent.
+fn dispatch(caller: &Caller, target: &Target, key: &str, call: Call, id: Uuid) -> Dispatch {
     let headers = call.headers.into_iter();
-    let time = caller.deadline.since(now).as_millis();
     Dispatch {
         request: id,
         organisation: caller.name.to_string(),
@@ -194,7 +187,7 @@
             .map(|(name, value)| (name, value.to_vec()))
             .collect(),
         body: call.body.into(),
-        deadline_ms: u32::try_from(time).unwrap_or(u32::MAX),
+        deadline_ms: 0,
     }
 }
 
@@ -237,55 +230,85 @@
     Err(Failure::new(last, attempts.ran(), ""))
 }
 
-/// Hands a request to the owner of its key's slot, which is asked of the instance
-/// that has the duty of it.
+/// Hands a request to the owner of its key's slot, which is asked of the instances
+/// that have the duty of it. A copy that got no answer is no harm: whoever owns the
+/// slot runs the key once. But "not run" can't be said any more then.
 async fn through_owner(
     instance: &Arc<Instance>,
     target: &Target,
-    organisation: &str,
+    caller: &Caller,
     key: &Key,
     dispatch: Dispatch,
 ) -> Reply {
-    let slot = u32::from(key.slot(organisation, slots::COUNT));
-    let mut next = instance.duties.holder(Duty::Slot(slot), target.home);
-    for _ in 0..HOPS {
-        let Some(member) = next else {
-            break;
+    let slot = u32::from(key.slot(&caller.name, slots::COUNT));
+    let duties = &instance.duties;
+    let mut next = duties.holders(Duty::Slot(slot), target.home, slots::CANDIDATES);
+    let mut asked = Vec::new();
+    let mut error = no_owner();
+    let mut attempts = Attempts::default();
+    while asked.len() < HOPS && !next.is_empty() {
+        let to = next.remove(0);
+        let members = duties.members();
+        let member = members.iter().find(|m| m.key == to && !asked.contains(&to));
+        let Some(member) = member else {
+            continue;
+        };
+        asked.push(to);
+        let attempt = attempts.open();
+        let dispatch = Dispatch {
+            deadline_ms: remaining_ms(instance, caller.deadline),
+            ..dispatch.clone()
         };
-        match ask(instance, &member, dispatch.clone()).await {
-            Reply::NotOwner(owner) => {
-                let members = instance.duties.members();
-                let is_owner = |m: &&Member| owner.as_deref() == Some(&*m.name);
-                next = members.iter().find(is_owner).cloned();
+        match ask(instance, member, dispatch).await {
+            Ok(Reply::NotOwner(owner)) => {
+                let owner = members.iter().find(|m| owner.as_deref() == Some(&*m.name));
+                next.splice(0..0, owner.map(|m| m.key));
             }
-            reply @ (Reply::Answered { .. } | Reply::NotRun(_) | Reply::Unknown(_)) => {
+            Ok(Reply::NotRun(error)) if attempts.not_run().is_none() => {
+                return Reply::Unknown(error);
+            }
+            Ok(reply @ (Reply::Answered { .. } | Reply::NotRun(_) | Reply::Unknown(_))) => {
                 return reply;
             }
+            Err((known, why)) => {
+                attempts.record(attempt, known);
+                error = why;
+            }
         }
     }
     // An earlier request with this key may have run, so this is no "not run".
-    Reply::Unknown(no_owner())
+    match attempts.not_run() {
+        Some(_) => Reply::Unknown(Error::claim_unavailable(error.to_string())),
+        None => Reply::Unknown(Error::outcome_unknown(error.to_string())),
+    }
 }
 
-/// What one instance says to a dispatch.
-async fn ask(instance: &Arc<Instance>, member: &Member, dispatch: Dispatch) -> Reply {
+/// What one instance says to a dispatch. The error's attempt tells whether it may
+/// have read it.
+async fn ask(
+    instance: &Arc<Instance>,
+    member: &Member,
+    dispatch: Dispatch,
+) -> Result<Reply, (Attempt, Error)> {
     if member.key == instance.duties.me() {
         let reply = slots::dispatch(instance, dispatch).await;
-        return reply.unwrap_or_else(Reply::Unknown);
+        return reply.map_err(|e| (Attempt::Unsent, e));
     }
     let req = peer::Request::Dispatch(dispatch);
-    match instance.edges.peer.call(member.addr, req).await {
-        Ok(peer::Reply::Dispatch(dispatched)) => dispatched.into(),
-        Err((Attempt::Unsent | Attempt::Refused, error)) => {
-            Reply::Unknown(Error::claim_unavailable(error.to_string()))
-        }
-        Err((Attempt::Sent | Attempt::Answered, error)) => {
-            Reply::Unknown(Error::outcome_unknown(error.to_string()))
+    match instance.edges.peer.call(member.addr, req).await? {
+        peer::Reply::Dispatch(dispatched) => Ok(dispatched.into()),
+        _ => {
+            let error = Error::peer_frame("the answer is not one to a dispatch");
+            Err((Attempt::Sent, error))
         }
-        Ok(_) => Reply::Unknown(Error::outcome_unknown("the peer's answer does not fit")),
     }
 }
 
+fn remaining_ms(instance: &Instance, deadline: Instant) -> u32 {
+    let remaining = deadline.since(instance.edges.clock.now());
+    u32::try_from(remaining.as_millis()).unwrap_or(u32::MAX)
+}
+
 fn no_owner() -> Error {
     Error::claim_unavailable("no instance owns the key's slot")
 }
--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -46,7 +46,10 @@
 /// Slots of each data centre. All instances must agree on it.
 pub const COUNT: u16 = 32;
 /// Instances that read each slot's lease, to take it when its owner is gone.
-const CANDIDATES: usize = 2;
+pub const CANDIDATES: usize = 2;
+/// How long after its start an instance takes only slots that it has the first place
+/// for, so that the slots spread over the instances of a new site.
+const SPREAD_TIME: Duration = Duration::from_millis(3_000);
 /// How long a slot's lease lasts without a renewal.
 const LEASE: Duration = Duration::from_secs(20);
 /// The time between tries to reach the platform.
@@ -124,8 +127,7 @@
 
 /// Keeps the leases of the slots that this instance should own.
 pub async fn run(instance: Arc<Instance>) {
-    // At first only one for each slot, so that the slots spread over the instances.
-    let all_at = instance.edges.clock.now() + LEASE;
+    let all_at = instance.edges.clock.now() + SPREAD_TIME;
     loop {
         let is_start = instance.edges.clock.now() < all_at;
         let candidates = if is_start { 1 } else { CANDIDATES };
--- a/programs/tests/process/services.rs
+++ b/programs/tests/process/services.rs
@@ -1,6 +1,7 @@
 //! Non-idempotent calls to a plain service, against the count of what it ran.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use hemlockwind_standin::caller::Caller;
 use hemlockwind_standin::sample;
@@ -16,18 +17,21 @@
 
 /// How long the slots' first owner may take, and the first keys to be new to it.
 const START: Duration = Duration::from_secs(30);
+/// The time that a call may take, in milliseconds.
+const DEADLINE_MS: &str = "5000";
+/// Within this time other instances own the slots of one that is gone.
+const TAKEOVER: Duration = Duration::from_secs(90);
 /// Keys that reach nearly every slot.
 const KEYS: usize = 150;
 
 /// Posts a loan, and gives the status, and the code and effect of a refusal.
 async fn lend(caller: &Caller, key: &str, body: &str) -> (StatusCode, Value) {
     let path = format!("/v1/services/{}/loans?from=shelf", sample::SERVICE);
-    let headers = [("idempotency-key", key)];
-    let headers = if key.is_empty() {
-        &[][..]
-    } else {
-        &headers[..]
-    };
+    let headers = [
+        ("x-hemlockwind-deadline-ms", DEADLINE_MS),
+        ("idempotency-key", key),
+    ];
+    let headers = &headers[..if key.is_empty() { 1 } else { 2 }];
     let answer = caller.call("POST", &path, headers, body.into()).await;
     let (status, body) = answer.expect("an instance answers");
     (status, serde_json::from_slice(&body).unwrap())
@@ -51,24 +55,29 @@
 }
 
 /// A site whose slots all have an owner that takes new keys.
-async fn start(name: &str) -> Site {
-    let site = Site::start(name).await;
+async fn start(name: &str, instances: u8) -> Site {
+    let site = Site::start_with(name, instances).await;
     let caller = site.instances[1].caller.clone();
     eventually("keys are new to their owners", START, || async {
-        for _ in 0..KEYS {
-            if lend(&caller, &key(), "first").await.0 != StatusCode::OK {
-                return false;
-            }
-        }
-        true
+        all_taken(&caller, KEYS).await
     })
     .await;
     site
 }
 
+/// Whether so many new keys are taken one after the other.
+async fn all_taken(caller: &Caller, keys: usize) -> bool {
+    for _ in 0..keys {
+        if lend(caller, &key(), "first").await.0 != StatusCode::OK {
+            return false;
+        }
+    }
+    true
+}
+
 #[tokio::test]
 async fn service_repeats_run_once() {
-    let site = start("repeats").await;
+    let site = start("repeats", 2).await;
     let [home, other] = [0, 1].map(|i| site.instances[i].caller.clone());
     for (name, key) in [("timed", key()), ("text", "loan-7".into())] {
         let first = lend(&home, &key, name).await;
@@ -90,7 +99,7 @@
 
 #[tokio::test]
 async fn service_lost_answer_is_unknown() {
-    let site = start("lost").await;
+    let site = start("lost", 2).await;
     let caller = site.instances[1].caller.clone();
     let (with_key, without) = (key(), "");
     for (key, body) in [
@@ -110,7 +119,7 @@
 
 #[tokio::test]
 async fn service_refusal_is_not_run() {
-    let site = start("refusal").await;
+    let site = start("refusal", 2).await;
     let caller = site.instances[1].caller.clone();
     let key = key();
     set_faults(&site, json!({"refuse": true})).await;
@@ -124,7 +133,7 @@
 
 #[tokio::test]
 async fn service_without_platform_or_owner() {
-    let mut site = start("ownerless").await;
+    let mut site = start("ownerless", 2).await;
     let [home, other] = [0, 1].map(|i| site.instances[i].caller.clone());
     let before = key();
     assert_eq!(lend(&home, &before, "before").await.0, StatusCode::OK);
@@ -148,3 +157,48 @@
     assert_eq!(runs(&site, before).await, 1);
     assert_eq!(runs(&site, needs).await, 0);
 }
+
+/// The owner of about half of the slots is frozen for longer than its leases, with
+/// requests on their way to it, and then goes on.
+#[tokio::test]
+async fn service_owner_frozen_runs_once() {
+    let site = start("frozen", 4).await;
+    let callers: Vec<_> = site.instances.iter().map(|i| i.caller.clone()).collect();
+    let mut loans = Vec::new();
+    for n in 0..12 {
+        let loan = (key(), format!("before {n}"));
+        assert_eq!(lend(&callers[1], &loan.0, &loan.1).await.0, StatusCode::OK);
+        loans.push(loan);
+    }
+    site.instances[0].process.signal("STOP");
+    let frozen = (0..12).map(|n| (key(), format!("frozen {n}")));
+    let frozen: Vec<_> = frozen.collect();
+    let calls = frozen
+        .iter()
+        .map(|(key, body)| lend(&callers[3], key, body));
+    let answers = futures::future::join_all(calls).await;
+    let served = answers.iter().filter(|a| a.0 == StatusCode::OK).count();
+    loans.extend(frozen);
+    let frozen_at = Instant::now();
+    eventually("the slots have another owner", TAKEOVER, || async {
+        all_taken(&callers[1], 12).await
+    })
+    .await;
+    println!(
+        "frozen owner: {served} of 12 served, all again after {:?}",
+        frozen_at.elapsed()
+    );
+    site.instances[0].process.signal("CONT");
+    for (key, body) in &loans {
+        for caller in [&callers[0], &callers[1]] {
+            let (status, answer) = lend(caller, key, body).await;
+            let ran = runs(&site, body).await;
+            assert!(ran <= 1, "{body} ran {ran} times");
+            match status {
+                StatusCode::OK => assert_eq!(ran, 1),
+                _ => assert_eq!(answer["ran"], "unknown", "{answer}"),
+            }
+        }
+    }
+    assert!(all_taken(&callers[0], 12).await);
+}
