--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -35,7 +35,8 @@
 use crate::fleet::Fleet;
 use crate::health::Health;
 use crate::lanes::Lanes;
-use crate::pool::Pools;
+use crate::members::Believed;
+use crate::pool::Shards;
 use crate::slots::Owned;
 
 /// `Edges` holds the adapters to everything outside the process. Another
@@ -93,8 +94,10 @@
     pub health: Health,
     /// Who does what for the data centre.
     pub duties: Duties,
+    /// What is believed of the other instances.
+    pub believed: Believed,
     /// The pools that this instance uses.
-    pub pools: Pools,
+    pub pools: Shards,
     /// The slots of idempotency keys that this instance owns.
     pub owned: Owned,
     /// The batches of steps on their way to engines.
@@ -128,6 +131,7 @@
         let mut directory = Directory::default();
         let data_centre = directory.data_centres.intern(&me.data_centre);
         let duties = Duties::new(&settings, &me.name, &mut directory);
+        let believed = Believed::new(&settings, &me, &*edges.clock);
         let metrics = Metrics::new(settings.statsd, &me.name)?;
         let lanes = Lanes::new(Arc::clone(&edges.engine));
         let room = Semaphore::new(settings.limits.requests);
@@ -140,7 +144,8 @@
             fleet: Arc::new(Fleet::new(data_centre)),
             health: Health::new(edges.clock.now()),
             duties,
-            pools: Pools::default(),
+            believed,
+            pools: Shards::default(),
             owned: Owned::new(&me.name),
             lanes: Arc::new(lanes),
             metrics,
