--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -53,9 +53,6 @@
 const RANKS: u8 = 16;
 /// Time for a message to another data centre and back.
 const ROUND_TRIP: Duration = Duration::from_millis(2);
-/// What another data centre's pool must save at least.
-const SPILL_GAIN: Duration = Duration::from_millis(100);
-
 /// `PoolKey` names a pool: a model in a data centre.
 pub type PoolKey = (ModelKey, DataCentreKey);
 
@@ -185,7 +182,7 @@
             ranks: RANKS,
             driver: driver::Options::default(),
         };
-        let spill = Spill::new(spill_options(&ranks));
+        let spill = Spill::new(spill::Options::new(ranks.len()));
         Arc::new(Mutex::new(Shard {
             own: instance.data_centre,
             me: instance.duties.me(),
@@ -445,7 +442,7 @@
     let config = instance.config.load();
     if shard.ranks != config.ranks {
         shard.ranks.clone_from(&config.ranks);
-        let options = spill_options(&config.ranks);
+        let options = spill::Options::new(config.ranks.len());
         shard.pools.set_spill(options);
         // The drivers tell the next home, which has the new floors, all they have.
         shard.home = None;
@@ -477,11 +474,3 @@
         ..home::Options::default()
     }
 }
-
-/// The options of spilling: a rank waits at home up to its target.
-fn spill_options(ranks: &[RankTarget]) -> spill::Options {
-    spill::Options {
-        targets: ranks.iter().map(|rank| rank.first_token).collect(),
-        gain: SPILL_GAIN,
-    }
-}
--- a/crates/hemlockwind/benches/policy/homes.rs
+++ b/crates/hemlockwind/benches/policy/homes.rs
@@ -1,8 +1,6 @@
 //! The design under test: a home for each pool, and the pools as each instance
 //! sees them.
 
-use std::time::Duration;
-
 use hemlockwind::core::names::DataCentreKey;
 use hemlockwind::core::names::InstanceKey;
 use hemlockwind::core::names::Names;
@@ -20,11 +18,6 @@
 use crate::deployment::RANKS;
 use crate::engines::BETWEEN_DATA_CENTRES;
 
-/// The wait after which another data centre's pool is looked at.
-const SPILL_TARGET: Duration = Duration::from_millis(10);
-/// What another pool must save.
-const SPILL_GAIN: Duration = Duration::from_millis(5);
-
 /// `Homes` holds the decision code of all instances.
 pub struct Homes {
     pub instances: Vec<InstanceKey>,
@@ -85,10 +78,7 @@
 }
 
 fn new_pools(centres: &[DataCentreKey], data_centre: usize) -> Pools {
-    let spill = Spill::new(spill::Options {
-        targets: vec![SPILL_TARGET; RANKS],
-        gain: SPILL_GAIN,
-    });
+    let spill = Spill::new(spill::Options::new(RANKS));
     let options = pools::Options {
         local: centres[data_centre],
         ranks: RANKS as u8,
--- a/crates/state/queueing/src/spill.rs
+++ b/crates/state/queueing/src/spill.rs
@@ -6,6 +6,11 @@
 use hemlockwind_core::names::DataCentreKey;
 use hemlockwind_core::names::Rank;
 
+/// The wait after which another data centre's pool is looked at.
+const TARGET: Duration = Duration::from_millis(10);
+/// The time that another pool must save.
+const GAIN: Duration = Duration::from_millis(5);
+
 /// `Options` holds the settings of spilling.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Options {
@@ -15,6 +20,17 @@
     pub gain: Duration,
 }
 
+impl Options {
+    /// The same short target for all of so many ranks. Longer targets leave work
+    /// waiting beside free slots; see docs/design/queueing.md.
+    pub fn new(ranks: usize) -> Self {
+        Self {
+            targets: vec![TARGET; ranks],
+            gain: GAIN,
+        }
+    }
+}
+
 /// `View` is what is known of the pool of another data centre.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct View {
