Pools: nothing moves to a closed pool, and a full pool never tells a wait of zero

Cause: a pool without capacity and one that is full with an empty queue told an estimated wait of zero, which the other data centres took for room; the choice of another pool after a refusal, the move of waiting tickets and the spill did not look at closed pools. waiting_tickets_stay_off_a_closed_pool: 2 tickets waited in a closed pool before, none after.

--- a/crates/state/queueing/src/home/admission.rs
+++ b/crates/state/queueing/src/home/admission.rs
@@ -19,14 +19,19 @@
 const RETRY_MIN: Duration = Duration::from_millis(50);
 /// The longest time that a caller is told to wait before a retry.
 const RETRY_MAX: Duration = Duration::from_secs(60);
+/// The least wait that is told of a pool without a free slot.
+const FULL_WAIT: Duration = Duration::from_millis(1);
 /// The wait that is told while tickets wait and no speed is known yet.
 const UNKNOWN_WAIT: Duration = Duration::from_secs(1);
 
 impl Home {
     /// The estimated wait of a new ticket of `rank` whose organisation has none
-    /// waiting.
+    /// waiting; zero only when it would start at once.
     pub fn wait(&self, now: Instant, rank: Rank) -> Duration {
         let rank = self.index(rank);
+        if self.capacity == 0 {
+            return RETRY_MAX;
+        }
         if self.free() > self.headroom(rank) {
             return Duration::ZERO;
         }
@@ -34,12 +39,9 @@
         let mean = queue.cost() as f64 / queue.len().max(1) as f64;
         let ahead = (mean * queue.share().max(1.0)).min(queue.cost() as f64);
         let waiting = self.queues.iter().any(|q| q.len() > 0);
-        let unknown = if waiting {
-            UNKNOWN_WAIT
-        } else {
-            Duration::ZERO
-        };
-        self.estimate(now, rank, ahead).unwrap_or(unknown)
+        let unknown = if waiting { UNKNOWN_WAIT } else { FULL_WAIT };
+        let wait = self.estimate(now, rank, ahead).unwrap_or(unknown);
+        wait.max(FULL_WAIT)
     }
 
     pub(super) fn add_ticket(
--- a/crates/state/queueing/src/pools.rs
+++ b/crates/state/queueing/src/pools.rs
@@ -191,7 +191,8 @@
         }
         let others = self.pools.iter().filter(|(k, _)| **k != self.options.local);
         for (&pool, Pool { driver, round_trip }) in others {
-            let view = driver.home().map(|_| View {
+            let home = driver.home().filter(|_| !self.closed.contains(&pool));
+            let view = home.map(|_| View {
                 round_trip: *round_trip,
                 waits: waits_of(driver, self.options.ranks),
                 free: driver.credits(),
@@ -279,7 +280,7 @@
         let there = self.get(to)?;
         let placed = self.placed.get(&here.next_waiting()?)?;
         // A late answer of a pool that was left must not meet the request there again.
-        if placed.tried.contains(&to) {
+        if placed.tried.contains(&to) || self.closed.contains(&to) {
             return None;
         }
         let ticket = placed.ticket;
@@ -328,7 +329,10 @@
         let rank = placed.ticket.rank;
         let expected = |pool: &Pool| pool.round_trip + pool.driver.wait(rank);
         let open = self.pools.iter().filter(|(key, pool)| {
-            !placed.tried.contains(key) && pool.driver.has_home(now) && expected(pool) < left
+            !placed.tried.contains(key)
+                && !self.closed.contains(key)
+                && pool.driver.has_home(now)
+                && expected(pool) < left
         });
         match open.min_by_key(|(_, pool)| expected(pool)) {
             Some((&pool, _)) => self.place(now, placed.ticket, pool, placed.tried),
--- a/crates/state/queueing/tests/pools.rs
+++ b/crates/state/queueing/tests/pools.rs
@@ -16,6 +16,7 @@
 use hemlockwind_core::names::OrganisationKey;
 use hemlockwind_core::names::Rank;
 use hemlockwind_core::time::Instant;
+use hemlockwind_queueing::Driver;
 use hemlockwind_queueing::Home;
 use hemlockwind_queueing::Pools;
 use hemlockwind_queueing::Spill;
@@ -362,3 +363,25 @@
     world.deliver_all();
     assert!(world.moved > 0, "all stay with the pool that refuses");
 }
+
+#[test]
+fn waiting_tickets_stay_off_a_closed_pool() {
+    let mut world = World::new();
+    world.submit(0, 0, false);
+    world.deliver_all();
+    world.advance(Duration::from_millis(300));
+    world.finish(0);
+    let other = world.centres[1];
+    world.tell(0, pools::Event::Open(other, false));
+    world.tell_home(1, home::Event::Capacity(0));
+    world.deliver_all();
+    for i in 0..6 * CAPACITY {
+        world.submit(0, 1, i % 2 == 0);
+    }
+    for _ in 0..20 {
+        world.deliver_all();
+        world.advance(Duration::from_millis(300));
+    }
+    assert_eq!(world.pools[0].get(other).map(Driver::waiting), Some(0));
+    assert_eq!(world.homes[1].waiting(Rank(1)), 0);
+}
