Daemon: the sheet by HTTP PUT, and proofs with processes

Cause: the command line sent sheets to a route that did not exist, and nothing showed with real processes that duties follow deaths or that a new instance starts from its peers.

PUT /v1/sheet takes a sheet whole or shows what it would change; it tries again when another change came first.

Proof with processes: a sheet with a mark, semicolons, decimal commas and blank rows is taken and in force at both instances within 3 s, a faulty and a cut one change nothing, the same again is no change. A killed instance is out of its data centre's duties within 3 s, comes back with the platform down with its peers' configuration and serves, a stopped one is taken for dead and denies it within 3 s.

--- a/crates/coordination/sheet/src/day.rs
+++ b/crates/coordination/sheet/src/day.rs
@@ -1,7 +1,11 @@
 //! The day that a sheet is for.
 
 use displaydoc::Display;
+use jiff::Timestamp;
 use jiff::civil::Date;
+use jiff::tz::Offset;
+
+use hemlockwind_core::time::WallTime;
 
 /// `Refusal` tells why a sheet's day can't be taken now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -15,6 +19,14 @@
     Older(Date),
 }
 
+/// The day at `wall`, `utc_offset_s` seconds east of UTC.
+pub fn today(wall: WallTime, utc_offset_s: i32) -> Date {
+    let ms = i64::try_from(wall.as_millis()).unwrap_or(i64::MAX);
+    let at = Timestamp::from_millisecond(ms).unwrap_or(Timestamp::MAX);
+    let offset = Offset::from_seconds(utc_offset_s).unwrap_or(Offset::UTC);
+    offset.to_datetime(at).date()
+}
+
 /// Whether a sheet for `day` may be taken on `today`, when a sheet for
 /// `in_force` was the last.
 ///
--- a/crates/coordination/sheet/src/difference.rs
+++ b/crates/coordination/sheet/src/difference.rs
@@ -1,6 +1,7 @@
 //! What a sheet would change.
 
 use std::collections::BTreeMap;
+use std::fmt;
 
 use crate::column::Column;
 use crate::column::Kind;
@@ -28,6 +29,24 @@
     Changed(Vec<(Column, String, String)>),
 }
 
+impl fmt::Display for Difference {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}: ", self.kind.name(), self.name)?;
+        match &self.change {
+            Change::Added => write!(f, "added"),
+            Change::Removed => write!(f, "removed"),
+            Change::Changed(cells) => {
+                let cells = cells.iter().map(|(column, old, new)| {
+                    let old = if old.is_empty() { "nothing" } else { old };
+                    let new = if new.is_empty() { "nothing" } else { new };
+                    format!("{} from {old} to {new}", column.name())
+                });
+                write!(f, "{}", cells.collect::<Vec<_>>().join(", "))
+            }
+        }
+    }
+}
+
 type Entries = BTreeMap<(Kind, String), BTreeMap<Column, String>>;
 
 /// What leads from `before` to `after`, by kind and name.
--- a/crates/coordination/sheet/src/lib.rs
+++ b/crates/coordination/sheet/src/lib.rs
@@ -18,6 +18,7 @@
 pub use crate::column::Kind;
 pub use crate::day::Refusal;
 pub use crate::day::admit;
+pub use crate::day::today;
 pub use crate::difference::Change;
 pub use crate::difference::Difference;
 pub use crate::difference::differences;
--- a/crates/coordination/sheet/tests/sheet.rs
+++ b/crates/coordination/sheet/tests/sheet.rs
@@ -439,6 +439,15 @@
     );
 }
 
+#[test]
+fn today_either_side_of_midnight() {
+    let wall = hemlockwind_core::time::WallTime::from_millis(1_796_342_400_000);
+    let day = |day| Date::new(2026, 12, day).unwrap();
+    assert_eq!(today(wall, 3 * 3_600), day(4));
+    assert_eq!(today(wall, 0), day(4));
+    assert_eq!(today(wall, -5 * 3_600), day(3));
+}
+
 #[test]
 fn differences_of_two_sheets() {
     let before = read(PLAIN.as_bytes()).unwrap();
@@ -460,6 +469,8 @@
     );
     let share = read(PLAIN.replace("1,5;urgent", "2;urgent").as_bytes()).unwrap();
     let cells = vec![(Column::Share, "1.5".into(), "2".into())];
+    let words = differences(&before, &share)[0].to_string();
+    assert_eq!(words, "organisation Escuela Nº 7: share from 1.5 to 2");
     assert_eq!(
         differences(&before, &share),
         [of("Escuela Nº 7", Change::Changed(cells))]
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -5,8 +5,10 @@
 use axum::Json;
 use axum::Router;
 use axum::body::Body;
+use axum::extract::Query;
 use axum::extract::Request;
 use axum::extract::State;
+use axum::extract::rejection::QueryRejection;
 use axum::http::HeaderMap;
 use axum::http::header::AUTHORIZATION;
 use axum::http::header::IF_MATCH;
@@ -16,6 +18,8 @@
 use axum::response::Response;
 use axum::routing::get;
 use axum::routing::post;
+use axum::routing::put;
+use serde::Deserialize;
 use serde_json::Value;
 use serde_json::json;
 use subtle::ConstantTimeEq;
@@ -31,6 +35,7 @@
 use crate::configuration;
 use crate::instance::Instance;
 use crate::problem::Failure;
+use crate::sheet;
 
 /// The header by which an operator names himself or herself.
 const OPERATOR_HEADER: &str = "x-hemlockwind-operator";
@@ -46,6 +51,7 @@
             "/v1/configuration",
             get(read_configuration).put(write_configuration),
         )
+        .route("/v1/sheet", put(take_sheet))
         .route("/v1/drain", post(drain))
         .layer(middleware::from_fn_with_state(
             Arc::clone(&instance),
@@ -88,6 +94,8 @@
         .into_iter()
         .map(|key| directory.backend_servers.name(key).to_string())
         .collect();
+    let members = instance.duties.members();
+    let live: Vec<_> = members.iter().map(|member| &*member.name).collect();
     Json(json!({
         "instance": instance.me.name,
         "data_centre": instance.me.data_centre,
@@ -98,6 +106,7 @@
         "sheet_day": config.sheet_day,
         "backend_servers": config.backend_servers.len(),
         "leaving": leaving,
+        "live_instances": live,
     }))
 }
 
@@ -127,6 +136,37 @@
     Ok(Json(json!({"version": version.0})))
 }
 
+/// `SheetQuery` is how a sheet is to be taken.
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct SheetQuery {
+    dry_run: bool,
+}
+
+/// Takes the planners' sheet, or shows what it would change.
+async fn take_sheet(
+    State(instance): State<Arc<Instance>>,
+    query: Result<Query<SheetQuery>, QueryRejection>,
+    headers: HeaderMap,
+    req: Body,
+) -> Result<Json<Value>, Failure> {
+    let Query(query) = query.map_err(|e| Error::header(e.to_string()))?;
+    let limits = Limits {
+        body_bytes: DOCUMENT_LIMIT,
+        ..instance.settings.limits
+    };
+    let req = body::read(req, &limits).await?;
+    let author = author(&headers);
+    let taken = sheet::take(&instance, &req, author, query.dry_run).await?;
+    let changes: Vec<_> = taken.changes.iter().map(ToString::to_string).collect();
+    Ok(Json(json!({
+        "summary": taken.summary,
+        "version": taken.version.0,
+        "changes": changes,
+    })))
+}
+
 /// The version that `If-Match` names, 0 when there is to be none yet.
 fn base(headers: &HeaderMap) -> Result<Version> {
     let Some(value) = headers.get(IF_MATCH) else {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod peers;
 pub mod pool;
 pub mod problem;
+pub mod sheet;
 pub mod slots;
 pub mod start;
 pub mod watch;
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -36,6 +36,10 @@
     /// Share of each pool's capacity kept free for the most urgent rank, in percent.
     #[serde(default)]
     pub headroom_percent: u32,
+    /// The offset of the planners' clocks from UTC, such as `-05:00`: by it sheets
+    /// are for today or not.
+    #[serde(default)]
+    pub utc_offset: Option<String>,
     /// The instances.
     pub instances: Vec<Instance>,
 }
@@ -95,6 +99,8 @@
     }
 }
 
+/// The largest offset from UTC, in hours.
+const OFFSET_HOURS_MAX: i32 = 14;
 /// The longest time that a setting may give, in milliseconds.
 const TIME_LIMIT_MS: u64 = 3_600_000;
 
@@ -124,6 +130,7 @@
     optional("statsd", Kind::Address),
     optional("limits", Kind::Object(LIMITS)),
     optional("headroom_percent", Kind::Integer(0, 50)),
+    optional("utc_offset", Kind::Text),
     required("instances", Kind::List(&Kind::Object(INSTANCE))),
 ]);
 
@@ -159,6 +166,12 @@
         }
     }
 
+    /// The planners' offset from UTC, in seconds; 0 when none is given.
+    pub fn utc_offset_s(&self) -> i32 {
+        let offset = self.utc_offset.as_deref().and_then(parse_offset);
+        offset.unwrap_or(0)
+    }
+
     /// What no single value shows to be wrong.
     fn contradictions(&self, source: &Source<'_>) -> Vec<Fault> {
         let mut faults = Vec::new();
@@ -200,6 +213,11 @@
             let text = "must differ from peer_key";
             faults.push(source.fault_at("admin_token", text));
         }
+        let offset = self.utc_offset.as_deref();
+        if offset.is_some_and(|text| parse_offset(text).is_none()) {
+            let text = "must be a sign, hours and minutes, such as +03:00 or -05:00";
+            faults.push(source.fault_at("utc_offset", text));
+        }
         if self.limits.prefill_ms < self.limits.step_ms {
             let text = "must not be below step_ms";
             faults.push(source.fault_at("limits.prefill_ms", text));
@@ -208,3 +226,20 @@
         faults
     }
 }
+
+/// The seconds of an offset such as `-05:00`.
+fn parse_offset(text: &str) -> Option<i32> {
+    let (sign, rest) = match text.split_at_checked(1)? {
+        ("+", rest) => (1, rest),
+        ("-", rest) => (-1, rest),
+        _ => return None,
+    };
+    let (hours, minutes) = rest.split_once(':')?;
+    let is_pair = |part: &str| part.len() == 2 && part.bytes().all(|b| b.is_ascii_digit());
+    if !is_pair(hours) || !is_pair(minutes) {
+        return None;
+    }
+    let (hours, minutes): (i32, i32) = (hours.parse().ok()?, minutes.parse().ok()?);
+    let is_offset = hours <= OFFSET_HOURS_MAX && minutes < 60;
+    is_offset.then_some(sign * (hours * 3_600 + minutes * 60))
+}
--- a/programs/tests/process/main.rs
+++ b/programs/tests/process/main.rs
@@ -6,4 +6,5 @@
 mod process;
 mod services;
 mod site;
+mod spread;
 mod stop;
--- a/programs/tests/process/site.rs
+++ b/programs/tests/process/site.rs
@@ -3,6 +3,7 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::path::Path;
 use std::path::PathBuf;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
@@ -98,16 +99,11 @@
         let limits = json!({"step_ms": STEP_MS, "prefill_ms": PREFILL_MS});
         let text = sample::settings(platform_addr, &named, &limits);
         std::fs::write(&settings, text).unwrap();
-        let instances = named.iter().map(|named| {
-            let path = settings.to_str().unwrap();
-            let args = ["--settings", path, "--instance", &named.name];
-            let program = env!("CARGO_BIN_EXE_hemlockwindd");
-            Instance {
-                named: named.clone(),
-                process: Process::start(program, &args, &log(&named.name)),
-                caller: Caller::new(named.callers, sample::API_KEY),
-                admin: Caller::new(named.admin, sample::ADMIN_TOKEN),
-            }
+        let instances = named.iter().map(|named| Instance {
+            named: named.clone(),
+            process: daemon(&settings, &named.name, &log(&named.name)),
+            caller: Caller::new(named.callers, sample::API_KEY),
+            admin: Caller::new(named.admin, sample::ADMIN_TOKEN),
         });
         let instances = instances.collect();
         let site = Self {
@@ -126,6 +122,13 @@
         site
     }
 
+    /// Starts the instance at `index` again.
+    pub fn restart(&mut self, index: usize) {
+        let instance = &mut self.instances[index];
+        let log = self.dir.join(format!("{}-again.log", instance.named.name));
+        instance.process = daemon(&self.settings, &instance.named.name, &log);
+    }
+
     /// Sets the platform's list: all are live, but the engine at `leaving`.
     pub async fn list(&self, leaving: Option<usize>) {
         let mut list = Vec::new();
@@ -238,6 +241,11 @@
     }
 }
 
+fn daemon(settings: &Path, name: &str, log: &Path) -> Process {
+    let args = ["--settings", settings.to_str().unwrap(), "--instance", name];
+    Process::start(env!("CARGO_BIN_EXE_hemlockwindd"), &args, log)
+}
+
 fn engine(
     data_centre: &'static str,
     layers: std::ops::Range<u16>,
