--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -36,7 +36,7 @@
 use crate::health::Health;
 use crate::lanes::Lanes;
 use crate::members::Believed;
-use crate::pool::Pools;
+use crate::pool::Shards;
 use crate::slots::Owned;
 
 /// `Edges` holds the adapters to everything outside the process. Another
@@ -97,7 +97,7 @@
     /// What is believed of the other instances.
     pub believed: Believed,
     /// The pools that this instance uses.
-    pub pools: Pools,
+    pub pools: Shards,
     /// The slots of idempotency keys that this instance owns.
     pub owned: Owned,
     /// The batches of steps on their way to engines.
@@ -145,7 +145,7 @@
             health: Health::new(edges.clock.now()),
             duties,
             believed,
-            pools: Pools::default(),
+            pools: Shards::default(),
             owned: Owned::new(&me.name),
             lanes: Arc::new(lanes),
             metrics,
--- a/crates/state/queueing/src/pools.rs
+++ b/crates/state/queueing/src/pools.rs
@@ -5,6 +5,7 @@
 //! and when another pool has room, tickets that wait locally move there.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use hemlockwind_core::collections::HashMap;
@@ -19,6 +20,7 @@
 use crate::message::Finished;
 use crate::message::Grants;
 use crate::message::Report;
+use crate::spill;
 use crate::spill::Spill;
 use crate::spill::View;
 use crate::ticket::Refusal;
@@ -48,6 +50,8 @@
     Home(DataCentreKey, Option<InstanceKey>),
     /// The home of the pool in this data centre answered.
     Grants(DataCentreKey, InstanceKey, Grants),
+    /// The pool of this data centre can run requests, or can't.
+    Open(DataCentreKey, bool),
     /// A deadline of a pool has come.
     Tick,
 }
@@ -70,6 +74,7 @@
     session: u64,
     spill: Spill,
     pools: BTreeMap<DataCentreKey, Pool>,
+    closed: BTreeSet<DataCentreKey>,
     placed: HashMap<RequestId, Placed>,
     actions: Vec<Action>,
 }
@@ -96,6 +101,7 @@
             session,
             spill,
             pools: BTreeMap::new(),
+            closed: BTreeSet::new(),
             placed: HashMap::default(),
             actions: Vec::new(),
         };
@@ -112,6 +118,11 @@
             .or_insert(Pool { driver, round_trip });
     }
 
+    /// Takes over other targets.
+    pub fn set_spill(&mut self, options: spill::Options) {
+        self.spill.set_options(options);
+    }
+
     /// Takes one event and tells what to do.
     pub fn on_event(&mut self, now: Instant, event: Event) -> Vec<Action> {
         match event {
@@ -123,6 +134,10 @@
                 self.tell(now, pool, driver::Event::Grants(from, grants));
                 self.move_waiting(now, pool);
             }
+            Event::Open(pool, true) => {
+                self.closed.remove(&pool);
+            }
+            Event::Open(pool, false) => self.close(now, pool),
             Event::Tick => self.tick(now),
         }
         std::mem::take(&mut self.actions)
@@ -166,6 +181,10 @@
 
     /// The pool that a new ticket goes to.
     fn choose(&mut self, rank: Rank) -> DataCentreKey {
+        if self.closed.contains(&self.options.local) {
+            let open = self.shortest_open(rank, &[]);
+            return open.unwrap_or(self.options.local);
+        }
         let local = self.waits(self.options.local);
         if !self.spill.waits_too_long(rank, &local) {
             return self.options.local;
@@ -183,6 +202,36 @@
         chosen.unwrap_or(self.options.local)
     }
 
+    /// The open pool with the shortest expected wait, beside those in `tried`.
+    fn shortest_open(&self, rank: Rank, tried: &[DataCentreKey]) -> Option<DataCentreKey> {
+        let open = self
+            .pools
+            .iter()
+            .filter(|(key, _)| !self.closed.contains(key) && !tried.contains(key));
+        let (&pool, _) = open.min_by_key(|(_, p)| p.round_trip + p.driver.wait(rank))?;
+        Some(pool)
+    }
+
+    /// Moves what waits in a pool that can run nothing to the open ones.
+    fn close(&mut self, now: Instant, pool: DataCentreKey) {
+        if !self.closed.insert(pool) {
+            return;
+        }
+        let here = self.placed.values().filter(|placed| placed.pool == pool);
+        let mut tickets: Vec<_> = here.map(|placed| placed.ticket).collect();
+        tickets.retain(|t| self.get(pool).is_some_and(|d| d.is_waiting(t.request)));
+        tickets.sort_unstable_by_key(|t| (t.rank, t.request));
+        for ticket in tickets {
+            let tried = self.placed.get(&ticket.request).map(|p| p.tried.clone());
+            let tried = tried.unwrap_or_default();
+            if let Some(to) = self.shortest_open(ticket.rank, &tried) {
+                self.tell(now, pool, driver::Event::Withdraw(ticket.request));
+                self.placed.remove(&ticket.request);
+                self.place(now, ticket, to, tried);
+            }
+        }
+    }
+
     fn waits(&self, pool: DataCentreKey) -> Vec<Duration> {
         let driver = self.get(pool);
         driver.map_or_else(Vec::new, |d| waits_of(d, self.options.ranks))
@@ -228,7 +277,12 @@
     fn next_to_move(&self, now: Instant, to: DataCentreKey) -> Option<Ticket> {
         let here = self.get(self.options.local)?;
         let there = self.get(to)?;
-        let ticket = self.placed.get(&here.next_waiting()?)?.ticket;
+        let placed = self.placed.get(&here.next_waiting()?)?;
+        // A late answer of a pool that was left must not meet the request there again.
+        if placed.tried.contains(&to) {
+            return None;
+        }
+        let ticket = placed.ticket;
         let long = self
             .spill
             .waits_too_long(ticket.rank, &self.waits(self.options.local));
