--- a/crates/coordination/sheet/src/difference.rs
+++ b/crates/coordination/sheet/src/difference.rs
@@ -36,8 +36,11 @@
             Change::Added => write!(f, "added"),
             Change::Removed => write!(f, "removed"),
             Change::Changed(cells) => {
-                let cells = cells.iter();
-                let cells = cells.map(|(c, old, new)| format!("{} {old} -> {new}", c.name()));
+                let cells = cells.iter().map(|(column, old, new)| {
+                    let old = if old.is_empty() { "nothing" } else { old };
+                    let new = if new.is_empty() { "nothing" } else { new };
+                    format!("{} from {old} to {new}", column.name())
+                });
                 write!(f, "{}", cells.collect::<Vec<_>>().join(", "))
             }
         }
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -8,6 +8,7 @@
 use axum::extract::Query;
 use axum::extract::Request;
 use axum::extract::State;
+use axum::extract::rejection::QueryRejection;
 use axum::http::HeaderMap;
 use axum::http::header::AUTHORIZATION;
 use axum::http::header::IF_MATCH;
@@ -50,7 +51,7 @@
             "/v1/configuration",
             get(read_configuration).put(write_configuration),
         )
-        .route("/v1/sheet", put(write_sheet))
+        .route("/v1/sheet", put(take_sheet))
         .route("/v1/drain", post(drain))
         .layer(middleware::from_fn_with_state(
             Arc::clone(&instance),
@@ -93,6 +94,8 @@
         .into_iter()
         .map(|key| directory.backend_servers.name(key).to_string())
         .collect();
+    let members = instance.duties.members();
+    let live: Vec<_> = members.iter().map(|member| &*member.name).collect();
     Json(json!({
         "instance": instance.me.name,
         "data_centre": instance.me.data_centre,
@@ -103,6 +106,7 @@
         "sheet_day": config.sheet_day,
         "backend_servers": config.backend_servers.len(),
         "leaving": leaving,
+        "live_instances": live,
     }))
 }
 
@@ -133,39 +137,33 @@
 }
 
 /// `SheetQuery` is how a sheet is to be taken.
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 #[derive(Deserialize)]
+#[serde(default, deny_unknown_fields)]
 struct SheetQuery {
-    /// Whether only to show what it would change.
-    #[serde(default)]
     dry_run: bool,
 }
 
-/// Takes the day's sheet.
-async fn write_sheet(
+/// Takes the planners' sheet, or shows what it would change.
+async fn take_sheet(
     State(instance): State<Arc<Instance>>,
-    Query(query): Query<SheetQuery>,
+    query: Result<Query<SheetQuery>, QueryRejection>,
     headers: HeaderMap,
     req: Body,
 ) -> Result<Json<Value>, Failure> {
+    let Query(query) = query.map_err(|e| Error::header(e.to_string()))?;
     let limits = Limits {
         body_bytes: DOCUMENT_LIMIT,
         ..instance.settings.limits
     };
-    let bytes = body::read(req, &limits).await?;
-    let taken = sheet::take(&instance, &bytes, query.dry_run, author(&headers)).await?;
-    let summary = match (taken.changes.len(), query.dry_run) {
-        (0, _) => "no change".to_string(),
-        (n, true) => format!("would change {n} entries"),
-        (n, false) => format!(
-            "accepted as version {}, {n} entries changed",
-            taken.version.0
-        ),
-    };
+    let req = body::read(req, &limits).await?;
+    let author = author(&headers);
+    let taken = sheet::take(&instance, &req, author, query.dry_run).await?;
+    let changes: Vec<_> = taken.changes.iter().map(ToString::to_string).collect();
     Ok(Json(json!({
+        "summary": taken.summary,
         "version": taken.version.0,
-        "summary": summary,
-        "changes": taken.changes,
+        "changes": changes,
     })))
 }
 
--- a/crates/daemon/src/sheet.rs
+++ b/crates/daemon/src/sheet.rs
@@ -1,69 +1,85 @@
-//! The morning sheet: from an operator's file to an accepted configuration.
+//! The planners' sheet on its way into the configuration.
 
 use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::time::sleep;
 
 use hemlockwind_core::Error;
 use hemlockwind_core::Result;
 use hemlockwind_core::config::Version;
-use hemlockwind_core::time::WallTime;
 use hemlockwind_protocol::document::Document;
 use hemlockwind_protocol::sheet;
-use hemlockwind_protocol::sheet::Plan;
-use hemlockwind_sheet::Date;
+use hemlockwind_sheet::Difference;
+use hemlockwind_sheet::today;
 
 use crate::configuration;
 use crate::instance::Instance;
 
-/// Milliseconds of a minute and of a day.
-const MINUTE_MS: i64 = 60_000;
-const DAY_MS: i64 = 86_400_000;
+/// Seconds of a minute.
+const SECONDS: i32 = 60;
+/// Tries when other changes come first.
+const TRIES: u32 = 5;
+/// Time between two tries, in which the other change comes into force here.
+const RETRY_INTERVAL: Duration = Duration::from_millis(300);
 
 /// `Taken` is what became of a sheet.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Taken {
-    /// The version in force with it.
+    /// In words.
+    pub summary: &'static str,
+    /// The version that holds it, or that it was compared with.
     pub version: Version,
-    /// What it changed or would change, a line each.
-    pub changes: Vec<String>,
+    /// What it changed, or would change.
+    pub changes: Vec<Difference>,
 }
 
-/// Takes a sheet whole, or only shows what it would change.
+/// Takes a sheet whole or not at all. The same sheet twice is no change.
 ///
 /// # Errors
 ///
-/// `Error::Sheet` with every fault, `Error::SheetDay`, `Error::NoConfig`, or those
-/// of [`configuration::accept`].
+/// `Error::Sheet` with every fault, `Error::SheetDay`, `Error::NoConfig`, or why
+/// the change was not accepted.
 pub async fn take(
     instance: &Arc<Instance>,
-    bytes: &[u8],
-    is_dry_run: bool,
+    bytes: &Bytes,
     author: &str,
+    dry_run: bool,
 ) -> Result<Taken> {
-    let (version, body) = instance.spread.document().ok_or(Error::NoConfig)?;
-    let document: Document =
-        serde_json::from_slice(&body).map_err(|e| Error::config(e.to_string()))?;
-    let offset = instance.settings.utc_offset_minutes;
-    let today = today(instance.edges.clock.wall(), offset);
-    let plan = sheet::plan(bytes, &document, today)?;
-    let changes = changes(&plan);
-    if is_dry_run || plan.document == document {
-        return Ok(Taken { version, changes });
+    let mut tries = 0;
+    loop {
+        tries += 1;
+        match once(instance, bytes, author, dry_run).await {
+            Err(Error::ConfigConflict(_)) if tries < TRIES => sleep(RETRY_INTERVAL).await,
+            result => return result,
+        }
     }
-    let version = configuration::accept(instance, &plan.document, version, author).await?;
-    Ok(Taken { version, changes })
 }
 
-/// The changes of a plan in words.
-fn changes(plan: &Plan) -> Vec<String> {
-    let differences = plan.differences.iter();
-    differences.map(ToString::to_string).collect()
-}
-
-/// The planners' day.
-fn today(wall: WallTime, offset_minutes: i32) -> Date {
-    let ms = i64::try_from(wall.as_millis()).unwrap_or(i64::MAX);
-    let days = (ms + i64::from(offset_minutes) * MINUTE_MS).div_euclid(DAY_MS);
-    let days = jiff::ToSpan::days(days);
-    let epoch = Date::constant(1970, 1, 1);
-    epoch.checked_add(days).unwrap_or(epoch)
+async fn once(
+    instance: &Arc<Instance>,
+    bytes: &Bytes,
+    author: &str,
+    dry_run: bool,
+) -> Result<Taken> {
+    let (base, body) = instance.spread.document().ok_or(Error::NoConfig)?;
+    let document: Document =
+        serde_json::from_slice(&body).map_err(|e| Error::config(e.to_string()))?;
+    let wall = instance.edges.clock.wall();
+    let day = today(wall, SECONDS * instance.settings.utc_offset_minutes);
+    let plan = sheet::plan(bytes, &document, day)?;
+    let taken = |summary, version| Taken {
+        summary,
+        version,
+        changes: plan.differences.clone(),
+    };
+    if plan.document == document {
+        return Ok(taken("the sheet is in force, nothing changed", base));
+    }
+    if dry_run {
+        return Ok(taken("the sheet can be taken; this would change", base));
+    }
+    let version = configuration::accept(instance, &plan.document, base, author).await?;
+    Ok(taken("the sheet is accepted", version))
 }
--- a/programs/tests/spread.rs
+++ b/programs/tests/spread.rs
@@ -274,9 +274,9 @@
 }
 
 /// A sheet for `day` with one pipeline.
-fn sheet(day: &str, max_tokens: u32) -> Vec<u8> {
+fn sheet(day: &str, max_tokens: u32) -> Bytes {
     let pipeline = format!("{day};pipeline;usiku;swahili;{max_tokens}");
-    format!("day;kind;name;model;max tokens\r\n{pipeline}\r\n{day};end;1;;\r\n").into_bytes()
+    format!("day;kind;name;model;max tokens\r\n{pipeline}\r\n{day};end;1;;\r\n").into()
 }
 
 /// Today by UTC, which the sample's settings follow.
@@ -293,22 +293,22 @@
     let instance = &site.instances[7].instance;
     let bytes = sheet(&today(), 300);
 
-    let dry = take(instance, &bytes, true, "asha").await.unwrap();
+    let dry = take(instance, &bytes, "asha", true).await.unwrap();
     assert_eq!((dry.version, dry.changes.len()), (one, 2), "{dry:?}");
-    let taken = take(instance, &bytes, false, "asha").await.unwrap();
+    let taken = take(instance, &bytes, "asha", false).await.unwrap();
     assert!(taken.version > one);
     assert_eq!(taken.changes, dry.changes);
     assert!(site.in_force(taken.version).await <= BOUND);
 
     // The same sheet at another instance is no change.
     let other = &site.instances[0].instance;
-    let again = take(other, &bytes, false, "juma").await.unwrap();
+    let again = take(other, &bytes, "juma", false).await.unwrap();
     assert_eq!((again.version, again.changes.len()), (taken.version, 0));
     // Half of it, another day's and a broken one are refused whole.
-    let half = &bytes[..bytes.len() / 2];
-    let refused = take(other, half, false, "juma").await.unwrap_err();
+    let half = bytes.slice(..bytes.len() / 2);
+    let refused = take(other, &half, "juma", false).await.unwrap_err();
     assert!(matches!(refused, Error::Sheet(_)), "{refused}");
-    let old = take(other, &sheet("2020-01-01", 1), false, "juma").await;
+    let old = take(other, &sheet("2020-01-01", 1), "juma", false).await;
     assert!(matches!(old, Err(Error::SheetDay(_))), "{old:?}");
     assert!(
         site.instances
