Pools: a waiting ticket moves only for a wait a quarter as long

Cause: with the wait of a full pool no longer zero, tickets moved only to free slots; in a flood the second rank's p95 rose from 505 to 887 ms.

--- a/crates/state/queueing/src/pools.rs
+++ b/crates/state/queueing/src/pools.rs
@@ -256,8 +256,8 @@
         }
     }
 
-    /// Moves tickets that wait long here to a pool that has just told of its room,
-    /// the most urgent first: as many as it gave credits for, or else one.
+    /// Moves tickets that wait long here to a pool that has just told of a shorter
+    /// wait, the most urgent first: as many as it gave credits for, or else one.
     fn move_waiting(&mut self, now: Instant, to: DataCentreKey) {
         if to == self.options.local {
             return;
@@ -277,18 +277,17 @@
 
     fn next_to_move(&self, now: Instant, to: DataCentreKey) -> Option<Ticket> {
         let here = self.get(self.options.local)?;
-        let there = self.get(to)?;
+        let there = self.pools.get(&to)?;
         let placed = self.placed.get(&here.next_waiting()?)?;
         // A late answer of a pool that was left must not meet the request there again.
         if placed.tried.contains(&to) || self.closed.contains(&to) {
             return None;
         }
         let ticket = placed.ticket;
-        let long = self
-            .spill
-            .waits_too_long(ticket.rank, &self.waits(self.options.local));
-        let room = there.has_home(now) && there.wait(ticket.rank) == Duration::ZERO;
-        let move_on = room && (long || !here.has_home(now));
+        let expected = there.round_trip + there.driver.wait(ticket.rank);
+        let local = self.waits(self.options.local);
+        let saves = self.spill.saves(ticket.rank, &local, expected);
+        let move_on = there.driver.has_home(now) && (saves || !here.has_home(now));
         move_on.then_some(ticket)
     }
 
--- a/crates/state/queueing/src/spill.rs
+++ b/crates/state/queueing/src/spill.rs
@@ -11,6 +11,9 @@
 /// The time that another pool must save.
 const GAIN: Duration = Duration::from_millis(5);
 
+/// What a move must divide the wait by.
+const MOVE_PART: u32 = 4;
+
 /// `Options` holds the settings of spilling.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Options {
@@ -85,7 +88,7 @@
         if urgent {
             return None;
         }
-        let limit = wait_of(local, index).saturating_sub(self.options.gain);
+        let limit = self.limit(index, local);
         let (&data_centre, _) = self
             .views
             .iter()
@@ -97,6 +100,19 @@
         Some(data_centre)
     }
 
+    /// Whether a pool that is expected to take `expected` saves most of the time of
+    /// a ticket of `rank` that waits too long. It has a place here already, and a
+    /// stream in another data centre is slower, so a small gain is not enough.
+    pub fn saves(&self, rank: Rank, local: &[Duration], expected: Duration) -> bool {
+        let limit = self.limit(usize::from(rank.0), local);
+        self.waits_too_long(rank, local) && expected < limit / MOVE_PART
+    }
+
+    /// The time that another pool must be faster than.
+    fn limit(&self, rank: usize, local: &[Duration]) -> Duration {
+        wait_of(local, rank).saturating_sub(self.options.gain)
+    }
+
     /// Whether `rank` waits longer than its target, where `local` holds the waits.
     pub fn waits_too_long(&self, rank: Rank, local: &[Duration]) -> bool {
         let rank = usize::from(rank.0);
