--- a/programs/tests/process/main.rs
+++ b/programs/tests/process/main.rs
@@ -7,4 +7,5 @@
 mod process;
 mod services;
 mod site;
+mod spread;
 mod stop;
