--- a/crates/coordination/membership/tests/members.rs
+++ b/crates/coordination/membership/tests/members.rs
@@ -196,3 +196,36 @@
         }
     }
 }
+
+/// How often, in checks of a minute, a live instance is taken for dead by another.
+fn false_deaths(loss: f64, pause: bool) -> usize {
+    let mut world = World::new(21, &[12]);
+    world.run_for(5_000);
+    world.loss = loss;
+    let mut deaths = 0;
+    for check in 0..60_000 / CHECK_MS {
+        if pause && check % 40 == 0 {
+            // Too short to be taken for dead, long enough to miss answers.
+            world.pause(check as usize / 40 % 12, 500);
+        }
+        world.run_for(CHECK_MS);
+        for node in &world.nodes {
+            let dead = world.nodes.iter().filter(|other| {
+                let state = node.members.state(&other.name);
+                state == Some(hemlockwind_membership::State::Dead)
+            });
+            deaths += dead.count();
+        }
+    }
+    deaths
+}
+
+#[test]
+fn members_false_deaths() {
+    let found =
+        [(0.02, false), (0.05, false), (0.0, true)].map(|(loss, pause)| false_deaths(loss, pause));
+    println!(
+        "checks with a false death, loss 2%, loss 5%, pauses of 0.5 s: {found:?} of 172800 each"
+    );
+    assert_eq!(found, [0; 3]);
+}
