--- a/programs/tests/process/loans.rs
+++ b/programs/tests/process/loans.rs
@@ -209,8 +209,9 @@
         let count = counts.get(&loan.body).copied().unwrap_or_default();
         assert!(
             count <= 1,
-            "{} ran {count} times: {:?}",
+            "{} with key {} ran {count} times: {:?}",
             loan.body,
+            loan.key,
             loan.told
         );
         if loan.told.iter().all(|told| *told == Told::NotRun) {
