--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -8,6 +8,7 @@
 use slog::info;
 use slog::warn;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
@@ -31,6 +32,10 @@
 use crate::slots;
 use crate::watch;
 
+/// Connections that may wait to be accepted. Beyond it the system drops them, and
+/// a caller tries again after a second only.
+const BACKLOG: u32 = 4_096;
+
 /// `Running` is an instance with open sockets.
 pub struct Running {
     /// What its parts share.
@@ -118,12 +123,21 @@
     })
 }
 
-/// Opens a listening socket.
+/// Opens a listening socket with room for a burst of callers.
 async fn open(addr: SocketAddr) -> Result<(TcpListener, SocketAddr)> {
     let error = |e: std::io::Error| Error::listen(format!("{addr}: {e}"));
-    let socket = TcpListener::bind(addr).await.map_err(error)?;
-    let local = socket.local_addr().map_err(error)?;
-    Ok((socket, local))
+    let socket = if addr.is_ipv4() {
+        TcpSocket::new_v4()
+    } else {
+        TcpSocket::new_v6()
+    };
+    let socket = socket.map_err(error)?;
+    // A replaced instance takes the address of the one before it.
+    socket.set_reuseaddr(true).map_err(error)?;
+    socket.bind(addr).map_err(error)?;
+    let listener = socket.listen(BACKLOG).map_err(error)?;
+    let local = listener.local_addr().map_err(error)?;
+    Ok((listener, local))
 }
 
 impl Running {
--- a/programs/tests/callers.rs
+++ b/programs/tests/callers.rs
@@ -30,6 +30,11 @@
 /// Milliseconds in which a request must have arrived.
 const RECEIVE_MS: u64 = 300;
 
+/// Connections that callers open at the same moment.
+const BURST: usize = 300;
+/// The time that a connection may take; a dropped one is tried again after 1 s.
+const CONNECT: Duration = Duration::from_millis(500);
+
 /// `Site` is a platform and one instance inside this process.
 struct Site {
     running: Running,
@@ -262,3 +267,14 @@
     let (status, json) = send(put(version, winner), same).await;
     assert_eq!((status, json["version"].as_u64()), (200, Some(version)));
 }
+
+#[tokio::test]
+async fn connect_burst_without_delay() {
+    let site = Site::start().await;
+    // This blocks the only thread, so nothing is accepted meanwhile.
+    let burst: Vec<_> = (0..BURST)
+        .map(|_| std::net::TcpStream::connect_timeout(&site.running.callers, CONNECT))
+        .collect();
+    let refused = burst.iter().filter(|tcp| tcp.is_err()).count();
+    assert_eq!(refused, 0);
+}
