--- a/programs/tests/callers.rs
+++ b/programs/tests/callers.rs
@@ -1,6 +1,9 @@
 //! Bad input from callers and operators: a numbered error, and the process lives on.
 
+use std::io::Write;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,12 +17,18 @@
 use hyper_util::rt::TokioExecutor;
 use serde_json::Value;
 use serde_json::json;
+use slog::Logger;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
 use hemlockwind::daemon::Running;
 use hemlockwind::daemon::start;
+use hemlockwind::peer::H2Peer;
+use hemlockwind::peer::SharedKey;
+use hemlockwind::protocol::peer::Peer;
+use hemlockwind::protocol::peer::Request as PeerRequest;
+use hemlockwind::protocol::peer::configuration::Message;
 use hemlockwind::settings::Settings;
 use hemlockwind::telemetry::logs;
 
@@ -44,6 +53,11 @@
 impl Site {
     /// Starts the site and puts a configuration without backend servers in force.
     async fn start() -> Self {
+        Self::start_with(logs::discard()).await
+    }
+
+    /// As [`Site::start`], with a log.
+    async fn start_with(log: Logger) -> Self {
         let platform = platform::start(platform::Options::default()).await.unwrap();
         let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
         let instance = sample::Instance {
@@ -58,7 +72,7 @@
         });
         let text = sample::settings(platform.addr, &[instance], &limits);
         let settings = Settings::parse(&text).unwrap();
-        let running = start(settings, None, logs::discard()).await.unwrap();
+        let running = start(settings, None, log).await.unwrap();
         let site = Self {
             running,
             _platform: platform,
@@ -92,6 +106,28 @@
     }
 }
 
+/// `Buffer` keeps what is logged.
+#[derive(Clone, Default)]
+struct Buffer(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Buffer {
+    fn write(&mut self, buf: &[u8]) -> std::io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(buf);
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Buffer {
+    /// The lines so far.
+    fn text(&self) -> String {
+        String::from_utf8(self.0.lock().unwrap().clone()).unwrap()
+    }
+}
+
 /// Sends a request; its status and JSON.
 async fn send(req: http::request::Builder, body: impl Into<Bytes>) -> (u16, Value) {
     let client = Client::builder(TokioExecutor::new()).build_http();
@@ -278,3 +314,42 @@
     let refused = burst.iter().filter(|tcp| tcp.is_err()).count();
     assert_eq!(refused, 0);
 }
+
+#[tokio::test]
+async fn log_without_secrets() {
+    let buffer = Buffer::default();
+    let site = Site::start_with(logs::json(buffer.clone(), "a")).await;
+    let peer_key = site.running.instance.settings.peer_key.clone();
+    let body = json!({"model": "nobody", "prompt": "x"}).to_string();
+    for key in [sample::API_KEY, "a-key-that-nobody-has"] {
+        site.complete(key, body.clone()).await;
+    }
+    let req = Request::get(site.admin("/v1/status"));
+    send(req.header("authorization", "Bearer a-wrong-token"), "").await;
+    // A peer that knows another key.
+    let peer = H2Peer::new("b", SharedKey::new("a-key-of-another-peer"));
+    let message = PeerRequest::Configuration(Message::Version(1));
+    assert!(peer.call(site.running.peers, message).await.is_err());
+    let begin = std::time::Instant::now();
+    while !buffer.text().contains("5001") {
+        assert!(
+            begin.elapsed() < Duration::from_secs(5),
+            "{}",
+            buffer.text()
+        );
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let secrets = [
+        sample::API_KEY,
+        "a-key-that-nobody-has",
+        sample::ADMIN_TOKEN,
+        "a-wrong-token",
+        &peer_key,
+        "a-key-of-another-peer",
+    ];
+    let text = buffer.text();
+    assert!(text.contains("1005") && text.contains("1003"), "{text}");
+    for secret in secrets {
+        assert!(!text.contains(secret), "{secret} is in the log");
+    }
+}
