--- a/crates/daemon/src/callers/completions.rs
+++ b/crates/daemon/src/callers/completions.rs
@@ -28,9 +28,9 @@
 use crate::callers::events::Answer;
 use crate::driver;
 use crate::driver::Progress;
-use crate::driver::Work;
 use crate::instance::Instance;
 use crate::problem::Failure;
+use crate::work::Work;
 
 /// The header with the request's id.
 const REQUEST_HEADER: &str = "x-request-id";
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -9,23 +9,16 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::sleep;
 
-use hemlockwind_core::Error;
-use hemlockwind_core::Result;
 use hemlockwind_core::attempt::Attempt;
 use hemlockwind_core::attempt::Attempts;
 use hemlockwind_core::engine::Incarnation;
 use hemlockwind_core::engine::Output;
-use hemlockwind_core::engine::RequestId;
 use hemlockwind_core::engine::Step;
 use hemlockwind_core::engine::StepId;
 use hemlockwind_core::engine::StepResult;
 use hemlockwind_core::engine::Token;
 use hemlockwind_core::names::BackendServerKey;
-use hemlockwind_core::names::ModelKey;
-use hemlockwind_core::names::OrganisationKey;
-use hemlockwind_core::names::Rank;
 use hemlockwind_core::time::Instant;
-use hemlockwind_queueing::Ticket;
 use hemlockwind_stream::Action;
 use hemlockwind_stream::Event;
 use hemlockwind_stream::Finish;
@@ -36,8 +29,16 @@
 
 use crate::health;
 use crate::instance::Instance;
-use crate::pool;
 use crate::pool::Slot;
+use crate::work::Work;
+use crate::work::admit;
+
+/// Paths that a stream may be prefilled over.
+const MAX_INCARNATIONS: u32 = 8;
+
+/// Paths that a stream gets without drawing on the retry budget: the first, and
+/// one for a stage that failed under many streams at once.
+const FREE_INCARNATIONS: Incarnation = Incarnation(2);
 
 /// `Progress` is what a caller's side hears of a stream.
 #[derive(Clone, Debug)]
@@ -48,51 +49,6 @@
     End(Finish),
 }
 
-/// `Work` is a request that was read, checked and admitted.
-#[derive(Clone, Debug)]
-pub struct Work {
-    /// The request's id.
-    pub id: RequestId,
-    /// The organisation's name, for histograms.
-    pub organisation: Arc<str>,
-    /// The rank.
-    pub rank: Rank,
-    /// The model.
-    pub model: ModelKey,
-    /// The organisation.
-    pub organisation_key: OrganisationKey,
-    /// The organisation's weight in fair queueing.
-    pub share: f64,
-    /// The number of the model's layers.
-    pub model_layers: u16,
-    /// The prompt.
-    pub prompt: String,
-    /// Tokens at most.
-    pub max_tokens: u32,
-    /// When the request arrived.
-    pub arrived_at: Instant,
-    /// The latest start that is of use.
-    pub start_by: Instant,
-    /// When the whole answer must be there.
-    pub deadline: Instant,
-}
-
-/// Paths that a stream gets without drawing on the retry budget: the first, and
-/// one for a stage that failed under many streams at once.
-const FREE_INCARNATIONS: Incarnation = Incarnation(2);
-/// Bytes of a prompt that are taken for one token.
-const TOKEN_BYTES: usize = 4;
-
-impl Work {
-    /// The tokens that the prompt is taken for.
-    fn prompt_tokens(&self) -> u64 {
-        (self.prompt.len() / TOKEN_BYTES) as u64
-    }
-}
-
-/// Paths that a stream may be prefilled over.
-const MAX_INCARNATIONS: u32 = 8;
-
 /// Waits for a slot of a pool, then drives the stream until it ends. The stream
 /// is cancelled when nobody listens to `out` any more.
 pub async fn drive(instance: Arc<Instance>, work: Work, out: UnboundedSender<Progress>) {
@@ -111,25 +67,6 @@
     }
 }
 
-/// Waits for a slot of one of the model's pools.
-async fn admit(instance: &Arc<Instance>, work: &Work) -> Result<Slot> {
-    if instance.fleet.centres(work.model).is_empty() {
-        return Err(Error::no_path(format!("layers 0..{}", work.model_layers)));
-    }
-    let layers = u64::from(work.model_layers);
-    let tokens = u64::from(work.max_tokens) + work.prompt_tokens();
-    let ticket = Ticket {
-        request: work.id,
-        organisation: work.organisation_key,
-        share: work.share,
-        rank: work.rank,
-        cost: tokens * layers,
-        deadline: work.start_by.min(work.deadline),
-        running: false,
-    };
-    pool::acquire(instance, work.model, ticket).await
-}
-
 /// Drives a stream that has a slot.
 async fn run(instance: Arc<Instance>, work: Work, slot: Slot, out: UnboundedSender<Progress>) {
     let limits = instance.settings.limits;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod slots;
 pub mod start;
 pub mod watch;
+pub mod work;
 
 pub use crate::instance::Instance;
 pub use crate::start::Running;
