--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -262,7 +262,7 @@
         }
     }
 
-    /// Begins or ends the home here, and begins a new one when the ranks change.
+    /// Begins or ends the home here; a new one starts a later session.
     fn set_home(&mut self, is_here: bool, options: home::Options, wall_ms: u64, now: Instant) {
         if !is_here {
             self.home = None;
