Platform: a thin whole path on the users' platform

Cause: nothing of the users' platform was met; the daemon answered each request there with 404. Change: platform/ decodes settings, store, manifest, servers, reports, orders and headers; state/paths chooses paths and starts; state/placement plans layers; gateway serves callers, follows the store, gives orders under a lease. Ruled out: driving each token from the daemon, since engines there pass activations among themselves; reading the entry's sequence as the count of orders (all 6,079 orders were refused with 409), which is the count of its writes.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod errors;
 pub mod layers;
 pub mod names;
+pub mod routes;
+pub mod servers;
 pub mod time;
 
 pub use crate::errors::Error;
--- /dev/null
+++ b/crates/gateway/src/events.rs
@@ -0,0 +1,74 @@
+//! Cuts a stream of server-sent events at the ends of events, and reads their ids.
+
+use bytes::Bytes;
+use bytes::BytesMut;
+
+/// Bytes of one event at most.
+const EVENT_LIMIT: usize = 1 << 20;
+
+/// `Event` is one whole event, with the blank line that ends it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// Its bytes.
+    pub bytes: Bytes,
+    /// Its id, when it has one that is a number.
+    pub id: Option<u64>,
+}
+
+/// `Splitter` gathers bytes until events are whole.
+#[derive(Clone, Debug, Default)]
+pub struct Splitter {
+    buf: BytesMut,
+    /// Bytes that were searched before.
+    searched: usize,
+}
+
+impl Splitter {
+    /// Takes more bytes. Returns whether they still are within the limit of one event.
+    pub fn push(&mut self, bytes: &[u8]) -> bool {
+        self.buf.extend_from_slice(bytes);
+        self.buf.len() <= EVENT_LIMIT
+    }
+
+    /// The next whole event.
+    pub fn next_event(&mut self) -> Option<Event> {
+        let end = self.end()?;
+        self.searched = 0;
+        let bytes = self.buf.split_to(end).freeze();
+        let id = id(&bytes);
+        Some(Event { bytes, id })
+    }
+
+    /// What remains after the last whole event.
+    pub fn rest(self) -> Bytes {
+        self.buf.freeze()
+    }
+
+    /// The place after the next blank line.
+    fn end(&mut self) -> Option<usize> {
+        let mut at = self.searched;
+        while let Some(found) = self.buf[at..].iter().position(|b| *b == b'\n') {
+            let line_end = at + found;
+            let after = &self.buf[line_end + 1..];
+            match after {
+                [b'\n', ..] => return Some(line_end + 2),
+                [b'\r', b'\n', ..] => return Some(line_end + 3),
+                // The next bytes decide.
+                [] | [b'\r'] => {
+                    self.searched = line_end;
+                    return None;
+                }
+                _ => at = line_end + 1,
+            }
+        }
+        self.searched = at;
+        None
+    }
+}
+
+/// The id of an event.
+fn id(event: &[u8]) -> Option<u64> {
+    let text = std::str::from_utf8(event).ok()?;
+    let value = text.lines().find_map(|line| line.strip_prefix("id:"))?;
+    value.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,199 @@
+//! What the parts of one instance share.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use arc_swap::ArcSwap;
+use parking_lot::Mutex;
+use parking_lot::RwLock;
+use slog::Logger;
+use tokio::sync::Notify;
+use tokio::sync::broadcast;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use hemlockwind_backend::clock::SystemClock;
+use hemlockwind_backend::http1::Http1;
+use hemlockwind_core::collections::HashMap;
+use hemlockwind_core::edges::Clock;
+use hemlockwind_core::names::Rank;
+use hemlockwind_core::routes::Routes;
+use hemlockwind_core::time::Instant;
+use hemlockwind_limits::RetryBudget;
+use hemlockwind_limits::retry::Policy;
+use hemlockwind_platform::settings::Settings;
+use hemlockwind_platform::store::Store;
+use hemlockwind_telemetry::Histograms;
+use hemlockwind_telemetry::budget::LineBudget;
+
+use crate::directory::Directory;
+use crate::homes::Homes;
+use crate::servers::Servers;
+
+/// Events that a slow stream may lag behind before it misses one.
+const FAULT_BACKLOG: usize = 256;
+
+/// `Fault` is news about an engine that streams over it must hear.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// It does not make progress.
+    Dead(SocketAddr),
+    /// It finishes what it has and leaves.
+    Leaving(SocketAddr),
+}
+
+/// `Gateway` holds what the parts of one instance share.
+pub struct Gateway {
+    /// The settings of this instance.
+    pub settings: Settings,
+    /// Where log lines go.
+    pub log: Logger,
+    /// Bounds the volume of log lines.
+    pub lines: LineBudget,
+    /// The clock that decisions use.
+    pub clock: SystemClock,
+    /// The store of the platform.
+    pub store: Store,
+    /// The version of the routes in force; reading it takes no lock.
+    pub routes: ArcSwap<Routes>,
+    /// The listed backend servers.
+    pub directory: RwLock<Directory>,
+    /// Plain servers: their load and failures.
+    pub servers: Servers,
+    /// Who may start on the engines.
+    pub homes: Homes,
+    /// Connections to backend servers.
+    pub http: Http1,
+    /// The budget for further runs, by service.
+    budgets: Mutex<HashMap<Arc<str>, RetryBudget>>,
+    /// News about engines.
+    pub faults: broadcast::Sender<Fault>,
+    /// Told when the directory or the routes have changed.
+    pub changed: Notify,
+    /// Times by organisation and rank.
+    pub histograms: Histograms,
+    /// Counters, served on the metrics address.
+    pub counters: Counters,
+    /// Set when a planned stop begins.
+    pub stopping: CancellationToken,
+    /// Requests in progress.
+    pub requests: TaskTracker,
+}
+
+/// `Counters` counts what happened since the start.
+#[derive(Debug, Default)]
+pub struct Counters {
+    counts: Mutex<std::collections::BTreeMap<&'static str, u64>>,
+    numbers: AtomicU64,
+}
+
+impl Counters {
+    /// Counts one more of `name`.
+    pub fn add(&self, name: &'static str) {
+        *self.counts.lock().entry(name).or_default() += 1;
+    }
+
+    /// A number that was not given before.
+    pub fn number(&self) -> u64 {
+        self.numbers.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// All counts in the text form of the usual scrapers.
+    pub fn render(&self) -> String {
+        let counts = self.counts.lock();
+        let lines = counts
+            .iter()
+            .map(|(name, n)| format!("hemlockwind_{name}_total {n}\n"));
+        lines.collect()
+    }
+}
+
+impl Gateway {
+    /// An instance that has not opened a socket yet.
+    pub fn new(settings: Settings, log: Logger) -> Self {
+        let (faults, _) = broadcast::channel(FAULT_BACKLOG);
+        let clock = SystemClock::default();
+        Self {
+            store: Store::new(settings.store),
+            homes: Homes::new(&settings.data_centre),
+            lines: LineBudget::new(clock.now()),
+            settings,
+            log,
+            clock,
+            routes: ArcSwap::default(),
+            directory: RwLock::default(),
+            servers: Servers::default(),
+            http: Http1::default(),
+            budgets: Mutex::default(),
+            faults,
+            changed: Notify::new(),
+            histograms: Histograms::default(),
+            counters: Counters::default(),
+            stopping: CancellationToken::new(),
+            requests: TaskTracker::new(),
+        }
+    }
+
+    /// The time, for decisions.
+    pub fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// Whether a balancer should send connections here.
+    pub fn is_ready(&self) -> bool {
+        !self.stopping.is_cancelled() && self.routes.load().version > 0
+    }
+
+    /// Takes a request for `service`, which allows a share of a further run later.
+    pub fn count_request(&self, service: &Arc<str>) {
+        let now = self.now();
+        let mut budgets = self.budgets.lock();
+        let policy = self.retry_policy();
+        let budget = budgets
+            .entry(Arc::clone(service))
+            .or_insert_with(|| RetryBudget::new(now, policy));
+        budget.on_success(now);
+    }
+
+    /// Whether a request for `service` may be sent once more.
+    pub fn may_retry(&self, service: &Arc<str>) -> bool {
+        let now = self.now();
+        let mut budgets = self.budgets.lock();
+        let policy = self.retry_policy();
+        let budget = budgets
+            .entry(Arc::clone(service))
+            .or_insert_with(|| RetryBudget::new(now, policy));
+        let allowed = budget.try_retry(now);
+        if !allowed {
+            self.counters.add("retries_denied");
+        }
+        allowed
+    }
+
+    /// This instance's part of the budget that all instances share: its own requests
+    /// give the ratio, and the slack is divided by the instances.
+    fn retry_policy(&self) -> Policy {
+        let bounds = &self.settings.bounds;
+        let instances = self.homes.instances().max(1) as f64;
+        let slack = bounds.retry_slack / instances * SLACK_USED;
+        let window = bounds.retry_window.as_secs_f64().max(1.0);
+        Policy {
+            per_success: (bounds.retry_ratio * RATIO_USED * 1_000.0) as u64,
+            // What is saved up and what flows in together stay below the slack of a window.
+            per_second: (slack / 2.0 / window * 1_000.0) as u64,
+            burst: (slack / 2.0) as u64,
+        }
+    }
+
+    /// The name of a rank, for people.
+    pub fn rank_name(rank: Rank) -> String {
+        rank.0.to_string()
+    }
+}
+
+/// The part of the ratio that is used: windows slide, and instances differ in load.
+const RATIO_USED: f64 = 0.8;
+/// The part of the slack that is used, for instances that are not counted yet.
+const SLACK_USED: f64 = 0.8;
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,26 @@
+//! One instance on the users' platform.
+//!
+//! It passes opaque requests to backend servers: plain calls to one server, streams
+//! over a path of engines. [`requests`] reads a caller's request, [`calls`] and
+//! [`streams`] dispatch it, [`homes`] decides where and when it may start, [`follow`]
+//! hears of routes and servers, [`orders`] places layers on engines.
+
+pub mod answers;
+pub mod calls;
+pub mod directory;
+pub mod events;
+pub mod follow;
+pub mod gateway;
+pub mod homes;
+pub mod listener;
+pub mod orders;
+pub mod readiness;
+pub mod relay;
+pub mod requests;
+pub mod servers;
+pub mod start;
+pub mod streams;
+
+pub use crate::gateway::Gateway;
+pub use crate::start::Running;
+pub use crate::start::start;
--- /dev/null
+++ b/crates/gateway/src/orders.rs
@@ -0,0 +1,281 @@
+//! Gives the engines their layers, one instance at a time.
+//!
+//! The giver holds a lease in the store; its version is the fencing token of each
+//! order. Not all engines check it, so each order also names the number of orders that
+//! its engine has accepted by its own report: one that comes late, after another, is
+//! refused.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::json;
+use slog::info;
+use slog::warn;
+use tokio::time::sleep;
+
+use hemlockwind_core::collections::SeededHashMap;
+use hemlockwind_core::edges::Put;
+use hemlockwind_core::layers::LayerRange;
+use hemlockwind_core::servers::BackendServer;
+use hemlockwind_core::servers::EngineModel;
+use hemlockwind_core::servers::ServerState;
+use hemlockwind_core::time::Instant;
+use hemlockwind_lease::Action;
+use hemlockwind_lease::Event;
+use hemlockwind_lease::Holder;
+use hemlockwind_lease::Nonce;
+use hemlockwind_lease::Options;
+use hemlockwind_lease::Outcome;
+use hemlockwind_lease::Value;
+use hemlockwind_placement::Engine;
+use hemlockwind_placement::Order;
+use hemlockwind_placement::Urgency;
+use hemlockwind_placement::plan;
+use hemlockwind_platform::engine;
+use hemlockwind_platform::engine::Ordered;
+
+use crate::gateway::Gateway;
+
+/// The kind and name of the lease's object.
+const LEASE_KIND: &str = "hemlockwind-leases";
+const LEASE_NAME: &str = "orders";
+/// How long the lease lasts without a renewal: a new giver is needed only when an
+/// engine has to be placed, and a few seconds without one cost little.
+const LEASE_TIME: Duration = Duration::from_secs(6);
+/// Time between two reads of the lease by those that don't hold it.
+const LEASE_RETRY: Duration = Duration::from_secs(2);
+/// Time between two looks at the engines.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time after the first engine was seen until the first plan, for the others to appear.
+const GATHER_TIME: Duration = Duration::from_millis(800);
+/// Time that a gap is left to an engine that restarts before its neighbours are
+/// extended. A restart takes seconds, a load of a few layers about one.
+const GAP_TIME: Duration = Duration::from_millis(1_000);
+/// Time after which an order whose effect does not show is given again, beside the
+/// load's own time.
+const ORDER_TIME: Duration = Duration::from_millis(2_000);
+
+/// What the giver remembers of one order.
+struct Given {
+    layers: LayerRange,
+    born_ms: u64,
+    again_at: Instant,
+}
+
+/// `Giver` decides which orders are due.
+#[derive(Default)]
+pub struct Giver {
+    given: SeededHashMap<Arc<str>, Given>,
+    seen_at: Option<Instant>,
+    gap_since: Option<Instant>,
+}
+
+impl Giver {
+    /// The orders that are due at `now`.
+    pub fn due(
+        &mut self,
+        now: Instant,
+        model: &EngineModel,
+        servers: &[Arc<BackendServer>],
+    ) -> Vec<(Arc<BackendServer>, Order)> {
+        if servers.is_empty() {
+            return Vec::new();
+        }
+        let seen_at = *self.seen_at.get_or_insert(now);
+        if now.since(seen_at) < GATHER_TIME {
+            return Vec::new();
+        }
+        self.given.retain(|id, given| {
+            let server = servers.iter().find(|s| s.id == *id);
+            server.is_some_and(|s| s.layers != Some(given.layers) && given.again_at > now)
+        });
+        let engines: Vec<Engine> = servers
+            .iter()
+            .filter_map(|s| self.engine(model, s))
+            .collect();
+        let urgency = self.urgency(now, model, &engines);
+        let orders = plan(model, &engines, urgency);
+        let mut due = Vec::with_capacity(orders.len());
+        for order in orders {
+            let Some(server) = servers.iter().find(|s| s.id == order.id) else {
+                continue;
+            };
+            let given = Given {
+                layers: order.layers,
+                born_ms: server.born_ms,
+                again_at: now + ORDER_TIME + model.load.mul_f64(share(model, order.layers)),
+            };
+            self.given.insert(Arc::clone(&order.id), given);
+            due.push((Arc::clone(server), order));
+        }
+        due
+    }
+
+    /// An order was refused: it is planned anew at the next look after a pause.
+    pub fn refused(&mut self, now: Instant, id: &str) {
+        if let Some(given) = self.given.get_mut(id) {
+            given.again_at = now + LOOK_INTERVAL * 3;
+        }
+    }
+
+    fn engine(&self, model: &EngineModel, server: &BackendServer) -> Option<Engine> {
+        let card = *model.cards.get(server.card.as_ref()?)?;
+        let given = self.given.get(&server.id);
+        // A restart has forgotten what it was ordered.
+        let given = given.filter(|g| g.born_ms == server.born_ms);
+        Some(Engine {
+            id: Arc::clone(&server.id),
+            data_centre: Arc::clone(&server.data_centre),
+            card,
+            layers: given.map(|g| g.layers).or(server.layers),
+            is_free: given.is_none(),
+            is_live: server.state == ServerState::Ready,
+        })
+    }
+
+    /// Gaps are repaired by other engines only when they last.
+    fn urgency(&mut self, now: Instant, model: &EngineModel, engines: &[Engine]) -> Urgency {
+        let has_gap = !plan(model, engines, Urgency::Repair).is_empty();
+        if !has_gap {
+            self.gap_since = None;
+            return Urgency::Empty;
+        }
+        let since = *self.gap_since.get_or_insert(now);
+        match now.since(since) >= GAP_TIME {
+            true => Urgency::Repair,
+            false => Urgency::Empty,
+        }
+    }
+}
+
+fn share(model: &EngineModel, layers: LayerRange) -> f64 {
+    f64::from(layers.count()) / f64::from(model.layers.max(1))
+}
+
+/// Competes for the lease and gives orders while it is held, until the task is ended.
+pub async fn run(gateway: Arc<Gateway>) {
+    let mut holder = Holder::new(Options {
+        name: gateway.settings.name.as_str().into(),
+        process: rand::random(),
+        duration: LEASE_TIME,
+        retry: LEASE_RETRY,
+    });
+    let mut givers: SeededHashMap<Arc<str>, Giver> = SeededHashMap::default();
+    let mut held = false;
+    let mut action = holder.on_event(gateway.now(), Event::Candidate(true));
+    loop {
+        if gateway.stopping.is_cancelled() && !holder.is_released() {
+            action = action.or(holder.on_event(gateway.now(), Event::Stop));
+        }
+        while let Some(next) = action {
+            let event = act(&gateway, next).await;
+            action = holder.on_event(gateway.now(), event);
+        }
+        let fencing = holder.holds(gateway.now());
+        if fencing.is_some() != held {
+            held = fencing.is_some();
+            info!(gateway.log, "lease for orders"; "held" => held,
+                "fencing" => fencing.map(|f| f.0));
+            if !held {
+                givers.clear();
+            }
+        }
+        if let Some(fencing) = fencing {
+            give(&gateway, &mut givers, fencing.0).await;
+        }
+        sleep(LOOK_INTERVAL).await;
+        action = holder.on_event(gateway.now(), Event::Tick);
+    }
+}
+
+/// Does what the holder asks of the store.
+async fn act(gateway: &Gateway, action: Action) -> Event {
+    match action {
+        Action::Get => match gateway.store.get(LEASE_KIND, LEASE_NAME).await {
+            Ok(object) => Event::Read(object.and_then(|object| {
+                let value = serde_json::from_str(object.content.get()).ok()?;
+                Some((value_of(&value)?, object.version))
+            })),
+            Err(_) => Event::PlatformDown,
+        },
+        Action::Put { write, value, when } => {
+            let content = json!({
+                "holder": &*value.holder,
+                "process": value.nonce.process.to_string(),
+                "write": value.nonce.write,
+                "durationMs": value.duration.as_millis() as u64,
+                "released": value.released,
+            });
+            let put = gateway
+                .store
+                .put(LEASE_KIND, LEASE_NAME, &content, when)
+                .await;
+            let outcome = match put {
+                Put::Done(version) => Outcome::Done(version),
+                Put::Conflict => Outcome::Conflict,
+                Put::Refused(_) => Outcome::Refused,
+                Put::Unknown(_) => Outcome::Unknown,
+            };
+            Event::Put { write, outcome }
+        }
+    }
+}
+
+/// The lease's value; one that can't be read counts as none.
+fn value_of(value: &serde_json::Value) -> Option<Value> {
+    Some(Value {
+        holder: value.get("holder")?.as_str()?.into(),
+        nonce: Nonce {
+            process: value.get("process")?.as_str()?.parse().ok()?,
+            write: value.get("write")?.as_u64()?,
+        },
+        duration: Duration::from_millis(value.get("durationMs")?.as_u64()?),
+        released: value.get("released")?.as_bool()?,
+    })
+}
+
+/// Gives the orders that are due.
+async fn give(gateway: &Arc<Gateway>, givers: &mut SeededHashMap<Arc<str>, Giver>, fencing: u64) {
+    let routes = gateway.routes.load_full();
+    for service in routes.services() {
+        let Some(model) = service.engine.as_ref().filter(|m| m.is_joint()) else {
+            continue;
+        };
+        let servers: Vec<Arc<BackendServer>> = {
+            let directory = gateway.directory.read();
+            directory.of(&service.name).cloned().collect()
+        };
+        let giver = givers.entry(Arc::clone(&service.name)).or_default();
+        let due = giver.due(gateway.now(), model, &servers);
+        let calls = due.into_iter().map(|(server, order)| async move {
+            let ordered = place(gateway, &server, &order, fencing).await;
+            (ordered, order)
+        });
+        for (ordered, order) in futures::future::join_all(calls).await {
+            gateway.counters.add("orders_given");
+            info!(gateway.log, "order"; "engine" => &*order.id, "layers" => %order.layers,
+                "fencing" => fencing, "outcome" => format!("{ordered:?}"));
+            match ordered {
+                Ordered::Accepted => {}
+                Ordered::Refused(_) | Ordered::Outdated => giver.refused(gateway.now(), &order.id),
+                Ordered::Unknown(e) => {
+                    warn!(gateway.log, "order without answer"; "engine" => &*order.id,
+                        "error" => %e);
+                }
+            }
+        }
+    }
+}
+
+/// Gives one order, unless the engine's report says that its entry is out of date.
+async fn place(gateway: &Gateway, server: &BackendServer, order: &Order, fencing: u64) -> Ordered {
+    let report = match engine::report(&gateway.http, server.addr).await {
+        Ok(report) => report,
+        Err(e) => return Ordered::Unknown(e),
+    };
+    if report.is_changing || report.layers != server.layers {
+        return Ordered::Outdated;
+    }
+    let target = (server.addr, &*server.id);
+    engine::place(&gateway.http, target, order.layers, fencing, report.orders).await
+}
--- /dev/null
+++ b/crates/gateway/src/readiness.rs
@@ -0,0 +1,57 @@
+//! Whether a balancer should send connections here, and the metrics.
+
+use std::sync::Arc;
+
+use axum::Router;
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::routing::get;
+use tokio::net::TcpListener;
+
+use crate::gateway::Gateway;
+
+/// The path that the balancer asks.
+const READY_PATH: &str = "/api/ready";
+/// The path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// Serves readiness on `listener`, until the task is ended.
+pub async fn serve(gateway: Arc<Gateway>, listener: TcpListener) {
+    let app = Router::new()
+        .route(READY_PATH, get(ready))
+        .with_state(gateway);
+    // It ends only with the process.
+    let _ = axum::serve(listener, app).await;
+}
+
+/// Serves metrics on `listener`, until the task is ended.
+pub async fn serve_metrics(gateway: Arc<Gateway>, listener: TcpListener) {
+    let app = Router::new()
+        .route(METRICS_PATH, get(metrics))
+        .with_state(gateway);
+    let _ = axum::serve(listener, app).await;
+}
+
+async fn ready(State(gateway): State<Arc<Gateway>>) -> StatusCode {
+    match gateway.is_ready() {
+        true => StatusCode::OK,
+        false => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+async fn metrics(State(gateway): State<Arc<Gateway>>) -> String {
+    let (running, waiting) = gateway.homes.load();
+    let mut text = gateway.counters.render();
+    text.push_str(&format!("hemlockwind_streams_running {running}\n"));
+    text.push_str(&format!("hemlockwind_streams_waiting {waiting}\n"));
+    text.push_str(&format!(
+        "hemlockwind_connections_opened_total {}\n",
+        gateway.http.opened()
+    ));
+    text.push_str(&format!(
+        "hemlockwind_routes_version {}\n",
+        gateway.routes.load().version
+    ));
+    text.push_str(&gateway.histograms.render(Gateway::rank_name));
+    text
+}
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,422 @@
+//! A running stream: passes events on as they come, and goes on over another path
+//! when an engine of its path fails or leaves.
+//!
+//! Only whole events are passed on, each once, so that a run which breaks off in the
+//! middle of an event can be followed by another one.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use hyper::body::Frame;
+use slog::info;
+use tokio::sync::broadcast;
+use tokio::sync::broadcast::error::RecvError;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::sleep_until;
+
+use hemlockwind_backend::http1::Exchange;
+use hemlockwind_core::Error;
+use hemlockwind_core::attempt::Attempt;
+use hemlockwind_core::routes::Repeat;
+use hemlockwind_platform::engine;
+use hemlockwind_telemetry::histograms::Measure;
+
+use crate::events::Splitter;
+use crate::gateway::Fault;
+use crate::gateway::Gateway;
+use crate::homes::Ask;
+use crate::homes::Grant;
+use crate::requests::Accepted;
+use crate::streams;
+use crate::streams::Refused;
+use crate::streams::Sent;
+use crate::streams::Start;
+
+/// Time beyond the longest wanted pause after which a stream is in doubt.
+const DOUBT_MARGIN: Duration = Duration::from_millis(150);
+/// The longest wanted pause of a route that does not say.
+const PAUSE_DEFAULT: Duration = Duration::from_millis(200);
+/// Time between two looks at a stream in doubt: reports are some hundred ms old.
+const LOOK_AGAIN: Duration = Duration::from_millis(200);
+/// The part of the caller's patience after which a silent stream goes on elsewhere
+/// without a known cause: what is left has to suffice for another start.
+const GIVE_UP_PART: f64 = 0.5;
+/// The part of the caller's patience within which another run must have begun.
+const RESUME_PART: f64 = 0.9;
+/// Time between two tries to go on.
+const RESUME_PAUSE: Duration = Duration::from_millis(60);
+/// Time beyond the deadline after which a stream is broken off.
+const DEADLINE_GRACE: Duration = Duration::from_millis(200);
+/// Time before a leaving engine's end by which streams have moved away.
+const LEAVE_MARGIN: Duration = Duration::from_millis(800);
+
+/// How one run of a stream ended.
+#[derive(Debug)]
+enum End {
+    /// With its last event.
+    Complete,
+    /// The caller is gone.
+    CallerLeft,
+    /// The deadline passed.
+    Deadline,
+    /// The connection to the first engine broke.
+    Broken(Error),
+    /// This engine of the path makes no progress.
+    Dead(SocketAddr),
+    /// No event came, for no known reason.
+    Silent,
+    /// This engine of the path leaves.
+    Leaving(SocketAddr),
+}
+
+/// `Relay` passes one stream on.
+pub struct Relay {
+    gateway: Arc<Gateway>,
+    accepted: Accepted,
+    grant: Option<Grant>,
+    tx: mpsc::Sender<Sent>,
+    faults: broadcast::Receiver<Fault>,
+    /// First engines that this stream was sent to and that still live.
+    firsts: Vec<SocketAddr>,
+    sent: u32,
+    /// The last event that was passed on.
+    last: Option<u64>,
+    events: u64,
+    heard: Instant,
+    leave_at: Option<(Instant, SocketAddr)>,
+}
+
+impl Relay {
+    /// A relay for a stream that has begun on the path of `grant`.
+    pub fn new(
+        gateway: Arc<Gateway>,
+        accepted: Accepted,
+        grant: Grant,
+        tx: mpsc::Sender<Sent>,
+        sent: u32,
+    ) -> Self {
+        let faults = gateway.faults.subscribe();
+        let first = grant.path.first().map(|s| s.addr);
+        Self {
+            last: accepted.asked.resume_after,
+            gateway,
+            accepted,
+            grant: Some(grant),
+            tx,
+            faults,
+            firsts: first.into_iter().collect(),
+            sent,
+            events: 0,
+            heard: Instant::now(),
+            leave_at: None,
+        }
+    }
+
+    /// Passes the stream on to its end.
+    pub async fn run(mut self, exchange: Exchange) {
+        let mut exchange = exchange;
+        let outcome = loop {
+            match self.pass(exchange).await {
+                End::Complete => break "complete",
+                End::CallerLeft => break "caller left",
+                End::Deadline => {
+                    self.fail("the deadline passed").await;
+                    break "deadline";
+                }
+                end => {
+                    self.log_broken(&end);
+                    match self.resume(&end).await {
+                        Some(next) => exchange = next,
+                        None => {
+                            self.fail("the stream broke off").await;
+                            break "broken off";
+                        }
+                    }
+                }
+            }
+        };
+        self.finish(outcome);
+    }
+
+    /// Passes events on until this run ends.
+    async fn pass(&mut self, exchange: Exchange) -> End {
+        let (head, mut body, sender) = exchange.into_parts();
+        let first = self.first();
+        let mut splitter = Splitter::default();
+        self.heard = Instant::now();
+        let mut look_at = self.heard + self.doubt_after();
+        loop {
+            let leave_at = self.leave_at.map(|(at, _)| at);
+            tokio::select! {
+                biased;
+                () = self.tx.closed() => return End::CallerLeft,
+                frame = body.frame() => match frame {
+                    Some(Ok(frame)) => {
+                        let Ok(data) = frame.into_data() else { continue };
+                        if let Some(end) = self.on_data(&mut splitter, &data).await {
+                            return end;
+                        }
+                        look_at = Instant::now() + self.doubt_after();
+                    }
+                    Some(Err(e)) => return End::Broken(Error::backend_failed(e.to_string())),
+                    None => return self.on_end(splitter, first, sender, &head).await,
+                },
+                fault = self.faults.recv() => if let Some(end) = self.on_fault(fault) {
+                    return end;
+                },
+                () = sleep_until(look_at) => {
+                    if let Some(end) = self.look().await {
+                        return end;
+                    }
+                    look_at = Instant::now() + LOOK_AGAIN;
+                }
+                () = sleep_until(leave_at.unwrap_or(look_at + Duration::from_secs(60))) => {
+                    if let Some((_, addr)) = self.leave_at.take() {
+                        return End::Leaving(addr);
+                    }
+                }
+                () = sleep_until(self.accepted.deadline + DEADLINE_GRACE) => return End::Deadline,
+            }
+        }
+    }
+
+    /// Passes on the whole events of `data`.
+    async fn on_data(&mut self, splitter: &mut Splitter, data: &[u8]) -> Option<End> {
+        if !splitter.push(data) {
+            return Some(End::Broken(Error::backend_answer(
+                "an event without an end",
+            )));
+        }
+        while let Some(event) = splitter.next_event() {
+            if let (Some(id), Some(last)) = (event.id, self.last) {
+                if id <= last {
+                    continue;
+                }
+                if id != last + 1 {
+                    let e = Error::backend_answer(format!("event {id} follows {last}"));
+                    return Some(End::Broken(e));
+                }
+            }
+            if self.events == 0 {
+                streams::first_event(&self.gateway, &self.accepted);
+            }
+            self.heard = Instant::now();
+            self.events += 1;
+            self.last = event.id.or(self.last);
+            if self.tx.send(Ok(Frame::data(event.bytes))).await.is_err() {
+                return Some(End::CallerLeft);
+            }
+        }
+        None
+    }
+
+    /// The engine ended its answer as complete.
+    async fn on_end(
+        &mut self,
+        splitter: Splitter,
+        first: Option<SocketAddr>,
+        sender: hemlockwind_backend::http1::Sender,
+        head: &http::Response<()>,
+    ) -> End {
+        let rest = splitter.rest();
+        if !rest.is_empty() {
+            return End::Broken(Error::backend_answer("the last event has no end"));
+        }
+        if let Some(first) = first {
+            self.gateway.http.finish(first, sender, head.headers());
+        }
+        End::Complete
+    }
+
+    /// Takes news about an engine.
+    fn on_fault(&mut self, fault: Result<Fault, RecvError>) -> Option<End> {
+        let grant = self.grant.as_ref()?;
+        match fault {
+            Ok(Fault::Dead(addr)) if grant.leads_over(addr) => Some(End::Dead(addr)),
+            Ok(Fault::Leaving(addr)) if grant.leads_over(addr) && self.leave_at.is_none() => {
+                // Streams move one after the other, and the shortest end before.
+                let drain = self.gateway.settings.bounds.drain;
+                let within = drain.saturating_sub(LEAVE_MARGIN);
+                let wait = within.mul_f64(rand::random::<f64>());
+                self.leave_at = Some((Instant::now() + wait, addr));
+                None
+            }
+            // Missed news is found again by the stream's own silence.
+            Ok(_) | Err(RecvError::Lagged(_) | RecvError::Closed) => None,
+        }
+    }
+
+    /// Looks why no event comes.
+    async fn look(&mut self) -> Option<End> {
+        let first = self.first()?;
+        self.gateway.counters.add("streams_in_doubt");
+        let report = tokio::select! {
+            biased;
+            () = self.tx.closed() => return Some(End::CallerLeft),
+            report = engine::report(&self.gateway.http, first) => report,
+        };
+        let silent = self.heard.elapsed();
+        match report {
+            Err(e) => {
+                info!(self.gateway.log, "engine without report"; "id" => &self.accepted.attempt,
+                    "engine" => %first, "error" => %e, "silent_ms" => silent.as_millis() as u64);
+                Some(End::Dead(first))
+            }
+            Ok(report) => {
+                let stalled = report
+                    .stalled
+                    .iter()
+                    .find(|(id, _)| *id == self.accepted.attempt);
+                if let Some((_, addr)) = stalled {
+                    return Some(End::Dead(*addr));
+                }
+                let patience = streams::patience(&self.accepted);
+                (silent >= patience.mul_f64(GIVE_UP_PART)).then_some(End::Silent)
+            }
+        }
+    }
+
+    /// Goes on over another path, after the last event that was passed on.
+    async fn resume(&mut self, end: &End) -> Option<Exchange> {
+        match end {
+            End::Dead(addr) => streams::dead(&self.gateway, *addr),
+            End::Broken(_) => {
+                if let Some(first) = self.first() {
+                    self.gateway.homes.shun_for(
+                        self.gateway.now(),
+                        first,
+                        Duration::from_millis(500),
+                    );
+                }
+            }
+            End::Silent | End::Leaving(_) => {}
+            End::Complete | End::CallerLeft | End::Deadline => return None,
+        }
+        let resumable = Repeat::Stream { resumable: true };
+        if self.accepted.route.repeat != resumable {
+            return None;
+        }
+        self.leave_at = None;
+        let by = self.heard + streams::patience(&self.accepted).mul_f64(RESUME_PART);
+        while Instant::now() < by.min(self.accepted.deadline) && !self.tx.is_closed() {
+            if self.find_path().await {
+                match self.try_resume().await {
+                    Ok(exchange) => return Some(exchange),
+                    Err(Some(())) => {}
+                    Err(None) => return None,
+                }
+            }
+            sleep(RESUME_PAUSE).await;
+        }
+        None
+    }
+
+    /// Takes another path: in the same data centre, or in another one.
+    async fn find_path(&mut self) -> bool {
+        if self.grant.as_mut().is_some_and(Grant::detour) {
+            return true;
+        }
+        self.grant = None;
+        let now = self.gateway.now();
+        let ask = Ask {
+            service: Arc::clone(&self.accepted.service),
+            organisation: self.accepted.organisation_name(),
+            rank: self.accepted.rank,
+            tokens: streams::tokens(&self.accepted),
+            on_time_by: now,
+            latest: now,
+        };
+        self.grant = self.gateway.homes.ask(self.gateway.clock, &ask).await.ok();
+        self.grant.is_some()
+    }
+
+    /// Sends the request once more. An error of `None` is final.
+    async fn try_resume(&mut self) -> Result<Exchange, Option<()>> {
+        let path = self
+            .grant
+            .as_ref()
+            .map(|g| g.path.clone())
+            .unwrap_or_default();
+        let first = path.first().map(|s| s.addr).ok_or(Some(()))?;
+        let is_new = !self.firsts.contains(&first);
+        let attempts = self.accepted.route.attempts as usize;
+        if is_new && self.firsts.len() >= attempts {
+            return Err(None);
+        }
+        if !self.gateway.may_retry(&self.accepted.service) {
+            return Err(None);
+        }
+        let start = Start::again(&self.gateway, &self.accepted, self.sent);
+        match start.open(&path, self.last).await {
+            Ok(exchange) => {
+                self.sent += 1;
+                if is_new {
+                    self.firsts.push(first);
+                }
+                Ok(exchange)
+            }
+            Err(Refused::NotRun(_) | Refused::Failed(Attempt::Unsent, _)) => Err(Some(())),
+            Err(Refused::Own(_) | Refused::Failed(..)) => Err(Some(())),
+        }
+    }
+
+    fn first(&self) -> Option<SocketAddr> {
+        let grant = self.grant.as_ref()?;
+        grant.path.first().map(|s| s.addr)
+    }
+
+    /// Time without an event after which the stream is in doubt.
+    fn doubt_after(&self) -> Duration {
+        let route = &self.accepted.route;
+        match self.events {
+            0 => route.target + DOUBT_MARGIN,
+            _ => route.gap_target.unwrap_or(PAUSE_DEFAULT) + DOUBT_MARGIN,
+        }
+    }
+
+    /// Breaks the caller's connection, so that the answer does not look complete.
+    async fn fail(&self, why: &str) {
+        // Nobody hears it when the caller is gone.
+        let _ = self.tx.send(Err(std::io::Error::other(why))).await;
+    }
+
+    fn log_broken(&self, end: &End) {
+        let gateway = &self.gateway;
+        gateway.counters.add("streams_broken");
+        if let Some(left_out) = gateway.lines.take(gateway.now(), "stream_broken") {
+            info!(gateway.log, "stream broken"; "id" => &self.accepted.attempt,
+                "why" => format!("{end:?}"), "after" => self.last,
+                "silent_ms" => self.heard.elapsed().as_millis() as u64,
+                "path" => self.path_text(), "left_out" => left_out);
+        }
+    }
+
+    fn path_text(&self) -> String {
+        let grant = self.grant.as_ref();
+        grant.map_or_else(String::new, |g| {
+            hemlockwind_platform::headers::path(&g.path)
+        })
+    }
+
+    fn finish(&self, outcome: &str) {
+        let gateway = &self.gateway;
+        let time = self.accepted.arrived.elapsed();
+        gateway.histograms.record(
+            Measure::Request,
+            &self.accepted.organisation_name(),
+            self.accepted.rank,
+            time,
+        );
+        if let Some(left_out) = gateway.lines.take(gateway.now(), "stream") {
+            info!(gateway.log, "stream"; "id" => &self.accepted.attempt,
+                "route" => &*self.accepted.route.name, "routes" => self.accepted.version,
+                "outcome" => outcome, "events" => self.events, "sent" => self.sent,
+                "path" => self.path_text(), "ms" => time.as_millis() as u64,
+                "left_out" => left_out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/state/paths/src/home.rs
@@ -0,0 +1,316 @@
+//! Which waiting request starts next, and which is refused at once.
+//!
+//! Answers bursts beyond the engines' memory. The most urgent rank goes first; inside
+//! a rank those that can still be on time, then the organisation that has least in
+//! progress, then the oldest. A request whose expected wait is of no use is refused
+//! at once with the time after which it has a chance.
+
+use std::time::Duration;
+
+use hemlockwind_core::collections::HashMap;
+use hemlockwind_core::names::InstanceKey;
+use hemlockwind_core::names::OrganisationKey;
+use hemlockwind_core::names::Rank;
+use hemlockwind_core::time::Instant;
+
+use crate::choice;
+use crate::choice::Need;
+use crate::engines::Engines;
+use crate::engines::Stage;
+use crate::meter::Meter;
+use crate::ticket::Decision;
+use crate::ticket::Reason;
+use crate::ticket::Ticket;
+use crate::ticket::TicketId;
+
+/// Waiting tickets that are tried when the first of them doesn't fit: a large request
+/// must not stop small ones while its memory is being freed.
+const LOOK_AHEAD: usize = 4;
+/// The part of the time to its latest start that a ticket may be expected to wait. The
+/// estimate errs by about a third, and a request that waited in vain is the worst case.
+const WAIT_MARGIN: f64 = 0.6;
+/// The time after which a caller may come back when there is no whole path: a crashed
+/// engine is replaced or returns within seconds.
+const NO_PATH_RETRY: Duration = Duration::from_millis(700);
+/// The shortest time after which a refused caller should come back.
+const SHORTEST_RETRY: Duration = Duration::from_millis(300);
+/// Time without a report after which an instance's running requests are forgotten.
+const SILENCE: Duration = Duration::from_secs(4);
+
+/// `Held` is one running request as its instance reports it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Held {
+    /// Its number at the instance.
+    pub number: u64,
+    /// Tokens of its prompt and expected answer together.
+    pub tokens: u32,
+    /// Its path.
+    pub path: Vec<Stage>,
+}
+
+#[derive(Debug)]
+struct Running {
+    tokens: u32,
+    path: Vec<Stage>,
+    started: Instant,
+    organisation: Option<OrganisationKey>,
+}
+
+/// `Home` decides who starts on the engines of one model in one data centre.
+#[derive(Debug)]
+pub struct Home {
+    /// The engines and what of their memory is taken.
+    pub engines: Engines,
+    within: Option<std::sync::Arc<str>>,
+    running: HashMap<TicketId, Running>,
+    tokens: f64,
+    waiting: Vec<(u64, Ticket)>,
+    arrivals: u64,
+    in_progress: HashMap<OrganisationKey, f64>,
+    heard: HashMap<InstanceKey, Instant>,
+    meter: Meter,
+}
+
+impl Home {
+    /// A home whose paths stay `within` a data centre, or use all.
+    pub fn new(engines: Engines, within: Option<std::sync::Arc<str>>) -> Self {
+        Self {
+            engines,
+            within,
+            running: HashMap::default(),
+            tokens: 0.0,
+            waiting: Vec::new(),
+            arrivals: 0,
+            in_progress: HashMap::default(),
+            heard: HashMap::default(),
+            meter: Meter::default(),
+        }
+    }
+
+    /// Requests that run.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Tickets that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// The expected wait of a new ticket of `rank`.
+    pub fn wait(&self, rank: Rank, tokens: u32) -> Duration {
+        let ahead = self.waiting.iter().filter(|(_, t)| t.rank <= rank);
+        let ahead: f64 = ahead.map(|(_, t)| f64::from(t.tokens)).sum();
+        self.meter.wait(ahead + f64::from(tokens), self.tokens)
+    }
+
+    /// Takes a new ticket; `None` when it waits.
+    pub fn ask(&mut self, now: Instant, ticket: Ticket) -> Option<Decision> {
+        let goes_first = !self.waiting.iter().any(|(_, t)| t.rank <= ticket.rank);
+        if goes_first && let Some(path) = self.path(now, ticket.tokens) {
+            return Some(self.start(now, &ticket, path));
+        }
+        if !self.has_path(now) {
+            return Some(Decision::Refused(Reason::NoPath, NO_PATH_RETRY));
+        }
+        let wait = self.wait(ticket.rank, ticket.tokens);
+        let useful = ticket.latest.since(now).mul_f64(WAIT_MARGIN);
+        if !ticket.may_wait || wait > useful {
+            let retry = wait.max(SHORTEST_RETRY);
+            return Some(Decision::Refused(Reason::WaitTooLong, retry));
+        }
+        self.arrivals += 1;
+        self.waiting.push((self.arrivals, ticket));
+        None
+    }
+
+    /// Takes back a ticket, waiting or running.
+    pub fn done(&mut self, now: Instant, id: TicketId) {
+        self.waiting.retain(|(_, t)| t.id != id);
+        if let Some(running) = self.running.remove(&id) {
+            self.meter.finished(running.started, now);
+            self.release(&running);
+        }
+    }
+
+    /// A running request goes on over another path.
+    pub fn moved(&mut self, id: TicketId, path: Vec<Stage>) {
+        if let Some(running) = self.running.get_mut(&id) {
+            self.engines.give_back(&running.path, running.tokens);
+            self.engines.take(&path, running.tokens);
+            running.path = path;
+        }
+    }
+
+    /// A path for a running request that leaves its own, whether or not it fits.
+    pub fn detour(&self, now: Instant, tokens: u32) -> Option<Vec<Stage>> {
+        let fits = self.path(now, tokens);
+        fits.or_else(|| self.any_path(now, tokens))
+    }
+
+    /// Takes all that an instance has running, in place of what was known of it.
+    pub fn report(&mut self, now: Instant, instance: InstanceKey, held: Vec<Held>) {
+        self.heard.insert(instance, now);
+        let mut known: HashMap<u64, Held> = held.into_iter().map(|h| (h.number, h)).collect();
+        let gone: Vec<TicketId> = self
+            .running
+            .iter()
+            .filter(|(id, r)| id.instance == instance && r.started < now)
+            .filter(|(id, _)| known.remove(&id.number).is_none())
+            .map(|(id, _)| *id)
+            .collect();
+        for id in gone {
+            self.drop_running(id);
+        }
+        for (number, held) in known {
+            let id = TicketId { instance, number };
+            if !self.running.contains_key(&id) {
+                self.adopt(now, id, held);
+            }
+        }
+    }
+
+    /// Starts and refuses waiting tickets as far as it can be told now.
+    pub fn poll(&mut self, now: Instant) -> Vec<(TicketId, Decision)> {
+        let mut decisions = Vec::new();
+        self.forget_silent(now);
+        self.expire(now, &mut decisions);
+        let mut skipped = 0;
+        let mut order = self.order(now);
+        order.reverse();
+        while let Some(arrival) = order.pop() {
+            let Some(at) = self.waiting.iter().position(|(a, _)| *a == arrival) else {
+                continue;
+            };
+            let ticket = self.waiting[at].1;
+            match self.path(now, ticket.tokens) {
+                Some(path) => {
+                    self.waiting.remove(at);
+                    let granted = self.start(now, &ticket, path);
+                    decisions.push((ticket.id, granted));
+                }
+                None => {
+                    skipped += 1;
+                    if skipped >= LOOK_AHEAD {
+                        break;
+                    }
+                }
+            }
+        }
+        decisions
+    }
+
+    /// The waiting tickets' arrival numbers, the next to start first.
+    fn order(&self, now: Instant) -> Vec<u64> {
+        let mut order: Vec<_> = self
+            .waiting
+            .iter()
+            .map(|(arrival, t)| {
+                let is_late = t.on_time_by < now;
+                let share = self.in_progress.get(&t.organisation);
+                // Whole thousands of tokens, so that equal organisations go by arrival.
+                let share = (share.copied().unwrap_or_default() / 1_000.0) as u64;
+                (t.rank, is_late, share, *arrival)
+            })
+            .collect();
+        order.sort_unstable();
+        order.into_iter().map(|(.., arrival)| arrival).collect()
+    }
+
+    fn expire(&mut self, now: Instant, decisions: &mut Vec<(TicketId, Decision)>) {
+        let retry = SHORTEST_RETRY;
+        self.waiting.retain(|(_, t)| {
+            let expired = t.latest <= now;
+            if expired {
+                decisions.push((t.id, Decision::Refused(Reason::Expired, retry)));
+            }
+            !expired
+        });
+    }
+
+    fn forget_silent(&mut self, now: Instant) {
+        let silent: Vec<InstanceKey> = self
+            .heard
+            .iter()
+            .filter(|(_, heard)| now.since(**heard) > SILENCE)
+            .map(|(instance, _)| *instance)
+            .collect();
+        for instance in silent {
+            self.report(now, instance, Vec::new());
+            self.heard.remove(&instance);
+            self.waiting.retain(|(_, t)| t.id.instance != instance);
+        }
+    }
+
+    fn path(&self, now: Instant, tokens: u32) -> Option<Vec<Stage>> {
+        let need = Need {
+            tokens,
+            within: self.within.as_deref(),
+            must_fit: true,
+        };
+        choice::choose(&self.engines, now, need)
+    }
+
+    fn any_path(&self, now: Instant, tokens: u32) -> Option<Vec<Stage>> {
+        let need = Need {
+            tokens,
+            within: self.within.as_deref(),
+            must_fit: false,
+        };
+        choice::choose(&self.engines, now, need)
+    }
+
+    /// Whether any engines join to a whole path, full or not.
+    pub fn has_path(&self, now: Instant) -> bool {
+        self.any_path(now, 0).is_some()
+    }
+
+    fn start(&mut self, now: Instant, ticket: &Ticket, path: Vec<Stage>) -> Decision {
+        let running = Running {
+            tokens: ticket.tokens,
+            path: path.clone(),
+            started: now,
+            organisation: Some(ticket.organisation),
+        };
+        self.heard.entry(ticket.id.instance).or_insert(now);
+        self.hold(ticket.id, running);
+        Decision::Granted(path)
+    }
+
+    fn adopt(&mut self, now: Instant, id: TicketId, held: Held) {
+        let running = Running {
+            tokens: held.tokens,
+            path: held.path,
+            started: now,
+            organisation: None,
+        };
+        self.hold(id, running);
+    }
+
+    fn hold(&mut self, id: TicketId, running: Running) {
+        self.engines.take(&running.path, running.tokens);
+        self.tokens += f64::from(running.tokens);
+        if let Some(organisation) = running.organisation {
+            *self.in_progress.entry(organisation).or_default() += f64::from(running.tokens);
+        }
+        if let Some(old) = self.running.insert(id, running) {
+            self.release(&old);
+        }
+    }
+
+    fn drop_running(&mut self, id: TicketId) {
+        if let Some(running) = self.running.remove(&id) {
+            self.release(&running);
+        }
+    }
+
+    fn release(&mut self, running: &Running) {
+        self.engines.give_back(&running.path, running.tokens);
+        self.tokens = (self.tokens - f64::from(running.tokens)).max(0.0);
+        if let Some(organisation) = running.organisation
+            && let Some(share) = self.in_progress.get_mut(&organisation)
+        {
+            *share = (*share - f64::from(running.tokens)).max(0.0);
+        }
+    }
+}
--- /dev/null
+++ b/crates/state/placement/src/layout.rs
@@ -0,0 +1,71 @@
+//! The layout of a copy over engines that all hold nothing.
+
+use hemlockwind_core::layers::LayerRange;
+use hemlockwind_core::servers::EngineModel;
+
+use crate::Engine;
+use crate::Order;
+
+/// The part of its memory that an engine may use for weights at most. The rest holds
+/// requests; an engine without any would stop the path.
+const WEIGHTS_LIMIT: f64 = 0.9;
+
+/// Layers that an engine may hold at most and still serve.
+pub fn most(model: &EngineModel, engine: &Engine) -> u16 {
+    let limit = engine.card.memory_bytes * WEIGHTS_LIMIT / model.layer_bytes;
+    (limit.floor() as u16).min(model.most_layers(engine.card))
+}
+
+/// Whether these engines can hold a whole copy.
+pub fn can_hold(model: &EngineModel, engines: &[&Engine]) -> bool {
+    let layers: u32 = engines.iter().map(|e| u32::from(most(model, e))).sum();
+    layers >= u32::from(model.layers)
+}
+
+/// Layers for each engine, in proportion to its memory and together one copy.
+pub fn shares(model: &EngineModel, engines: &[&Engine]) -> Vec<u16> {
+    let total: f64 = engines.iter().map(|e| e.card.memory_bytes).sum();
+    let exact: Vec<f64> = engines
+        .iter()
+        .map(|e| e.card.memory_bytes / total * f64::from(model.layers))
+        .collect();
+    let mut shares: Vec<u16> = exact
+        .iter()
+        .zip(engines)
+        .map(|(x, e)| (x.floor() as u16).min(most(model, e)))
+        .collect();
+    let mut left =
+        u32::from(model.layers).saturating_sub(shares.iter().map(|s| u32::from(*s)).sum());
+    while left > 0 {
+        // The engine that is furthest below its exact share takes the next layer.
+        let next = (0..engines.len())
+            .filter(|i| shares[*i] < most(model, engines[*i]))
+            .max_by(|a, b| {
+                let lack = |i: usize| (exact[i] - f64::from(shares[i])) / exact[i].max(1e-9);
+                lack(*a).total_cmp(&lack(*b))
+            });
+        let Some(next) = next else {
+            break;
+        };
+        shares[next] += 1;
+        left -= 1;
+    }
+    shares
+}
+
+/// One whole copy over `engines`.
+pub fn orders(model: &EngineModel, engines: &[&Engine]) -> Vec<Order> {
+    let mut at = 0;
+    let mut orders = Vec::new();
+    for (engine, share) in engines.iter().zip(shares(model, engines)) {
+        let end = (at + share).min(model.layers);
+        if let Ok(layers) = LayerRange::new(at, end) {
+            orders.push(Order {
+                id: engine.id.clone(),
+                layers,
+            });
+        }
+        at = end;
+    }
+    orders
+}
--- /dev/null
+++ b/crates/state/placement/src/lib.rs
@@ -0,0 +1,83 @@
+//! Which engine holds which layers of a joint model.
+//!
+//! Each data centre that can holds a whole copy of its own, since traffic between data
+//! centres is slow and may be cut. Memory, not speed, bounds how many requests run at
+//! a time, so a data centre holds just one copy and leaves the rest of its memory to
+//! requests; see docs/design/placement.md. [`plan`] is a pure function of what is
+//! known, so any instance computes the same orders.
+
+mod cover;
+mod layout;
+
+use std::sync::Arc;
+
+use hemlockwind_core::layers::LayerRange;
+use hemlockwind_core::servers::Card;
+use hemlockwind_core::servers::EngineModel;
+
+/// `Engine` is one engine as the plan sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Engine {
+    /// Its id.
+    pub id: Arc<str>,
+    /// Its data centre.
+    pub data_centre: Arc<str>,
+    /// Its accelerator.
+    pub card: Card,
+    /// The layers that it holds or is loading.
+    pub layers: Option<LayerRange>,
+    /// Whether it may be given an order: it is not leaving and has none in progress.
+    pub is_free: bool,
+    /// Whether it serves or will: it is not leaving and not believed dead.
+    pub is_live: bool,
+}
+
+/// `Order` tells one engine what to hold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// The engine's id.
+    pub id: Arc<str>,
+    /// The layers to hold.
+    pub layers: LayerRange,
+}
+
+/// `Urgency` is how far a plan may go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Urgency {
+    /// Only engines that hold nothing get orders.
+    Empty,
+    /// Engines beside a gap are also extended over it.
+    Repair,
+}
+
+/// The orders that bring `engines` closer to a whole copy in each data centre.
+pub fn plan(model: &EngineModel, engines: &[Engine], urgency: Urgency) -> Vec<Order> {
+    let mut orders = Vec::new();
+    for group in groups(model, engines) {
+        orders.extend(cover::orders(model, &group, urgency));
+    }
+    orders
+}
+
+/// Engines that share a copy: those of one data centre, or of several where one alone
+/// is too small.
+fn groups<'a>(model: &EngineModel, engines: &'a [Engine]) -> Vec<Vec<&'a Engine>> {
+    let mut names: Vec<&Arc<str>> = engines.iter().map(|e| &e.data_centre).collect();
+    names.sort_unstable();
+    names.dedup();
+    let mut groups = Vec::new();
+    let mut small = Vec::new();
+    for name in names {
+        let of_name = engines.iter().filter(|e| e.data_centre == *name);
+        let mut group: Vec<&Engine> = of_name.collect();
+        group.sort_unstable_by(|a, b| a.id.cmp(&b.id));
+        match layout::can_hold(model, &group) {
+            true => groups.push(group),
+            false => small.extend(group),
+        }
+    }
+    if !small.is_empty() {
+        groups.push(small);
+    }
+    groups
+}
--- a/crates/transport/backend/src/lib.rs
+++ b/crates/transport/backend/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod clock;
 pub mod connection;
 pub mod engine;
+pub mod http1;
 pub mod platform;
 pub mod service;
--- a/crates/transport/telemetry/src/lib.rs
+++ b/crates/transport/telemetry/src/lib.rs
@@ -1,5 +1,6 @@
 //! Logs, metrics and histograms.
 
+pub mod budget;
 pub mod histograms;
 pub mod logs;
 pub mod metrics;
