Platform: one home for each data centre grants starts and paths

Ruled out: a wrong formula for an engine's room: its report agrees with ours. Change: the homes of state/paths are reached through the peers' h2 streams; the giver of orders waits until engines have registered; instances register in the store.

--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -40,6 +40,9 @@
                 let reply = members::on_message(&self.instance, from, message);
                 reply.unwrap_or_else(|e| refused(&e))
             }
+            Request::Paths(_) | Request::Store(_) => {
+                refused(&Error::peer_frame("a message of the gateway"))
+            }
         }
     }
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -19,6 +19,7 @@
 use hemlockwind_platform::store::Object;
 use hemlockwind_platform::store::SERVERS;
 use hemlockwind_platform::store::Watched;
+use hemlockwind_protocol::peer::store::Kind;
 
 use crate::gateway::Fault;
 use crate::gateway::Gateway;
@@ -29,21 +30,11 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
 
-/// `Kind` is what is followed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Kind {
-    /// The routes.
-    Routes,
-    /// The backend servers.
-    Servers,
-}
-
-impl Kind {
-    const fn name(self) -> &'static str {
-        match self {
-            Self::Routes => CONFIG,
-            Self::Servers => SERVERS,
-        }
+/// The name of a kind in the store.
+const fn name(kind: Kind) -> &'static str {
+    match kind {
+        Kind::Routes => CONFIG,
+        Kind::Servers => SERVERS,
     }
 }
 
@@ -57,7 +48,7 @@
             Ok(next) => {
                 if is_away {
                     is_away = false;
-                    info!(gateway.log, "store regained"; "kind" => kind.name(), "version" => next);
+                    info!(gateway.log, "store regained"; "kind" => name(kind), "version" => next);
                     gateway.directory.write().regained(gateway.now());
                 }
                 version = next;
@@ -66,7 +57,7 @@
             Err(e) => {
                 if !is_away {
                     is_away = true;
-                    warn!(gateway.log, "store lost"; "kind" => kind.name(),
+                    warn!(gateway.log, "store lost"; "kind" => name(kind),
                         "code" => e.code().number(), "error" => %e, "version" => version);
                     gateway.directory.write().lost();
                 }
@@ -82,7 +73,7 @@
 /// result says that the history is lost.
 async fn step(gateway: &Arc<Gateway>, kind: Kind, version: Option<u64>) -> Result<Option<u64>> {
     let Some(version) = version else {
-        let listing = gateway.store.list(kind.name(), false).await?;
+        let listing = gateway.store.list(name(kind), false).await?;
         match kind {
             Kind::Routes => {
                 for object in &listing.objects {
@@ -95,21 +86,23 @@
                 directory.replace(gateway.now(), listed.collect());
             }
         }
+        gateway
+            .known
+            .replace(kind, listing.version, &listing.objects);
         changed(gateway);
         return Ok(Some(listing.version));
     };
-    match gateway
-        .store
-        .watch(kind.name(), version, WATCH_WAIT)
-        .await?
-    {
+    match gateway.store.watch(name(kind), version, WATCH_WAIT).await? {
         Watched::Lost => {
-            info!(gateway.log, "history lost"; "kind" => kind.name(), "version" => version);
+            info!(gateway.log, "history lost"; "kind" => name(kind), "version" => version);
             Ok(None)
         }
         Watched::Changes(changes, next) => {
             if !changes.is_empty() {
                 for change in &changes {
+                    gateway
+                        .known
+                        .change(kind, &change.object, change.is_removed);
                     match kind {
                         Kind::Routes => take_routes(gateway, &change.object),
                         Kind::Servers => take_server(gateway, change),
@@ -117,6 +110,7 @@
                 }
                 changed(gateway);
             }
+            gateway.known.reached(kind, next);
             Ok(Some(next))
         }
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -23,6 +23,7 @@
 use hemlockwind_core::time::Instant;
 use hemlockwind_limits::RetryBudget;
 use hemlockwind_limits::retry::Policy;
+use hemlockwind_peer::SharedKey;
 use hemlockwind_platform::settings::Settings;
 use hemlockwind_platform::store::Store;
 use hemlockwind_telemetry::Histograms;
@@ -30,6 +31,9 @@
 
 use crate::directory::Directory;
 use crate::homes::Homes;
+use crate::known::Known;
+use crate::peers::Instance;
+use crate::peers::Peers;
 use crate::servers::Servers;
 
 /// Events that a slow stream may lag behind before it misses one.
@@ -64,6 +68,10 @@
     pub servers: Servers,
     /// Who may start on the engines.
     pub homes: Homes,
+    /// The other instances.
+    pub peers: Peers,
+    /// What was read from the store.
+    pub known: Known,
     /// Connections to backend servers.
     pub http: Http1,
     /// The budget for further runs, by service.
@@ -115,9 +123,17 @@
     pub fn new(settings: Settings, log: Logger) -> Self {
         let (faults, _) = broadcast::channel(FAULT_BACKLOG);
         let clock = SystemClock::default();
+        let me = Instance {
+            name: settings.name.as_str().into(),
+            data_centre: settings.data_centre.as_str().into(),
+            addr: settings.peers,
+        };
+        let key = SharedKey::new(settings.peer_key.as_bytes());
         Self {
             store: Store::new(settings.store),
-            homes: Homes::new(&settings.data_centre),
+            homes: Homes::new(clock),
+            peers: Peers::new(me, key),
+            known: Known::default(),
             lines: LineBudget::new(clock.now()),
             settings,
             log,
@@ -176,7 +192,7 @@
     /// give the ratio, and the slack is divided by the instances.
     fn retry_policy(&self) -> Policy {
         let bounds = &self.settings.bounds;
-        let instances = self.homes.instances().max(1) as f64;
+        let instances = self.peers.len() as f64;
         let slack = bounds.retry_slack / instances * SLACK_USED;
         let window = bounds.retry_window.as_secs_f64().max(1.0);
         Policy {
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -46,8 +46,11 @@
 const LEASE_RETRY: Duration = Duration::from_secs(2);
 /// Time between two looks at the engines.
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
-/// Time after the first engine was seen until the first plan, for the others to appear.
-const GATHER_TIME: Duration = Duration::from_millis(800);
+/// Time without a new engine until the first plan: engines register within the
+/// interval of their heartbeats, about a second.
+const GATHER_TIME: Duration = Duration::from_millis(1_200);
+/// Time until the first plan even if engines still appear.
+const GATHER_LIMIT: Duration = Duration::from_millis(3_500);
 /// Time that a gap is left to an engine that restarts before its neighbours are
 /// extended. A restart takes seconds, a load of a few layers about one.
 const GAP_TIME: Duration = Duration::from_millis(1_000);
@@ -66,7 +69,8 @@
 #[derive(Default)]
 pub struct Giver {
     given: SeededHashMap<Arc<str>, Given>,
-    seen_at: Option<Instant>,
+    /// When the first engine was seen, when the last new one, and how many there are.
+    gathered: Option<(Instant, Instant, usize)>,
     gap_since: Option<Instant>,
 }
 
@@ -81,8 +85,7 @@
         if servers.is_empty() {
             return Vec::new();
         }
-        let seen_at = *self.seen_at.get_or_insert(now);
-        if now.since(seen_at) < GATHER_TIME {
+        if !self.has_gathered(now, servers) {
             return Vec::new();
         }
         self.given.retain(|id, given| {
@@ -111,6 +114,19 @@
         due
     }
 
+    /// Whether all engines that are to be expected have appeared. Where some hold layers
+    /// already there is nothing to gather for.
+    fn has_gathered(&mut self, now: Instant, servers: &[Arc<BackendServer>]) -> bool {
+        if servers.iter().any(|s| s.layers.is_some()) {
+            return true;
+        }
+        let (first, last, count) = self.gathered.get_or_insert((now, now, 0));
+        if servers.len() > *count {
+            (*last, *count) = (now, servers.len());
+        }
+        now.since(*last) >= GATHER_TIME || now.since(*first) >= GATHER_LIMIT
+    }
+
     /// An order was refused: it is planned anew at the next look after a pause.
     pub fn refused(&mut self, now: Instant, id: &str) {
         if let Some(given) = self.given.get_mut(id) {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -23,6 +23,7 @@
 use hemlockwind_core::attempt::Attempt;
 use hemlockwind_core::routes::Repeat;
 use hemlockwind_platform::engine;
+use hemlockwind_platform::engine::Report;
 use hemlockwind_telemetry::histograms::Measure;
 
 use crate::events::Splitter;
@@ -274,6 +275,7 @@
                 if let Some((_, addr)) = stalled {
                     return Some(End::Dead(*addr));
                 }
+                self.log_doubt(first, silent, &report);
                 let patience = streams::patience(&self.accepted);
                 (silent >= patience.mul_f64(GIVE_UP_PART)).then_some(End::Silent)
             }
@@ -317,7 +319,9 @@
 
     /// Takes another path: in the same data centre, or in another one.
     async fn find_path(&mut self) -> bool {
-        if self.grant.as_mut().is_some_and(Grant::detour) {
+        if let Some(grant) = self.grant.as_mut()
+            && self.gateway.homes.detour(&self.gateway, grant).await
+        {
             return true;
         }
         self.grant = None;
@@ -329,8 +333,9 @@
             tokens: streams::tokens(&self.accepted),
             on_time_by: now,
             latest: now,
+            may_wait: false,
         };
-        self.grant = self.gateway.homes.ask(self.gateway.clock, &ask).await.ok();
+        self.grant = self.gateway.homes.ask(&self.gateway, &ask).await.ok();
         self.grant.is_some()
     }
 
@@ -395,6 +400,17 @@
         }
     }
 
+    fn log_doubt(&self, first: SocketAddr, silent: Duration, report: &Report) {
+        let gateway = &self.gateway;
+        if let Some(left_out) = gateway.lines.take(gateway.now(), "stream_in_doubt") {
+            info!(gateway.log, "stream in doubt"; "id" => &self.accepted.attempt,
+                "engine" => %first, "silent_ms" => silent.as_millis() as u64,
+                "events" => self.events, "waiting" => report.waiting, "running" => report.running,
+                "room" => report.room, "room_used" => report.room_used,
+                "slowness" => report.slowness, "left_out" => left_out);
+        }
+    }
+
     fn path_text(&self) -> String {
         let grant = self.grant.as_ref();
         grant.map_or_else(String::new, |g| {
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -16,13 +16,18 @@
 
 use hemlockwind_core::Error;
 use hemlockwind_core::Result;
+use hemlockwind_peer::SharedKey;
+use hemlockwind_peer::server;
 use hemlockwind_platform::settings::Settings;
+use hemlockwind_protocol::peer::Handler;
+use hemlockwind_protocol::peer::store::Kind;
 
 use crate::follow;
-use crate::follow::Kind;
 use crate::gateway::Gateway;
+use crate::instances;
 use crate::listener;
 use crate::orders;
+use crate::peers::Answers;
 use crate::readiness;
 
 /// Connections that may wait to be accepted.
@@ -51,14 +56,23 @@
     let callers = open(settings.callers)?;
     let readiness = open(settings.readiness)?;
     let metrics = open(settings.metrics)?;
+    let peers = open(settings.peers)?;
+    let key = SharedKey::new(settings.peer_key.as_bytes());
     let gateway = Arc::new(Gateway::new(settings, log));
     let ending = CancellationToken::new();
+    let answers: Arc<dyn Handler> = Arc::new(Answers {
+        gateway: Arc::clone(&gateway),
+    });
     let serve = listener::serve(Arc::clone(&gateway), callers, ending.clone());
     let others = vec![
         tokio::spawn(readiness::serve(Arc::clone(&gateway), readiness)),
         tokio::spawn(readiness::serve_metrics(Arc::clone(&gateway), metrics)),
         tokio::spawn(follow::follow(Arc::clone(&gateway), Kind::Routes)),
         tokio::spawn(follow::follow(Arc::clone(&gateway), Kind::Servers)),
+        tokio::spawn(instances::run(Arc::clone(&gateway))),
+        tokio::spawn(server::serve(peers, key, answers, gateway.log.clone())),
+        tokio::spawn(homes_ended(Arc::clone(&gateway))),
+        tokio::spawn(homes_report(Arc::clone(&gateway))),
         tokio::spawn(follow::tend(Arc::clone(&gateway))),
         tokio::spawn(orders::run(Arc::clone(&gateway))),
     ];
@@ -72,6 +86,14 @@
     })
 }
 
+async fn homes_ended(gateway: Arc<Gateway>) {
+    gateway.homes.tell_ended(&gateway).await;
+}
+
+async fn homes_report(gateway: Arc<Gateway>) {
+    gateway.homes.report(&gateway).await;
+}
+
 /// Opens a listening socket with room for a burst of callers.
 fn open(addr: SocketAddr) -> Result<TcpListener> {
     let error = |e: std::io::Error| Error::listen(format!("{addr}: {e}"));
@@ -106,6 +128,7 @@
         if cut > 0 {
             warn!(gateway.log, "requests were cut"; "cut" => cut);
         }
+        instances::leave(&gateway).await;
         for task in &self.others {
             task.abort();
         }
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -242,8 +242,9 @@
             tokens: tokens(accepted),
             on_time_by: until(accepted.route.target),
             latest: until(patience(accepted).min(accepted.left())),
+            may_wait: true,
         };
-        let granted = self.gateway.homes.ask(self.gateway.clock, &ask).await;
+        let granted = self.gateway.homes.ask(self.gateway, &ask).await;
         granted.map_err(|refusal| self.refusal(refusal))
     }
 
@@ -348,11 +349,16 @@
 }
 
 /// Tells all streams of this instance that an engine makes no progress.
-pub fn dead(gateway: &Gateway, addr: SocketAddr) {
-    gateway.homes.shun(gateway.now(), addr);
+pub fn dead(gateway: &Arc<Gateway>, addr: SocketAddr) {
+    if !gateway.homes.shun(gateway.now(), addr) {
+        return;
+    }
     gateway.counters.add("engines_found_dead");
+    info!(gateway.log, "engine makes no progress"; "engine" => %addr);
     // Nobody listens when no stream runs.
     let _ = gateway.faults.send(Fault::Dead(addr));
+    let gateway = Arc::clone(gateway);
+    tokio::spawn(async move { gateway.homes.tell_dead(&gateway, addr).await });
 }
 
 /// Records the time to the first event.
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -16,7 +16,9 @@
 pub mod claims;
 pub mod configuration;
 pub mod membership;
+pub mod paths;
 pub mod queueing;
+pub mod store;
 
 /// The version of these messages; instances of another version are refused.
 pub const VERSION: u16 = 1;
@@ -38,6 +40,10 @@
     Configuration(configuration::Message),
     /// A non-idempotent request for the owner of its key's slot.
     Dispatch(claims::Dispatch),
+    /// Starts and ends of streams over paths of joint engines.
+    Paths(paths::Message),
+    /// What the platform's store holds, for an instance that it does not serve.
+    Store(store::Message),
 }
 
 /// `Reply` is what the other answers.
@@ -52,6 +58,10 @@
     Configuration(configuration::Message),
     /// The answer to a dispatch.
     Dispatch(claims::Dispatched),
+    /// The answer about paths.
+    Paths(paths::Answer),
+    /// The answer about the store.
+    Store(store::Answer),
     /// The message was refused, with the code's number and a sentence.
     Refused(u16, String),
 }
--- /dev/null
+++ b/crates/protocol/src/peer/paths.rs
@@ -0,0 +1,107 @@
+//! Messages between a stream's instance and the home that grants its path.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// `Engines` names the engines that a home looks after.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct Engines {
+    /// The service.
+    pub service: String,
+    /// The data centre.
+    pub data_centre: String,
+}
+
+/// `Stage` is one engine of a path and the layers that it runs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Stage {
+    /// The engine's id.
+    pub id: String,
+    /// The engine's address.
+    pub addr: SocketAddr,
+    /// The first layer.
+    pub start: u16,
+    /// The layer after the last one.
+    pub end: u16,
+}
+
+/// `Ask` asks for the start of a stream.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Ask {
+    /// The stream's number at its instance.
+    pub number: u64,
+    /// Who asks.
+    pub organisation: String,
+    /// Its rank.
+    pub rank: u8,
+    /// Tokens of its prompt and expected answer together.
+    pub tokens: u32,
+    /// The time to the latest start with which it is on time, in milliseconds.
+    pub on_time_ms: u32,
+    /// The time to the latest start of any use, in milliseconds.
+    pub latest_ms: u32,
+    /// Whether it may wait.
+    pub may_wait: bool,
+}
+
+/// `Held` is one running stream.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Held {
+    /// The stream's number at its instance.
+    pub number: u64,
+    /// Tokens of its prompt and expected answer together.
+    pub tokens: u32,
+    /// Its path.
+    pub path: Vec<Stage>,
+}
+
+/// `Message` is what an instance tells a home.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub enum Message {
+    /// Asks for a start.
+    Ask(Engines, Ask),
+    /// These streams have ended or don't wait any more.
+    Done(Engines, Vec<u64>),
+    /// All streams that the instance has running there.
+    Running(Engines, Vec<u64>),
+    /// Streams that the home did not know.
+    Held(Engines, Vec<Held>),
+    /// This stream needs another path.
+    Detour(Engines, u64),
+    /// This engine makes no progress.
+    Dead(SocketAddr),
+}
+
+/// `Answer` is what a home replies.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub enum Answer {
+    /// The message was taken.
+    Done,
+    /// The stream may run on this path.
+    Granted(Vec<Stage>),
+    /// The stream may not start, for this reason; a later try has a chance after this
+    /// time in milliseconds.
+    Refused(Reason, u32),
+    /// These running streams are not known here.
+    Unknown(Vec<u64>),
+}
+
+/// `Reason` is why a stream may not start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum Reason {
+    /// No engines join to a whole path.
+    NoPath,
+    /// The wait would be longer than the stream can use.
+    WaitTooLong,
+    /// It waited until a start was of no use any more.
+    Expired,
+}
--- a/crates/state/paths/src/home.rs
+++ b/crates/state/paths/src/home.rs
@@ -5,9 +5,11 @@
 //! progress, then the oldest. A request whose expected wait is of no use is refused
 //! at once with the time after which it has a chance.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use hemlockwind_core::collections::HashMap;
+use hemlockwind_core::collections::HashSet;
 use hemlockwind_core::names::InstanceKey;
 use hemlockwind_core::names::OrganisationKey;
 use hemlockwind_core::names::Rank;
@@ -36,12 +38,12 @@
 const SHORTEST_RETRY: Duration = Duration::from_millis(300);
 /// Time without a report after which an instance's running requests are forgotten.
 const SILENCE: Duration = Duration::from_secs(4);
+/// Time after a start in which its instance may not have reported it yet.
+const IN_FLIGHT: Duration = Duration::from_millis(500);
 
-/// `Held` is one running request as its instance reports it.
+/// `Held` is one running stream as its instance reports it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Held {
-    /// Its number at the instance.
-    pub number: u64,
     /// Tokens of its prompt and expected answer together.
     pub tokens: u32,
     /// Its path.
@@ -133,41 +135,57 @@
         }
     }
 
-    /// A running request goes on over another path.
-    pub fn moved(&mut self, id: TicketId, path: Vec<Stage>) {
-        if let Some(running) = self.running.get_mut(&id) {
-            self.engines.give_back(&running.path, running.tokens);
-            self.engines.take(&path, running.tokens);
-            running.path = path;
-        }
-    }
-
-    /// A path for a running request that leaves its own, whether or not it fits.
-    pub fn detour(&self, now: Instant, tokens: u32) -> Option<Vec<Stage>> {
+    /// Another path for a running stream, whether or not it fits.
+    pub fn detour(&mut self, now: Instant, id: TicketId) -> Option<Vec<Stage>> {
+        let tokens = self.running.get(&id)?.tokens;
         let fits = self.path(now, tokens);
-        fits.or_else(|| self.any_path(now, tokens))
+        let path = fits.or_else(|| self.any_path(now, tokens))?;
+        let running = self.running.get_mut(&id)?;
+        self.engines.give_back(&running.path, running.tokens);
+        self.engines.take(&path, running.tokens);
+        running.path.clone_from(&path);
+        Some(path)
     }
 
-    /// Takes all that an instance has running, in place of what was known of it.
-    pub fn report(&mut self, now: Instant, instance: InstanceKey, held: Vec<Held>) {
+    /// Takes the numbers of all streams that an instance has running, and forgets its
+    /// others. Returns those that are not known here.
+    pub fn running_at(&mut self, now: Instant, instance: InstanceKey, numbers: &[u64]) -> Vec<u64> {
         self.heard.insert(instance, now);
-        let mut known: HashMap<u64, Held> = held.into_iter().map(|h| (h.number, h)).collect();
+        let mut unknown: HashSet<u64> = numbers.iter().copied().collect();
         let gone: Vec<TicketId> = self
             .running
             .iter()
-            .filter(|(id, r)| id.instance == instance && r.started < now)
-            .filter(|(id, _)| known.remove(&id.number).is_none())
+            .filter(|(id, _)| id.instance == instance)
+            .filter(|(id, r)| !unknown.remove(&id.number) && now.since(r.started) > IN_FLIGHT)
             .map(|(id, _)| *id)
             .collect();
         for id in gone {
             self.drop_running(id);
         }
-        for (number, held) in known {
-            let id = TicketId { instance, number };
-            if !self.running.contains_key(&id) {
-                self.adopt(now, id, held);
-            }
-        }
+        unknown.into_iter().collect()
+    }
+
+    /// Takes a running stream that another home granted.
+    pub fn adopt(&mut self, now: Instant, id: TicketId, held: Held) {
+        let running = Running {
+            tokens: held.tokens,
+            path: held.path,
+            started: now,
+            organisation: None,
+        };
+        self.hold(id, running);
+    }
+
+    /// The instances with streams that run over the engine at `addr`.
+    pub fn instances_over(&self, addr: SocketAddr) -> Vec<InstanceKey> {
+        let over = self.running.iter().filter(|(_, r)| {
+            let mut engines = r.path.iter().filter_map(|s| self.engines.get(s.engine));
+            engines.any(|e| e.addr == addr)
+        });
+        let mut instances: Vec<InstanceKey> = over.map(|(id, _)| id.instance).collect();
+        instances.sort_unstable();
+        instances.dedup();
+        instances
     }
 
     /// Starts and refuses waiting tickets as far as it can be told now.
@@ -236,7 +254,7 @@
             .map(|(instance, _)| *instance)
             .collect();
         for instance in silent {
-            self.report(now, instance, Vec::new());
+            self.running_at(now, instance, &[]);
             self.heard.remove(&instance);
             self.waiting.retain(|(_, t)| t.id.instance != instance);
         }
@@ -277,16 +295,6 @@
         Decision::Granted(path)
     }
 
-    fn adopt(&mut self, now: Instant, id: TicketId, held: Held) {
-        let running = Running {
-            tokens: held.tokens,
-            path: held.path,
-            started: now,
-            organisation: None,
-        };
-        self.hold(id, running);
-    }
-
     fn hold(&mut self, id: TicketId, running: Running) {
         self.engines.take(&running.path, running.tokens);
         self.tokens += f64::from(running.tokens);
--- a/crates/transport/peer/src/client.rs
+++ b/crates/transport/peer/src/client.rs
@@ -25,6 +25,7 @@
 use hemlockwind_protocol::peer::VERSION;
 use hemlockwind_protocol::peer::decode;
 use hemlockwind_protocol::peer::encode;
+use hemlockwind_protocol::peer::paths::Message;
 
 use crate::body;
 use crate::proof;
@@ -39,6 +40,8 @@
 const DOCUMENT_TIMEOUT: Duration = Duration::from_millis(5_000);
 /// Time beyond a dispatch's deadline for the owner's word that it passed.
 const DISPATCH_GRACE: Duration = Duration::from_millis(300);
+/// Time in which a home must have decided at once: many times the delay in a region.
+const PATHS_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time between pings.
 const PING_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -199,6 +202,11 @@
             Duration::from_millis(dispatch.deadline_ms.into()) + DISPATCH_GRACE
         }
         Request::Configuration(_) => DOCUMENT_TIMEOUT,
+        Request::Paths(Message::Ask(_, ask)) if ask.may_wait => {
+            Duration::from_millis(ask.latest_ms.into()) + DISPATCH_GRACE
+        }
+        Request::Paths(_) => PATHS_TIMEOUT,
+        Request::Store(_) => CALL_TIMEOUT,
         Request::Membership(_) | Request::Tickets(_) | Request::Grants(_) => CALL_TIMEOUT,
     }
 }
