--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use hemlockwind_core::collections::SeededHashMap;
+use hemlockwind_core::layers::LayerRange;
 use hemlockwind_core::servers::BackendServer;
 use hemlockwind_core::time::Instant;
 
@@ -55,6 +56,18 @@
         self.entries.insert(Arc::clone(&entry.server.id), entry);
     }
 
+    /// Takes an engine's own word on its layers. Returns whether it is news.
+    pub fn set_layers(&mut self, id: &str, layers: Option<LayerRange>) -> bool {
+        let Some(entry) = self.entries.get_mut(id) else {
+            return false;
+        };
+        let is_news = entry.server.layers != layers;
+        if is_news {
+            Arc::make_mut(&mut entry.server).layers = layers;
+        }
+        is_news
+    }
+
     /// An entry was removed.
     pub fn remove(&mut self, now: Instant, id: &str) {
         if self.settled_at <= now {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -3,6 +3,7 @@
 //! One watch for each kind. After a failure the watch goes on where it was; only when
 //! the store has dropped that history is everything read again.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use tokio::time::sleep;
 
 use hemlockwind_core::Result;
+use hemlockwind_core::servers::BackendServer;
 use hemlockwind_core::servers::ServerState;
 use hemlockwind_platform::manifest;
 use hemlockwind_platform::servers;
@@ -19,13 +21,20 @@
 use hemlockwind_platform::store::Object;
 use hemlockwind_platform::store::SERVERS;
 use hemlockwind_platform::store::Watched;
+use hemlockwind_protocol::peer::Reply;
+use hemlockwind_protocol::peer::Request;
+use hemlockwind_protocol::peer::store;
 use hemlockwind_protocol::peer::store::Kind;
 
 use crate::gateway::Fault;
 use crate::gateway::Gateway;
 
 /// Time that a watch waits for a change. A waiting watch costs one call.
-const WATCH_WAIT: Duration = Duration::from_secs(15);
+/// A store that fell silent answers none, so this also bounds how late its return is seen.
+const WATCH_WAIT: Duration = Duration::from_secs(5);
+/// Time after changes of the servers in which further ones are gathered: many come
+/// together, and each watch costs a call.
+const GATHER_TIME: Duration = Duration::from_millis(150);
 /// The first pause after a failure, and the longest; each is twice the one before.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
@@ -61,6 +70,9 @@
                         "code" => e.code().number(), "error" => %e, "version" => version);
                     gateway.directory.write().lost();
                 }
+                if let Some(next) = ask_peer(&gateway, kind, version).await {
+                    version = Some(next);
+                }
                 let jitter = 0.75 + rand::random::<f64>() / 2.0;
                 sleep(pause.mul_f64(jitter)).await;
                 pause = (pause * 2).min(LONGEST_PAUSE);
@@ -74,22 +86,7 @@
 async fn step(gateway: &Arc<Gateway>, kind: Kind, version: Option<u64>) -> Result<Option<u64>> {
     let Some(version) = version else {
         let listing = gateway.store.list(name(kind), false).await?;
-        match kind {
-            Kind::Routes => {
-                for object in &listing.objects {
-                    take_routes(gateway, object);
-                }
-            }
-            Kind::Servers => {
-                let listed = listing.objects.iter().filter_map(servers::parse);
-                let mut directory = gateway.directory.write();
-                directory.replace(gateway.now(), listed.collect());
-            }
-        }
-        gateway
-            .known
-            .replace(kind, listing.version, &listing.objects);
-        changed(gateway);
+        take_all(gateway, kind, listing.version, &listing.objects);
         return Ok(Some(listing.version));
     };
     match gateway.store.watch(name(kind), version, WATCH_WAIT).await? {
@@ -109,13 +106,93 @@
                     }
                 }
                 changed(gateway);
+                if kind == Kind::Servers {
+                    sleep(GATHER_TIME).await;
+                }
             }
-            gateway.known.reached(kind, next);
+            gateway
+                .known
+                .reached(gateway.now(), kind, next, !changes.is_empty());
             Ok(Some(next))
         }
     }
 }
 
+/// Takes all objects of a kind, as of a version of the store.
+fn take_all(gateway: &Arc<Gateway>, kind: Kind, version: u64, objects: &[Object]) {
+    let now = gateway.now();
+    match kind {
+        Kind::Routes => {
+            for object in objects {
+                take_routes(gateway, object);
+            }
+        }
+        Kind::Servers => {
+            let listed: Vec<BackendServer> = objects.iter().filter_map(servers::parse).collect();
+            let left: Vec<SocketAddr> = {
+                let directory = gateway.directory.read();
+                let leaves = |s: &BackendServer| {
+                    let now = listed.iter().find(|l| l.id == s.id);
+                    now.is_none_or(|l| l.state == ServerState::Leaving)
+                };
+                let ready = directory.iter().filter(|s| s.state == ServerState::Ready);
+                ready.filter(|s| leaves(s)).map(|s| s.addr).collect()
+            };
+            gateway.directory.write().replace(now, listed);
+            for addr in left {
+                // Nobody listens when no stream runs.
+                let _ = gateway.faults.send(Fault::Leaving(addr));
+            }
+        }
+    }
+    gateway.known.replace(now, kind, version, objects);
+    changed(gateway);
+}
+
+/// Asks another instance for what is newer than `version`, while the store does not
+/// serve this one. Returns the version as of which it answered.
+async fn ask_peer(gateway: &Arc<Gateway>, kind: Kind, version: Option<u64>) -> Option<u64> {
+    let peer = gateway.peers.any()?;
+    let message = store::Message {
+        kind,
+        version: version.unwrap_or_default(),
+    };
+    // The next round asks another one.
+    let reply = gateway
+        .peers
+        .call(&peer, Request::Store(message))
+        .await
+        .ok()?;
+    let Reply::Store(answer) = reply else {
+        return None;
+    };
+    let heard = |age_ms: u32| {
+        let age = Duration::from_millis(age_ms.into());
+        gateway.known.other_heard(gateway.now(), age);
+    };
+    match answer {
+        store::Answer::Same { age_ms } => {
+            heard(age_ms);
+            None
+        }
+        store::Answer::Newer {
+            version,
+            age_ms,
+            objects,
+        } => {
+            heard(age_ms);
+            let objects = objects
+                .into_iter()
+                .filter_map(|(name, content)| Object::new(name, content));
+            let objects: Vec<Object> = objects.collect();
+            info!(gateway.log, "heard from another instance"; "kind" => name(kind),
+                "instance" => &*peer.name, "version" => version, "age_ms" => age_ms);
+            take_all(gateway, kind, version, &objects);
+            Some(version)
+        }
+    }
+}
+
 /// Puts a newer version of the routes in force.
 fn take_routes(gateway: &Gateway, object: &Object) {
     if object.name != manifest::NAME {
@@ -178,15 +255,26 @@
 
 /// Forgets entries that did not come back, and looks after what waits.
 pub async fn tend(gateway: Arc<Gateway>) {
+    let mut rounds: u32 = 0;
     loop {
+        rounds = rounds.wrapping_add(1);
+        if rounds.is_multiple_of(STATE_ROUNDS) {
+            gateway.homes.log_state(&gateway);
+        }
         sleep(TEND_INTERVAL).await;
         let now = gateway.now();
         if gateway.directory.write().expire(now) {
             changed(&gateway);
         }
         gateway.homes.poll(now);
+        for (service, data_centre, has_path) in gateway.homes.turns(now) {
+            info!(gateway.log, "whole path"; "service" => &*service,
+                "data_centre" => &*data_centre, "there" => has_path);
+        }
     }
 }
 
+/// Looks between two log lines on the state of the homes: one line in two seconds.
+const STATE_ROUNDS: u32 = 40;
 /// Time between two looks at deadlines.
 const TEND_INTERVAL: Duration = Duration::from_millis(50);
--- a/crates/gateway/src/homes.rs
+++ b/crates/gateway/src/homes.rs
@@ -39,18 +39,21 @@
 use hemlockwind_protocol::peer::paths as wire;
 
 use crate::directory::Directory;
+use crate::doubt;
+use crate::follow;
 use crate::gateway::Fault;
 use crate::gateway::Gateway;
 use crate::homes::local::Cell;
 use crate::homes::local::Decided;
 use crate::homes::local::Local;
+use crate::orders::CANDIDATES;
+use crate::orders::DUTY;
+use crate::peers::EVERYWHERE;
 use crate::peers::Instance;
 
 /// Time that an engine gets no new work after it stopped making progress: its entry is
 /// removed, or it is back, by then.
 const DEAD_TIME: Duration = Duration::from_millis(4_000);
-/// Time in which others are not told again of the same engine.
-const DEAD_NEWS: Duration = Duration::from_millis(1_000);
 /// When to come back if no home can be reached or no engines are known.
 const NO_HOME_RETRY: Duration = Duration::from_millis(500);
 /// Time between two reports of the running streams to their homes.
@@ -159,13 +162,17 @@
             let Some(model) = service.engine.as_ref().filter(|m| m.is_joint()) else {
                 continue;
             };
-            for data_centre in data_centres(directory, &service.name) {
+            let mut data_centres = data_centres(directory, &service.name);
+            data_centres.push(EVERYWHERE.into());
+            for data_centre in data_centres {
                 let cell = {
                     let key = (Arc::clone(&service.name), Arc::clone(&data_centre));
                     let mut homes = self.homes.lock();
                     let cell = homes.entry(key).or_insert_with(|| {
                         let engines = Engines::new(Arc::clone(model));
-                        let home = Home::new(engines, Some(Arc::clone(&data_centre)));
+                        let within =
+                            (&*data_centre != EVERYWHERE).then(|| Arc::clone(&data_centre));
+                        let home = Home::new(engines, within);
                         Arc::new(Mutex::new(Local::new(home)))
                     });
                     Arc::clone(cell)
@@ -173,7 +180,8 @@
                 let engines = &mut cell.lock().home.engines;
                 engines.model = Arc::clone(model);
                 let entries = directory.of(&service.name);
-                let entries = entries.filter(|s| s.data_centre == data_centre);
+                let entries =
+                    entries.filter(|s| &*data_centre == EVERYWHERE || s.data_centre == data_centre);
                 engines.update(entries.map(|s| &**s));
             }
         }
@@ -187,6 +195,11 @@
     pub async fn ask(&self, gateway: &Gateway, ask: &Ask) -> Result<Grant, Refusal> {
         let mut best: Option<(Duration, HomeKey)> = None;
         for key in self.keys(&ask.service, &gateway.settings.data_centre) {
+            // Paths through several data centres load the links between them, so they are
+            // for the time when no data centre has a whole path.
+            if &*key.1 == EVERYWHERE && best.is_some() {
+                break;
+            }
             let decided = match self.believed_wait(&key) {
                 Some(wait) => Err((Reason::WaitTooLong, wait)),
                 None => {
@@ -234,7 +247,7 @@
     ) -> Result<Grant, (Reason, Duration)> {
         for _ in 0..HOME_TRIES {
             let now = self.clock.now();
-            let keeper = gateway.peers.home(now, &key.0, &key.1);
+            let keeper = gateway.peers.home(&key.0, &key.1);
             let claim = Claim {
                 key: key.clone(),
                 number: self.numbers.fetch_add(1, Ordering::Relaxed),
@@ -279,7 +292,7 @@
         ask: wire::Ask,
     ) -> Option<Decided> {
         let req = Request::Paths(wire::Message::Ask(engines(key), ask));
-        let reply = gateway.peers.call(self.clock.now(), keeper, req).await;
+        let reply = gateway.peers.call(keeper, req).await;
         match reply {
             Ok(Reply::Paths(wire::Answer::Granted(path))) => {
                 let path: Option<Vec<Stage>> = path.into_iter().map(from_wire).collect();
@@ -329,7 +342,7 @@
     /// Answers another instance.
     pub async fn answer(
         &self,
-        gateway: &Gateway,
+        gateway: &Arc<Gateway>,
         from: &str,
         message: wire::Message,
     ) -> wire::Answer {
@@ -362,12 +375,28 @@
                     None => refused(Reason::NoPath, NO_HOME_RETRY),
                 }
             }
+            wire::Message::Refused(of, addr, ms) => {
+                let key = (of.service.into(), of.data_centre.into());
+                self.refused_local(gateway, &key, addr, Duration::from_millis(ms.into()));
+                wire::Answer::Done
+            }
             wire::Message::Dead(addr) => {
-                self.shun_for(now, addr, DEAD_TIME);
+                self.shun(now, addr);
                 // Nobody listens when no stream runs.
                 let _ = gateway.faults.send(Fault::Dead(addr));
                 wire::Answer::Done
             }
+            wire::Message::Holds { id, layers } => {
+                let layers = layers.and_then(|(start, end)| LayerRange::new(start, end).ok());
+                self.holds_local(gateway, &id, layers);
+                wire::Answer::Done
+            }
+            wire::Message::Leaving(addr) => {
+                if self.shun(now, addr) {
+                    let _ = gateway.faults.send(Fault::Leaving(addr));
+                }
+                wire::Answer::Done
+            }
         }
     }
 
@@ -424,12 +453,12 @@
     pub async fn detour(&self, gateway: &Gateway, grant: &mut Grant) -> bool {
         let key = &grant.ticket.key;
         let number = grant.ticket.number;
-        let keeper = gateway.peers.home(self.clock.now(), &key.0, &key.1);
+        let keeper = gateway.peers.home(&key.0, &key.1);
         let path = match keeper.name == gateway.peers.me().name {
             true => self.detour_local(key, "", number),
             false => {
                 let req = Request::Paths(wire::Message::Detour(engines(key), number));
-                match gateway.peers.call(self.clock.now(), &keeper, req).await {
+                match gateway.peers.call(&keeper, req).await {
                     Ok(Reply::Paths(wire::Answer::Granted(path))) => {
                         path.into_iter().map(from_wire).collect()
                     }
@@ -446,6 +475,45 @@
         true
     }
 
+    /// An engine refused to be part of the path of `grant`: its home gives it nothing new
+    /// for `time`.
+    pub async fn refused(
+        &self,
+        gateway: &Arc<Gateway>,
+        grant: &Grant,
+        addr: SocketAddr,
+        time: Duration,
+    ) {
+        let key = &grant.ticket.key;
+        let keeper = gateway.peers.home(&key.0, &key.1);
+        if keeper.name == gateway.peers.me().name {
+            self.refused_local(gateway, key, addr, time);
+            return;
+        }
+        let ms = u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
+        let req = Request::Paths(wire::Message::Refused(engines(key), addr, ms));
+        // A home that does not hear it grants such a path once more, no worse.
+        let _ = gateway.peers.call(&keeper, req).await;
+    }
+
+    /// An engine of a home that is kept here refused. One that goes on refusing is asked
+    /// for a report: it lacks memory, or it leaves and the directory does not tell.
+    fn refused_local(
+        &self,
+        gateway: &Arc<Gateway>,
+        key: &HomeKey,
+        addr: SocketAddr,
+        time: Duration,
+    ) {
+        let Some(cell) = self.cell(key) else { return };
+        let now = self.clock.now();
+        let is_suspicious = cell.lock().refused(now, addr, time);
+        if is_suspicious && !self.is_dead(now, addr) {
+            let gateway = Arc::clone(gateway);
+            tokio::spawn(async move { doubt::examine(&gateway, addr).await });
+        }
+    }
+
     /// Starts and refuses what waits, as far as it can be told now.
     pub fn poll(&self, now: Instant) {
         let cells: Vec<Cell> = self.homes.lock().values().cloned().collect();
@@ -466,15 +534,14 @@
                     .collect()
             };
             let calls = ended.into_iter().map(|(key, numbers)| async move {
-                let now = self.clock.now();
-                let keeper = gateway.peers.home(now, &key.0, &key.1);
+                let keeper = gateway.peers.home(&key.0, &key.1);
                 if keeper.name == gateway.peers.me().name {
                     self.done_local(&key, "", &numbers);
                     return;
                 }
                 let req = Request::Paths(wire::Message::Done(engines(&key), numbers));
                 // What is lost here, the next report mends.
-                let _ = gateway.peers.call(now, &keeper, req).await;
+                let _ = gateway.peers.call(&keeper, req).await;
             });
             futures::future::join_all(calls).await;
         }
@@ -492,8 +559,7 @@
     }
 
     async fn report_to(&self, gateway: &Gateway, key: &HomeKey) {
-        let now = self.clock.now();
-        let keeper = gateway.peers.home(now, &key.0, &key.1);
+        let keeper = gateway.peers.home(&key.0, &key.1);
         let numbers: Vec<u64> = {
             let mut accounts = self.accounts.lock();
             let account = accounts.entry(key.clone()).or_default();
@@ -509,7 +575,7 @@
             true => self.running_local(key, "", &numbers),
             false => {
                 let req = Request::Paths(wire::Message::Running(engines(key), numbers));
-                match gateway.peers.call(now, &keeper, req).await {
+                match gateway.peers.call(&keeper, req).await {
                     Ok(Reply::Paths(wire::Answer::Unknown(unknown))) => unknown,
                     // The next report goes to the next keeper.
                     Ok(_) | Err(_) => return,
@@ -532,23 +598,24 @@
         } else {
             let req = Request::Paths(wire::Message::Held(engines(key), held));
             // The next report says it again.
-            let _ = gateway.peers.call(now, &keeper, req).await;
+            let _ = gateway.peers.call(&keeper, req).await;
         }
     }
 
-    /// An engine makes no progress: this instance's homes and the keeper of the engine's
-    /// home hear of it, and so do all instances with streams over it.
-    pub async fn tell_dead(&self, gateway: &Gateway, addr: SocketAddr) {
-        let now = self.clock.now();
+    /// An engine makes no progress or leaves: the keeper of its home hears of it, and so
+    /// do all instances with streams over it and those that may give orders.
+    pub async fn tell(&self, gateway: &Gateway, fault: Fault) {
+        let (addr, message) = match fault {
+            Fault::Dead(addr) => (addr, wire::Message::Dead(addr)),
+            Fault::Leaving(addr) => (addr, wire::Message::Leaving(addr)),
+        };
         let server = {
             let directory = gateway.directory.read();
             directory.iter().find(|s| s.addr == addr).cloned()
         };
         let Some(server) = server else { return };
-        let keeper = gateway
-            .peers
-            .home(now, &server.service, &server.data_centre);
-        let mut tell: Vec<Instance> = Vec::new();
+        let keeper = gateway.peers.home(&server.service, &server.data_centre);
+        let mut tell: Vec<Instance> = gateway.peers.candidates(DUTY, CANDIDATES);
         if keeper.name != gateway.peers.me().name {
             tell.push(keeper);
         }
@@ -559,25 +626,97 @@
             let names = instances.iter().map(|key| names.instances.name(*key));
             tell.extend(names.filter_map(|name| gateway.peers.get(&name)));
         }
+        tell.sort_unstable_by(|a, b| a.name.cmp(&b.name));
+        tell.dedup();
         let calls = tell.iter().map(|instance| {
-            let req = Request::Paths(wire::Message::Dead(addr));
-            gateway.peers.call(now, instance, req)
+            let req = Request::Paths(message.clone());
+            gateway.peers.call(instance, req)
         });
         // Who is not reached finds it out by itself.
         futures::future::join_all(calls).await;
     }
 
+    /// An engine's report says which layers it holds, newer than its entry: this instance
+    /// and all others hear of it.
+    pub async fn holds(&self, gateway: &Gateway, id: &str, layers: Option<LayerRange>) {
+        if !self.holds_local(gateway, id, layers) {
+            return;
+        }
+        let message = wire::Message::Holds {
+            id: id.to_string(),
+            layers: layers.map(|l| (l.start(), l.end())),
+        };
+        let all = gateway.peers.all();
+        let calls = all.iter().map(|instance| {
+            gateway
+                .peers
+                .call(instance, Request::Paths(message.clone()))
+        });
+        // Who is not reached hears it from the store.
+        futures::future::join_all(calls).await;
+    }
+
+    /// Takes what an engine's report said of its layers. Returns whether it is news.
+    fn holds_local(&self, gateway: &Gateway, id: &str, layers: Option<LayerRange>) -> bool {
+        let is_news = gateway.directory.write().set_layers(id, layers);
+        if is_news {
+            info!(gateway.log, "engine holds"; "engine" => id,
+                "layers" => layers.map(|l| l.to_string()));
+            follow::changed(gateway);
+        }
+        is_news
+    }
+
     /// Gives the engine at `addr` no new work for a while. Returns whether that is news.
     pub fn shun(&self, now: Instant, addr: SocketAddr) -> bool {
         let is_news = {
             let mut dead = self.dead.lock();
             dead.retain(|_, until| *until > now);
-            dead.insert(addr, now + DEAD_NEWS).is_none()
+            dead.insert(addr, now + DEAD_TIME).is_none()
         };
         self.shun_for(now, addr, DEAD_TIME);
         is_news
     }
 
+    /// Whether the engine at `addr` was lately found without progress.
+    pub fn is_dead(&self, now: Instant, addr: SocketAddr) -> bool {
+        let dead = self.dead.lock();
+        dead.get(&addr).is_some_and(|until| *until > now)
+    }
+
+    /// Logs the state of the homes that are kept here.
+    pub fn log_state(&self, gateway: &Gateway) {
+        let now = self.clock.now();
+        let cells: Vec<(HomeKey, Cell)> = {
+            let homes = self.homes.lock();
+            homes
+                .iter()
+                .map(|(k, c)| (k.clone(), Arc::clone(c)))
+                .collect()
+        };
+        for (key, cell) in cells {
+            let keeper = gateway.peers.home(&key.0, &key.1);
+            if keeper.name != gateway.peers.me().name || &*key.1 == EVERYWHERE {
+                continue;
+            }
+            let local = cell.lock();
+            info!(gateway.log, "home"; "service" => &*key.0, "data_centre" => &*key.1,
+                "running" => local.home.running(), "waiting" => local.home.waiting(),
+                "engines" => local.summary(now));
+        }
+    }
+
+    /// Notes whether each home has a whole path. Returns the homes that have gained or
+    /// lost it.
+    pub fn turns(&self, now: Instant) -> Vec<(Arc<str>, Arc<str>, bool)> {
+        let homes = self.homes.lock();
+        let turned = homes.iter().filter_map(|((service, data_centre), cell)| {
+            let has_path = cell.lock().turn(now)?;
+            Some((Arc::clone(service), Arc::clone(data_centre), has_path))
+        });
+        turned.collect()
+    }
+
     /// Gives the engine at `addr` no new work for `time`.
     pub fn shun_for(&self, now: Instant, addr: SocketAddr, time: Duration) {
         for cell in self.homes.lock().values() {
@@ -595,7 +734,8 @@
         loads.fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1))
     }
 
-    /// The homes of a service, the one of the own data centre first.
+    /// The homes of a service: the one of the own data centre first, and last the one
+    /// whose paths lead through several data centres.
     fn keys(&self, service: &str, own: &str) -> Vec<HomeKey> {
         let homes = self.homes.lock();
         let mut keys: Vec<HomeKey> = homes
@@ -603,7 +743,8 @@
             .filter(|(name, _)| **name == *service)
             .cloned()
             .collect();
-        keys.sort_unstable_by(|(_, a), (_, b)| (**a != *own, a).cmp(&(**b != *own, b)));
+        let order = |d: &Arc<str>| (&**d == EVERYWHERE, **d != *own);
+        keys.sort_unstable_by(|(_, a), (_, b)| order(a).cmp(&order(b)).then(a.cmp(b)));
         keys
     }
 
--- a/crates/gateway/src/homes/local.rs
+++ b/crates/gateway/src/homes/local.rs
@@ -24,6 +24,13 @@
 /// When to come back to a home that ended while a ticket waited there.
 const ENDED_RETRY: Duration = Duration::from_millis(300);
 
+/// Time between two refusals that still count as in a row.
+const IN_A_ROW: Duration = Duration::from_millis(500);
+/// Refusals in a row after which an engine is examined.
+const SUSPICIOUS: u32 = 2;
+/// Time between two examinations of one engine.
+const EXAMINE_INTERVAL: Duration = Duration::from_millis(300);
+
 type Waiter = oneshot::Sender<Decided>;
 
 /// `Decided` is what a home said of a ticket.
@@ -34,6 +41,16 @@
     /// The decisions.
     pub home: Home,
     waiters: HashMap<TicketId, Waiter>,
+    has_path: bool,
+    refusals: HashMap<SocketAddr, Refusals>,
+}
+
+/// Refusals of one engine in a row.
+#[derive(Clone, Copy, Debug)]
+struct Refusals {
+    count: u32,
+    last: Instant,
+    examined: Instant,
 }
 
 /// `Cell` is one home under its lock.
@@ -45,6 +62,8 @@
         Self {
             home,
             waiters: HashMap::default(),
+            has_path: false,
+            refusals: HashMap::default(),
         }
     }
 
@@ -91,6 +110,47 @@
         self.home.adopt(now, id, held_here);
     }
 
+    /// Whether it has a whole path, if that has changed.
+    pub fn turn(&mut self, now: Instant) -> Option<bool> {
+        let has_path = self.home.has_path(now);
+        let is_news = std::mem::replace(&mut self.has_path, has_path) != has_path;
+        is_news.then_some(has_path)
+    }
+
+    /// The engines' layers, streams and memory in hundredths, for a log line.
+    pub fn summary(&self, now: Instant) -> String {
+        let mut engines: Vec<_> = self.home.engines.iter().map(|(_, e)| e).collect();
+        engines.sort_by_key(|e| (e.layers, e.addr));
+        let parts = engines.iter().map(|e| {
+            let used = 100.0 * e.used / e.room.max(1.0);
+            let mark = if e.is_usable(now) { "" } else { "!" };
+            format!("{}{mark} {} {used:.0}", e.layers, e.streams)
+        });
+        parts.collect::<Vec<_>>().join(", ")
+    }
+
+    /// An engine refused to be part of a path and gets nothing new for `time`. Returns
+    /// whether it is time to look why.
+    pub fn refused(&mut self, now: Instant, addr: SocketAddr, time: Duration) -> bool {
+        self.shun(now, addr, time);
+        let refusals = self.refusals.entry(addr).or_insert(Refusals {
+            count: 0,
+            last: now,
+            examined: Instant::ZERO,
+        });
+        if now.since(refusals.last) > IN_A_ROW {
+            refusals.count = 0;
+        }
+        refusals.count += 1;
+        refusals.last = now;
+        let is_due = now.since(refusals.examined) > EXAMINE_INTERVAL;
+        let is_suspicious = refusals.count >= SUSPICIOUS && is_due;
+        if is_suspicious {
+            refusals.examined = now;
+        }
+        is_suspicious
+    }
+
     /// Gives the engine at `addr` no new work for `time`.
     pub fn shun(&mut self, now: Instant, addr: SocketAddr, time: Duration) {
         self.home.engines.shun(now, addr, time);
--- a/crates/gateway/src/known.rs
+++ b/crates/gateway/src/known.rs
@@ -1,9 +1,11 @@
 //! What this instance has read from the store, for others that it does not serve.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use parking_lot::Mutex;
 
+use hemlockwind_core::time::Instant;
 use hemlockwind_platform::store::Object;
 use hemlockwind_protocol::peer::store::Answer;
 use hemlockwind_protocol::peer::store::Kind;
@@ -11,7 +13,11 @@
 
 #[derive(Debug, Default)]
 struct Read {
+    /// As of this version of the store.
     version: u64,
+    /// The version at which something changed last.
+    changed: u64,
+    heard: Instant,
     objects: BTreeMap<String, String>,
 }
 
@@ -20,8 +26,13 @@
 pub struct Known {
     routes: Mutex<Read>,
     servers: Mutex<Read>,
+    /// When another instance was last known to hear from the store.
+    others: Mutex<Instant>,
 }
 
+/// Time within which the store counts as heard: a watch returns every five seconds.
+const FRESH: Duration = Duration::from_millis(5_500);
+
 impl Known {
     fn of(&self, kind: Kind) -> &Mutex<Read> {
         match kind {
@@ -36,7 +47,7 @@
     }
 
     /// Takes a whole list.
-    pub fn replace(&self, kind: Kind, version: u64, objects: &[Object]) {
+    pub fn replace(&self, now: Instant, kind: Kind, version: u64, objects: &[Object]) {
         let mut read = self.of(kind).lock();
         if version < read.version {
             return;
@@ -45,7 +56,7 @@
         read.objects = objects
             .map(|o| (o.name.clone(), o.content.get().to_string()))
             .collect();
-        read.version = version;
+        (read.version, read.changed, read.heard) = (version, version, now);
     }
 
     /// Takes one change; the version is raised by [`Known::reached`].
@@ -61,19 +72,43 @@
     }
 
     /// All changes up to `version` were taken.
-    pub fn reached(&self, kind: Kind, version: u64) {
+    pub fn reached(&self, now: Instant, kind: Kind, version: u64, has_changes: bool) {
         let mut read = self.of(kind).lock();
         read.version = read.version.max(version);
+        if has_changes {
+            read.changed = read.version;
+        }
+        read.heard = now;
+    }
+
+    /// Time since the store was last heard about a kind.
+    pub fn age(&self, now: Instant, kind: Kind) -> Duration {
+        now.since(self.of(kind).lock().heard)
+    }
+
+    /// Another instance has heard from the store `age` ago.
+    pub fn other_heard(&self, now: Instant, age: Duration) {
+        if age < FRESH {
+            *self.others.lock() = now;
+        }
+    }
+
+    /// Whether another instance has lately heard from the store.
+    pub fn others_hear(&self, now: Instant) -> bool {
+        let heard = *self.others.lock();
+        heard != Instant::ZERO && now.since(heard) < FRESH
     }
 
     /// The answer to an instance that asks.
-    pub fn answer(&self, message: Message) -> Answer {
+    pub fn answer(&self, now: Instant, message: Message) -> Answer {
         let read = self.of(message.kind).lock();
-        if read.version <= message.version {
-            return Answer::Same;
+        let age_ms = u32::try_from(now.since(read.heard).as_millis()).unwrap_or(u32::MAX);
+        if read.changed <= message.version {
+            return Answer::Same { age_ms };
         }
         Answer::Newer {
             version: read.version,
+            age_ms,
             objects: read.objects.clone().into_iter().collect(),
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod answers;
 pub mod calls;
 pub mod directory;
+pub mod doubt;
 pub mod events;
 pub mod follow;
 pub mod gateway;
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -30,6 +30,7 @@
 use hemlockwind_placement::Engine;
 use hemlockwind_placement::Order;
 use hemlockwind_placement::Urgency;
+use hemlockwind_placement::has_gap;
 use hemlockwind_placement::plan;
 use hemlockwind_platform::engine;
 use hemlockwind_platform::engine::Ordered;
@@ -39,11 +40,20 @@
 /// The kind and name of the lease's object.
 const LEASE_KIND: &str = "hemlockwind-leases";
 const LEASE_NAME: &str = "orders";
-/// How long the lease lasts without a renewal: a new giver is needed only when an
-/// engine has to be placed, and a few seconds without one cost little.
-const LEASE_TIME: Duration = Duration::from_secs(6);
+/// The duty of giving orders, for the choice of candidates.
+pub const DUTY: &str = LEASE_NAME;
+/// How long the lease lasts without a renewal. A gap waits as long for a new giver, and
+/// each renewal, a third of it, costs a call.
+const LEASE_TIME: Duration = Duration::from_millis(2_500);
 /// Time between two reads of the lease by those that don't hold it.
-const LEASE_RETRY: Duration = Duration::from_secs(2);
+const LEASE_RETRY: Duration = Duration::from_millis(1_000);
+/// Time for which a giver goes on when it can't renew its lease and knows of no other.
+const ALONE_TIME: Duration = Duration::from_secs(20);
+/// Time between two looks at an engine that loads: a load of a few layers takes about
+/// a second, and each look is charged.
+const WATCH_INTERVAL: Duration = Duration::from_millis(300);
+/// Looks at one order at most.
+const WATCH_TRIES: u32 = 10;
 /// Time between two looks at the engines.
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time without a new engine until the first plan: engines register within the
@@ -51,9 +61,11 @@
 const GATHER_TIME: Duration = Duration::from_millis(1_200);
 /// Time until the first plan even if engines still appear.
 const GATHER_LIMIT: Duration = Duration::from_millis(3_500);
-/// Time that a gap is left to an engine that restarts before its neighbours are
-/// extended. A restart takes seconds, a load of a few layers about one.
-const GAP_TIME: Duration = Duration::from_millis(1_000);
+/// Time that a gap lasts before the engines beside it are extended: enough for an
+/// engine that has just registered to be the one that fills it.
+const GAP_TIME: Duration = Duration::from_millis(150);
+/// Instances that compete for the lease. The others need not read it.
+pub const CANDIDATES: usize = 3;
 /// Time after which an order whose effect does not show is given again, beside the
 /// load's own time.
 const ORDER_TIME: Duration = Duration::from_millis(2_000);
@@ -75,12 +87,14 @@
 }
 
 impl Giver {
-    /// The orders that are due at `now`.
+    /// The orders that are due at `now`. Crowded engines are relieved only if `may_even`.
     pub fn due(
         &mut self,
         now: Instant,
         model: &EngineModel,
         servers: &[Arc<BackendServer>],
+        is_dead: impl Fn(&BackendServer) -> bool,
+        may_even: bool,
     ) -> Vec<(Arc<BackendServer>, Order)> {
         if servers.is_empty() {
             return Vec::new();
@@ -92,11 +106,12 @@
             let server = servers.iter().find(|s| s.id == *id);
             server.is_some_and(|s| s.layers != Some(given.layers) && given.again_at > now)
         });
+        let live = |s: &BackendServer| s.state == ServerState::Ready && !is_dead(s);
         let engines: Vec<Engine> = servers
             .iter()
-            .filter_map(|s| self.engine(model, s))
+            .filter_map(|s| self.engine(model, s, live(s)))
             .collect();
-        let urgency = self.urgency(now, model, &engines);
+        let urgency = self.urgency(now, model, &engines, may_even);
         let orders = plan(model, &engines, urgency);
         let mut due = Vec::with_capacity(orders.len());
         for order in orders {
@@ -134,7 +149,7 @@
         }
     }
 
-    fn engine(&self, model: &EngineModel, server: &BackendServer) -> Option<Engine> {
+    fn engine(&self, model: &EngineModel, server: &BackendServer, is_live: bool) -> Option<Engine> {
         let card = *model.cards.get(server.card.as_ref()?)?;
         let given = self.given.get(&server.id);
         // A restart has forgotten what it was ordered.
@@ -145,19 +160,29 @@
             card,
             layers: given.map(|g| g.layers).or(server.layers),
             is_free: given.is_none(),
-            is_live: server.state == ServerState::Ready,
+            is_live,
         })
     }
 
     /// Gaps are repaired by other engines only when they last.
-    fn urgency(&mut self, now: Instant, model: &EngineModel, engines: &[Engine]) -> Urgency {
-        let has_gap = !plan(model, engines, Urgency::Repair).is_empty();
-        if !has_gap {
+    fn urgency(
+        &mut self,
+        now: Instant,
+        model: &EngineModel,
+        engines: &[Engine],
+        may_even: bool,
+    ) -> Urgency {
+        if !has_gap(model, engines) {
             self.gap_since = None;
-            return Urgency::Empty;
+            return if may_even {
+                Urgency::Even
+            } else {
+                Urgency::Empty
+            };
         }
         let since = *self.gap_since.get_or_insert(now);
         match now.since(since) >= GAP_TIME {
+            true if may_even => Urgency::Even,
             true => Urgency::Repair,
             false => Urgency::Empty,
         }
@@ -178,7 +203,8 @@
     });
     let mut givers: SeededHashMap<Arc<str>, Giver> = SeededHashMap::default();
     let mut held = false;
-    let mut action = holder.on_event(gateway.now(), Event::Candidate(true));
+    let mut last = None;
+    let mut action = holder.on_event(gateway.now(), Event::Candidate(false));
     loop {
         if gateway.stopping.is_cancelled() && !holder.is_released() {
             action = action.or(holder.on_event(gateway.now(), Event::Stop));
@@ -187,20 +213,33 @@
             let event = act(&gateway, next).await;
             action = holder.on_event(gateway.now(), event);
         }
-        let fencing = holder.holds(gateway.now());
+        let now = gateway.now();
+        if let Some(fencing) = holder.holds(now) {
+            last = Some((fencing, now + ALONE_TIME));
+        }
+        // Without the store nobody else can take the lease. An engine that has accepted
+        // another's order since its report refuses this one's, so a giver that goes on
+        // for a while does no harm, and gaps are closed meanwhile.
+        let may_go_on = holder.other().is_none() && !gateway.known.others_hear(now);
+        let fencing = last.filter(|(_, until)| may_go_on && *until > now);
         if fencing.is_some() != held {
             held = fencing.is_some();
-            info!(gateway.log, "lease for orders"; "held" => held,
-                "fencing" => fencing.map(|f| f.0));
+            info!(gateway.log, "gives orders"; "gives" => held,
+                "holds_lease" => holder.holds(now).is_some(),
+                "fencing" => fencing.map(|(f, _)| f.0));
             if !held {
                 givers.clear();
             }
         }
-        if let Some(fencing) = fencing {
-            give(&gateway, &mut givers, fencing.0).await;
+        if let Some((fencing, _)) = fencing {
+            // What an engine gives up must be heard of by all, through the store.
+            let may_even = holder.holds(now).is_some();
+            give(&gateway, &mut givers, fencing.0, may_even).await;
         }
         sleep(LOOK_INTERVAL).await;
-        action = holder.on_event(gateway.now(), Event::Tick);
+        let now = gateway.now();
+        let candidate = gateway.peers.is_candidate(LEASE_NAME, CANDIDATES);
+        action = holder.on_event(now, Event::Candidate(candidate));
     }
 }
 
@@ -251,7 +290,12 @@
 }
 
 /// Gives the orders that are due.
-async fn give(gateway: &Arc<Gateway>, givers: &mut SeededHashMap<Arc<str>, Giver>, fencing: u64) {
+async fn give(
+    gateway: &Arc<Gateway>,
+    givers: &mut SeededHashMap<Arc<str>, Giver>,
+    fencing: u64,
+    may_even: bool,
+) {
     let routes = gateway.routes.load_full();
     for service in routes.services() {
         let Some(model) = service.engine.as_ref().filter(|m| m.is_joint()) else {
@@ -262,17 +306,22 @@
             directory.of(&service.name).cloned().collect()
         };
         let giver = givers.entry(Arc::clone(&service.name)).or_default();
-        let due = giver.due(gateway.now(), model, &servers);
+        let now = gateway.now();
+        let is_dead = |s: &BackendServer| gateway.homes.is_dead(now, s.addr);
+        let due = giver.due(now, model, &servers, is_dead, may_even);
         let calls = due.into_iter().map(|(server, order)| async move {
             let ordered = place(gateway, &server, &order, fencing).await;
-            (ordered, order)
+            (ordered, server, order)
         });
-        for (ordered, order) in futures::future::join_all(calls).await {
+        for (ordered, server, order) in futures::future::join_all(calls).await {
             gateway.counters.add("orders_given");
             info!(gateway.log, "order"; "engine" => &*order.id, "layers" => %order.layers,
                 "fencing" => fencing, "outcome" => format!("{ordered:?}"));
             match ordered {
-                Ordered::Accepted => {}
+                Ordered::Accepted => {
+                    let gateway = Arc::clone(gateway);
+                    tokio::spawn(async move { watch(&gateway, &server, order.layers).await });
+                }
                 Ordered::Refused(_) | Ordered::Outdated => giver.refused(gateway.now(), &order.id),
                 Ordered::Unknown(e) => {
                     warn!(gateway.log, "order without answer"; "engine" => &*order.id,
@@ -283,13 +332,46 @@
     }
 }
 
+/// Follows an order until the engine holds `layers`, and tells all instances: the
+/// engine's own entry says it a heartbeat later, or not while the store is away.
+async fn watch(gateway: &Arc<Gateway>, server: &BackendServer, layers: LayerRange) {
+    for _ in 0..WATCH_TRIES {
+        sleep(WATCH_INTERVAL).await;
+        let is_told = gateway
+            .directory
+            .read()
+            .get(&server.id)
+            .is_none_or(|s| s.layers == Some(layers));
+        if is_told {
+            return;
+        }
+        // An engine that does not report is looked at again.
+        if let Ok(report) = engine::report(&gateway.http, server.addr).await
+            && report.layers == Some(layers)
+        {
+            gateway
+                .homes
+                .holds(gateway, &server.id, report.layers)
+                .await;
+            return;
+        }
+    }
+}
+
 /// Gives one order, unless the engine's report says that its entry is out of date.
 async fn place(gateway: &Gateway, server: &BackendServer, order: &Order, fencing: u64) -> Ordered {
     let report = match engine::report(&gateway.http, server.addr).await {
         Ok(report) => report,
         Err(e) => return Ordered::Unknown(e),
     };
-    if report.is_changing || report.layers != server.layers {
+    if report.is_changing {
+        return Ordered::Outdated;
+    }
+    if report.layers != server.layers {
+        gateway
+            .homes
+            .holds(gateway, &server.id, report.layers)
+            .await;
         return Ordered::Outdated;
     }
     let target = (server.addr, &*server.id);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -13,23 +13,30 @@
 use parking_lot::RwLock;
 use rand::seq::IndexedRandom;
 use rustc_hash::FxBuildHasher;
+use tokio::time::sleep;
+use tokio::time::timeout;
 
 use hemlockwind_core::Error;
 use hemlockwind_core::attempt::Attempt;
 use hemlockwind_core::collections::SeededHashMap;
-use hemlockwind_core::time::Instant;
 use hemlockwind_peer::H2Peer;
 use hemlockwind_peer::SharedKey;
 use hemlockwind_protocol::peer::Handler;
 use hemlockwind_protocol::peer::Peer;
 use hemlockwind_protocol::peer::Reply;
 use hemlockwind_protocol::peer::Request;
+use hemlockwind_protocol::peer::paths::Message;
+use hemlockwind_protocol::peer::store;
 
 use crate::gateway::Gateway;
 
-/// Time that an instance which did not answer is passed over. A restart takes about a
-/// second, a freeze a few.
-const SUSPECT_TIME: Duration = Duration::from_millis(1_500);
+/// Time between two probes of an instance that did not answer.
+const PROBE_INTERVAL: Duration = Duration::from_millis(400);
+/// Time beyond a ticket's own wait in which a home must have answered.
+const ASK_TIME: Duration = Duration::from_millis(250);
+
+/// The data centre of a home whose paths may lead through all of them.
+pub const EVERYWHERE: &str = "";
 
 /// `Instance` is one other instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -46,7 +53,7 @@
 pub struct Peers {
     me: Instance,
     others: RwLock<SeededHashMap<Arc<str>, Instance>>,
-    suspects: Mutex<SeededHashMap<Arc<str>, Instant>>,
+    suspects: Mutex<SeededHashMap<Arc<str>, Instance>>,
     client: H2Peer,
 }
 
@@ -77,6 +84,7 @@
     /// An instance has left.
     pub fn remove(&self, name: &str) {
         self.others.write().remove(name);
+        self.suspects.lock().remove(name);
     }
 
     /// The number of instances that are known, this one included.
@@ -90,24 +98,50 @@
     }
 
     /// The instance that keeps the home of these engines: by rendezvous hashing over the
-    /// instances of their data centre, this one where none of them answers.
-    pub fn home(&self, now: Instant, service: &str, data_centre: &str) -> Instance {
+    /// instances of their data centre, or over all for [`EVERYWHERE`]; this one where
+    /// none of them answers.
+    pub fn home(&self, service: &str, data_centre: &str) -> Instance {
         let suspects = self.suspects.lock();
         let others = self.others.read();
         let all = others.values().chain([&self.me]);
-        let candidates = all.filter(|i| *i.data_centre == *data_centre);
-        let live = candidates.filter(|i| suspects.get(&i.name).is_none_or(|until| *until <= now));
-        let best = live.max_by_key(|i| FxBuildHasher.hash_one((&i.name, service)));
+        let candidates =
+            all.filter(|i| data_centre == EVERYWHERE || *i.data_centre == *data_centre);
+        let live = candidates.filter(|i| !suspects.contains_key(&i.name));
+        let best = live.max_by_key(|i| weight(i, service));
         best.unwrap_or(&self.me).clone()
     }
 
+    /// Whether this instance is among the first `count` of all for a duty.
+    pub fn is_candidate(&self, duty: &str, count: usize) -> bool {
+        let others = self.candidates(duty, count);
+        let mine = weight(&self.me, duty);
+        let before = others.iter().filter(|i| weight(i, duty) > mine);
+        before.count() < count
+    }
+
+    /// The first `count` other instances for a duty.
+    pub fn candidates(&self, duty: &str, count: usize) -> Vec<Instance> {
+        let suspects = self.suspects.lock();
+        let others = self.others.read();
+        let live = others.values().filter(|i| !suspects.contains_key(&i.name));
+        let mut live: Vec<Instance> = live.cloned().collect();
+        live.sort_unstable_by_key(|i| std::cmp::Reverse(weight(i, duty)));
+        live.truncate(count);
+        live
+    }
+
+    /// All other instances that answer.
+    pub fn all(&self) -> Vec<Instance> {
+        self.candidates("", usize::MAX)
+    }
+
     /// Another instance that may be asked anything.
-    pub fn any(&self, now: Instant) -> Option<Instance> {
+    pub fn any(&self) -> Option<Instance> {
         let suspects = self.suspects.lock();
         let others = self.others.read();
         let live: Vec<&Instance> = others
             .values()
-            .filter(|i| suspects.get(&i.name).is_none_or(|until| *until <= now))
+            .filter(|i| !suspects.contains_key(&i.name))
             .collect();
         live.choose(&mut rand::rng()).map(|i| (*i).clone())
     }
@@ -118,24 +152,54 @@
     }
 
     /// Sends a message and waits for the reply. An instance that gives none is passed
-    /// over for a while.
+    /// over until it answers a probe.
     ///
     /// # Errors
     ///
     /// The peer's error, and whether it may have read the message.
-    pub async fn call(
-        &self,
-        now: Instant,
-        to: &Instance,
-        req: Request,
-    ) -> Result<Reply, (Attempt, Error)> {
-        let reply = self.client.call(to.addr, req).await;
+    pub async fn call(&self, to: &Instance, req: Request) -> Result<Reply, (Attempt, Error)> {
+        let limit = match &req {
+            Request::Paths(Message::Ask(_, ask)) if ask.may_wait => {
+                Duration::from_millis(ask.latest_ms.into()) + ASK_TIME
+            }
+            _ => ASK_TIME,
+        };
+        let reply = timeout(limit, self.client.call(to.addr, req)).await;
+        let reply = reply.unwrap_or_else(|_| {
+            let error = Error::peer_unreachable(format!("{} gave no answer", to.name));
+            Err((Attempt::Sent, error))
+        });
         if reply.is_err() {
             let mut suspects = self.suspects.lock();
-            suspects.insert(Arc::clone(&to.name), now + SUSPECT_TIME);
+            suspects.insert(Arc::clone(&to.name), to.clone());
         }
         reply
     }
+
+    /// Probes the instances that did not answer, until the task is ended.
+    pub async fn probe(&self) {
+        loop {
+            sleep(PROBE_INTERVAL).await;
+            let suspects: Vec<Instance> = self.suspects.lock().values().cloned().collect();
+            let probes = suspects.iter().map(|instance| async move {
+                // Nothing is newer than the newest version, so the reply is short.
+                let nothing = store::Message {
+                    kind: store::Kind::Routes,
+                    version: u64::MAX,
+                };
+                let probe = self.client.call(instance.addr, Request::Store(nothing));
+                if let Ok(Ok(_)) = timeout(ASK_TIME, probe).await {
+                    self.suspects.lock().remove(&instance.name);
+                }
+            });
+            futures::future::join_all(probes).await;
+        }
+    }
+}
+
+/// The weight of an instance for a duty, by rendezvous hashing.
+fn weight(instance: &Instance, duty: &str) -> u64 {
+    FxBuildHasher.hash_one((&instance.name, duty))
 }
 
 /// `Answers` answers the messages of other instances.
@@ -156,7 +220,10 @@
                     .await;
                 Reply::Paths(answer)
             }
-            Request::Store(message) => Reply::Store(self.gateway.known.answer(message)),
+            Request::Store(message) => {
+                let now = self.gateway.now();
+                Reply::Store(self.gateway.known.answer(now, message))
+            }
             Request::Membership(_)
             | Request::Tickets(_)
             | Request::Grants(_)
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -364,7 +364,16 @@
                 }
                 Ok(exchange)
             }
-            Err(Refused::NotRun(_) | Refused::Failed(Attempt::Unsent, _)) => Err(Some(())),
+            Err(Refused::NotRun(at_fault, _)) => {
+                if let Some(grant) = self.grant.as_ref() {
+                    let homes = &self.gateway.homes;
+                    homes
+                        .refused(&self.gateway, grant, at_fault, RESUME_PAUSE * 2)
+                        .await;
+                }
+                Err(Some(()))
+            }
+            Err(Refused::Failed(Attempt::Unsent, _)) => Err(Some(())),
             Err(Refused::Own(_) | Refused::Failed(..)) => Err(Some(())),
         }
     }
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -71,6 +71,7 @@
         tokio::spawn(follow::follow(Arc::clone(&gateway), Kind::Servers)),
         tokio::spawn(instances::run(Arc::clone(&gateway))),
         tokio::spawn(server::serve(peers, key, answers, gateway.log.clone())),
+        tokio::spawn(probe(Arc::clone(&gateway))),
         tokio::spawn(homes_ended(Arc::clone(&gateway))),
         tokio::spawn(homes_report(Arc::clone(&gateway))),
         tokio::spawn(follow::tend(Arc::clone(&gateway))),
@@ -86,6 +87,10 @@
     })
 }
 
+async fn probe(gateway: Arc<Gateway>) {
+    gateway.peers.probe().await;
+}
+
 async fn homes_ended(gateway: Arc<Gateway>) {
     gateway.homes.tell_ended(&gateway).await;
 }
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -53,8 +53,11 @@
 const ANSWER_PART: f64 = 0.6;
 /// Tries that were refused at most, beside those that may have run.
 const REFUSED_LIMIT: u32 = 3;
-/// Time that an engine gets no new work after it refused to be part of a path.
-const REFUSED_TIME: Duration = Duration::from_millis(400);
+/// Time that an engine gets no new work after it refused to be part of a path. Mostly it
+/// lacks memory for a moment; one that is dead or leaves is found by other signs.
+const REFUSED_TIME: Duration = Duration::from_millis(100);
+/// When to come back after all tries were refused.
+const REFUSED_RETRY: Duration = Duration::from_millis(400);
 /// Bytes of a failure's body that is passed on.
 const FAILURE_LIMIT: usize = 1 << 20;
 /// Time for the rest of a failure's body.
@@ -188,9 +191,14 @@
                     return Ok(Started::Running(grant, exchange));
                 }
                 Err(Refused::Own(answer)) => return Ok(Started::Failure(answer)),
-                Err(Refused::NotRun(e)) => {
+                Err(Refused::NotRun(at_fault, e)) => {
                     self.attempts.record(index, Attempt::Sent);
                     self.attempts.record(index, Attempt::Refused);
+                    let homes = &self.gateway.homes;
+                    homes
+                        .refused(self.gateway, &grant, at_fault, REFUSED_TIME)
+                        .await;
+                    drop(grant);
                     self.after_refusal(e)?;
                 }
                 Err(Refused::Failed(Attempt::Unsent, e)) => self.after_refusal(e)?,
@@ -218,7 +226,7 @@
         if may_try {
             return Ok(());
         }
-        Err(self.not_started(e, REFUSED_TIME))
+        Err(self.not_started(e, REFUSED_RETRY))
     }
 
     /// The error of a request that did not start: "not run" only when that is known.
@@ -299,14 +307,11 @@
     async fn check(&self, first: SocketAddr, exchange: Exchange) -> Result<Exchange, Refused> {
         let answered = Answered::read(exchange.head.headers());
         let status = exchange.head.status();
-        let now = self.gateway.now();
-        let homes = &self.gateway.homes;
         if answered.is_not_run || status == http::StatusCode::MISDIRECTED_REQUEST {
             let at_fault = answered.at_fault.unwrap_or(first);
-            homes.shun_for(now, at_fault, REFUSED_TIME);
             let e = Error::backend_refused(format!("{at_fault}: {status}"));
             self.log_refused(first, at_fault, status.as_u16());
-            return Err(Refused::NotRun(e));
+            return Err(Refused::NotRun(at_fault, e));
         }
         if answered.attempt.as_deref() != Some(self.accepted.attempt.as_str()) {
             let e = Error::backend_answer(format!("{first} answered another request"));
@@ -340,8 +345,8 @@
 
 /// `Refused` is why a path's first stage did not begin a stream.
 pub enum Refused {
-    /// It says that it did not run the request.
-    NotRun(Error),
+    /// It says that it did not run the request, because of this engine of the path.
+    NotRun(SocketAddr, Error),
     /// It gave a failure of its own.
     Own(Response<Bytes>),
     /// No answer that can be used.
@@ -358,7 +363,19 @@
     // Nobody listens when no stream runs.
     let _ = gateway.faults.send(Fault::Dead(addr));
     let gateway = Arc::clone(gateway);
-    tokio::spawn(async move { gateway.homes.tell_dead(&gateway, addr).await });
+    tokio::spawn(async move { gateway.homes.tell(&gateway, Fault::Dead(addr)).await });
+}
+
+/// Tells all streams that lead over an engine that it leaves.
+pub fn leaves(gateway: &Arc<Gateway>, addr: SocketAddr) {
+    if !gateway.homes.shun(gateway.now(), addr) {
+        return;
+    }
+    gateway.counters.add("engines_found_leaving");
+    info!(gateway.log, "engine takes nothing new"; "engine" => %addr);
+    let _ = gateway.faults.send(Fault::Leaving(addr));
+    let gateway = Arc::clone(gateway);
+    tokio::spawn(async move { gateway.homes.tell(&gateway, Fault::Leaving(addr)).await });
 }
 
 /// Records the time to the first event.
--- a/crates/protocol/src/peer/paths.rs
+++ b/crates/protocol/src/peer/paths.rs
@@ -77,6 +77,18 @@
     Detour(Engines, u64),
     /// This engine makes no progress.
     Dead(SocketAddr),
+    /// This engine finishes what it has and takes nothing new.
+    Leaving(SocketAddr),
+    /// This engine holds these layers by its own report, from the first up to the second.
+    Holds {
+        /// The engine's id.
+        id: String,
+        /// The layers, `None` for none.
+        layers: Option<(u16, u16)>,
+    },
+    /// This engine refused to be part of a path; it gets nothing new for this time in
+    /// milliseconds.
+    Refused(Engines, SocketAddr, u32),
 }
 
 /// `Answer` is what a home replies.
--- a/crates/protocol/src/peer/store.rs
+++ b/crates/protocol/src/peer/store.rs
@@ -28,11 +28,16 @@
 #[derive(Serialize, Deserialize)]
 pub enum Answer {
     /// Nothing newer.
-    Same,
+    Same {
+        /// Time since the other instance last heard from the store, in milliseconds.
+        age_ms: u32,
+    },
     /// Everything of the kind, as of a version of the store.
     Newer {
         /// The version.
         version: u64,
+        /// Time since the other instance last heard from the store, in milliseconds.
+        age_ms: u32,
         /// The objects' names and contents.
         objects: Vec<(String, String)>,
     },
--- a/crates/state/paths/src/home.rs
+++ b/crates/state/paths/src/home.rs
@@ -34,6 +34,8 @@
 /// The time after which a caller may come back when there is no whole path: a crashed
 /// engine is replaced or returns within seconds.
 const NO_PATH_RETRY: Duration = Duration::from_millis(700);
+/// Time that an engine may be passed over without its path counting as lost.
+const PASSING: Duration = Duration::from_millis(150);
 /// The shortest time after which a refused caller should come back.
 const SHORTEST_RETRY: Duration = Duration::from_millis(300);
 /// Time without a report after which an instance's running requests are forgotten.
@@ -112,7 +114,8 @@
         if goes_first && let Some(path) = self.path(now, ticket.tokens) {
             return Some(self.start(now, &ticket, path));
         }
-        if !self.has_path(now) {
+        // Engines that are passed over for a moment only are worth waiting for.
+        if !self.has_path(now + PASSING) {
             return Some(Decision::Refused(Reason::NoPath, NO_PATH_RETRY));
         }
         let wait = self.wait(ticket.rank, ticket.tokens);
--- a/crates/state/placement/src/cover.rs
+++ b/crates/state/placement/src/cover.rs
@@ -6,6 +6,7 @@
 use crate::Engine;
 use crate::Order;
 use crate::Urgency;
+use crate::balance;
 use crate::layout;
 
 /// The orders for one group of engines.
@@ -27,12 +28,28 @@
             });
         }
     }
-    if urgency == Urgency::Repair {
+    if urgency != Urgency::Empty {
         orders.extend(extend(model, &live, &mut room));
+        if urgency == Urgency::Even && gap(&room).is_some() {
+            // The neighbours are full. No path leads through this copy, so nothing is lost
+            // by moving all ranges at once.
+            return layout::again(model, &live);
+        }
+    }
+    // One thing at a time: a copy is evened out only when nothing else is to do.
+    let is_quiet = orders.is_empty() && gap(&room).is_none();
+    if urgency == Urgency::Even && is_quiet && live.iter().all(|e| e.is_free) {
+        return balance::orders(model, &live, &room);
     }
     orders
 }
 
+/// Whether no live engine of the group holds some layer.
+pub fn has_gap(model: &EngineModel, engines: &[&Engine]) -> bool {
+    let live: Vec<&Engine> = engines.iter().filter(|e| e.is_live).copied().collect();
+    gap(&room(model, &live)).is_some()
+}
+
 /// Room for requests in each layer, in tokens; 0 where nobody holds it.
 fn room(model: &EngineModel, live: &[&Engine]) -> Vec<f64> {
     let mut room = vec![0.0; usize::from(model.layers)];
@@ -61,12 +78,18 @@
     room: &[f64],
 ) -> Option<LayerRange> {
     let most = layout::most(model, engine);
-    if let Some((start, end)) = gap(room) {
-        return LayerRange::new(start, end.min(start + most)).ok();
-    }
     let total: f64 = live.iter().map(|e| e.card.memory_bytes).sum();
     let share = engine.card.memory_bytes / total * f64::from(model.layers);
     let count = (share.round() as u16).clamp(1, most.max(1));
+    if let Some((start, end)) = gap(room) {
+        // At least its share, around the gap.
+        let len = (end - start).clamp(count, most.max(count));
+        let beside = len.saturating_sub(end - start) / 2;
+        let start = start
+            .saturating_sub(beside)
+            .min(model.layers.checked_sub(len)?);
+        return LayerRange::new(start, start + len).ok();
+    }
     let last = model.layers.checked_sub(count)?;
     let start = (0..=last).min_by(|a, b| {
         let sum = |s: u16| -> f64 { room[usize::from(s)..usize::from(s + count)].iter().sum() };
@@ -114,7 +137,7 @@
         if spare_left + spare_right == 0 {
             break;
         }
-        let by_left = share(missing, spare_left, spare_right);
+        let by_left = split(model, missing, (left, spare_left), (right, spare_right));
         let by_right = (missing - by_left).min(spare_right);
         let mut order = |engine: &Engine, layers: Option<LayerRange>| {
             if let Some(layers) = layers {
@@ -137,11 +160,26 @@
     orders
 }
 
-/// The part of `missing` layers that the left engine takes.
-fn share(missing: u16, left: u16, right: u16) -> u16 {
-    let both = u32::from(left) + u32::from(right);
-    let fair = u32::from(missing) * u32::from(left) / both.max(1);
-    let fair = u16::try_from(fair).unwrap_or(missing).min(left);
-    // What the right one can't take falls to the left one.
-    fair.max(missing.saturating_sub(right).min(left))
+/// The part of `missing` layers that the left engine takes: the one that leaves the
+/// engine with less room for each of its layers the most.
+fn split(
+    model: &EngineModel,
+    missing: u16,
+    (left, spare_left): (Option<&&Engine>, u16),
+    (right, spare_right): (Option<&&Engine>, u16),
+) -> u16 {
+    let room = |engine: Option<&&Engine>, more: u16| {
+        let Some(engine) = engine else {
+            return f64::INFINITY;
+        };
+        let count = engine.layers.map_or(0, LayerRange::count) + more;
+        model.room(engine.card, count) / f64::from(count.max(1))
+    };
+    let least = missing.saturating_sub(spare_right).min(spare_left);
+    let most = missing.min(spare_left);
+    let best = (least..=most).max_by(|a, b| {
+        let worse = |x: u16| room(left, x).min(room(right, (missing - x).min(spare_right)));
+        worse(*a).total_cmp(&worse(*b))
+    });
+    best.unwrap_or(least)
 }
--- a/crates/state/placement/src/lib.rs
+++ b/crates/state/placement/src/lib.rs
@@ -6,6 +6,7 @@
 //! requests; see docs/design/placement.md. [`plan`] is a pure function of what is
 //! known, so any instance computes the same orders.
 
+mod balance;
 mod cover;
 mod layout;
 
@@ -48,6 +49,9 @@
     Empty,
     /// Engines beside a gap are also extended over it.
     Repair,
+    /// Crowded engines are also relieved, and a copy whose gap can't be closed otherwise
+    /// is laid out anew. This gives up layers, so what is known must be fresh.
+    Even,
 }
 
 /// The orders that bring `engines` closer to a whole copy in each data centre.
@@ -59,6 +63,12 @@
     orders
 }
 
+/// Whether a copy lacks layers that no live engine holds.
+pub fn has_gap(model: &EngineModel, engines: &[Engine]) -> bool {
+    let groups = groups(model, engines);
+    groups.iter().any(|group| cover::has_gap(model, group))
+}
+
 /// Engines that share a copy: those of one data centre, or of several where one alone
 /// is too small.
 fn groups<'a>(model: &EngineModel, engines: &'a [Engine]) -> Vec<Vec<&'a Engine>> {
--- a/crates/transport/peer/src/client.rs
+++ b/crates/transport/peer/src/client.rs
@@ -13,6 +13,7 @@
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
 use tokio::sync::Mutex as AsyncMutex;
+use tokio::time::Instant;
 use tokio::time::timeout;
 
 use hemlockwind_core::Error;
@@ -46,7 +47,14 @@
 const PING_INTERVAL: Duration = Duration::from_millis(1_000);
 
 type Connection = SendRequest<Bytes>;
-type Slot = Arc<AsyncMutex<Option<Connection>>>;
+type Slot = Arc<AsyncMutex<State>>;
+
+/// `State` is the connection to one address, and when it last could not be opened.
+#[derive(Default)]
+struct State {
+    open: Option<Connection>,
+    failed_at: Option<Instant>,
+}
 
 /// `H2Peer` reaches other instances, by one connection to each.
 pub struct H2Peer {
@@ -65,22 +73,37 @@
         }
     }
 
-    /// The open connection to `to`, a new one when there is none.
+    /// The open connection to `to`, a new one when there is none. Those that wait while
+    /// another call fails to open one share its failure.
     async fn connection(&self, to: SocketAddr) -> Result<Connection> {
+        let asked_at = Instant::now();
         let slot = Arc::clone(self.connections.lock().entry(to).or_default());
         let mut slot = slot.lock().await;
-        if let Some(open) = slot.as_ref() {
+        if let Some(open) = slot.open.as_ref() {
             return Ok(open.clone());
         }
+        let silent = || Error::peer_unreachable(format!("{to} is silent"));
+        if slot.failed_at.is_some_and(|at| at >= asked_at) {
+            return Err(silent());
+        }
         let opened = timeout(OPEN_TIMEOUT, self.open(to)).await;
-        let opened = opened.map_err(|_| Error::peer_unreachable(format!("{to} is silent")))??;
-        *slot = Some(opened.clone());
-        Ok(opened)
+        let opened = opened.unwrap_or_else(|_| Err(silent()));
+        match &opened {
+            Ok(open) => slot.open = Some(open.clone()),
+            Err(_) => slot.failed_at = Some(Instant::now()),
+        }
+        opened
     }
 
     /// Forgets the connection to `to`; the next call opens a new one.
     fn reset(&self, to: SocketAddr) {
-        self.connections.lock().remove(&to);
+        let slot = self.connections.lock().get(&to).cloned();
+        // Whoever holds the lock is opening a new connection just now.
+        if let Some(slot) = slot
+            && let Ok(mut slot) = slot.try_lock()
+        {
+            slot.open = None;
+        }
     }
 
     /// Opens a connection and proves the shared key on it.
