Placement: rows of engines move over gaps, one giver alone without the store

Change: a gap with full neighbours is closed by the shortest row of moves; an engine leaves only by its health check; the first candidate gives orders while no reachable instance is served by the store; crowded engines are relieved in parallel.

--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -88,6 +88,8 @@
 pub struct Service {
     /// The service's name.
     pub name: Arc<str>,
+    /// Where its backend servers tell their health.
+    pub health_path: Arc<str>,
     /// Connections that one backend server takes from all instances together.
     pub connections: u32,
     /// The engines' published figures, where its backend servers are engines.
--- a/crates/gateway/src/doubt.rs
+++ b/crates/gateway/src/doubt.rs
@@ -7,6 +7,7 @@
 
 use slog::info;
 
+use hemlockwind_core::servers::BackendServer;
 use hemlockwind_platform::engine;
 
 use crate::gateway::Gateway;
@@ -40,7 +41,20 @@
             // It has started anew: what ran over it stands still.
             streams::dead(gateway, addr);
         }
-    } else if !is_full && !report.is_changing {
+    } else if !is_full && !report.is_changing && !is_staying(gateway, &known).await {
         streams::leaves(gateway, addr);
     }
 }
+
+/// Whether an engine that has memory and still refuses counts itself as healthy. A report
+/// is some hundred milliseconds old, so it alone does not tell that an engine leaves.
+async fn is_staying(gateway: &Gateway, server: &BackendServer) -> bool {
+    let routes = gateway.routes.load();
+    let Some(service) = routes.service(&server.service) else {
+        return true;
+    };
+    let healthy = engine::is_healthy(&gateway.http, server.addr, &service.health_path).await;
+    info!(gateway.log, "engine's health"; "engine" => %server.addr,
+        "healthy" => format!("{healthy:?}"));
+    healthy.unwrap_or(false)
+}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -55,6 +55,7 @@
     loop {
         match step(&gateway, kind, version).await {
             Ok(next) => {
+                gateway.known.set_served(kind, true);
                 if is_away {
                     is_away = false;
                     info!(gateway.log, "store regained"; "kind" => name(kind), "version" => next);
@@ -64,6 +65,7 @@
                 pause = FIRST_PAUSE;
             }
             Err(e) => {
+                gateway.known.set_served(kind, false);
                 if !is_away {
                     is_away = true;
                     warn!(gateway.log, "store lost"; "kind" => name(kind),
@@ -110,9 +112,7 @@
                     sleep(GATHER_TIME).await;
                 }
             }
-            gateway
-                .known
-                .reached(gateway.now(), kind, next, !changes.is_empty());
+            gateway.known.reached(kind, next, !changes.is_empty());
             Ok(Some(next))
         }
     }
@@ -145,7 +145,7 @@
             }
         }
     }
-    gateway.known.replace(now, kind, version, objects);
+    gateway.known.replace(kind, version, objects);
     changed(gateway);
 }
 
@@ -166,27 +166,28 @@
     let Reply::Store(answer) = reply else {
         return None;
     };
-    let heard = |age_ms: u32| {
-        let age = Duration::from_millis(age_ms.into());
-        gateway.known.other_heard(gateway.now(), age);
+    let heard = |is_served: bool| {
+        if is_served {
+            gateway.known.other_is_served(gateway.now());
+        }
     };
     match answer {
-        store::Answer::Same { age_ms } => {
-            heard(age_ms);
+        store::Answer::Same { is_served } => {
+            heard(is_served);
             None
         }
         store::Answer::Newer {
             version,
-            age_ms,
+            is_served,
             objects,
         } => {
-            heard(age_ms);
+            heard(is_served);
             let objects = objects
                 .into_iter()
                 .filter_map(|(name, content)| Object::new(name, content));
             let objects: Vec<Object> = objects.collect();
             info!(gateway.log, "heard from another instance"; "kind" => name(kind),
-                "instance" => &*peer.name, "version" => version, "age_ms" => age_ms);
+                "instance" => &*peer.name, "version" => version, "is_served" => is_served);
             take_all(gateway, kind, version, &objects);
             Some(version)
         }
--- a/crates/gateway/src/known.rs
+++ b/crates/gateway/src/known.rs
@@ -17,7 +17,8 @@
     version: u64,
     /// The version at which something changed last.
     changed: u64,
-    heard: Instant,
+    /// Whether the store answered the last call.
+    is_served: bool,
     objects: BTreeMap<String, String>,
 }
 
@@ -26,12 +27,12 @@
 pub struct Known {
     routes: Mutex<Read>,
     servers: Mutex<Read>,
-    /// When another instance was last known to hear from the store.
+    /// When another instance last said that the store serves it.
     others: Mutex<Instant>,
 }
 
-/// Time within which the store counts as heard: a watch returns every five seconds.
-const FRESH: Duration = Duration::from_millis(5_500);
+/// Time that the word of another instance is believed: it is asked twice a second.
+const FRESH: Duration = Duration::from_millis(1_500);
 
 impl Known {
     fn of(&self, kind: Kind) -> &Mutex<Read> {
@@ -47,7 +48,7 @@
     }
 
     /// Takes a whole list.
-    pub fn replace(&self, now: Instant, kind: Kind, version: u64, objects: &[Object]) {
+    pub fn replace(&self, kind: Kind, version: u64, objects: &[Object]) {
         let mut read = self.of(kind).lock();
         if version < read.version {
             return;
@@ -56,7 +57,7 @@
         read.objects = objects
             .map(|o| (o.name.clone(), o.content.get().to_string()))
             .collect();
-        (read.version, read.changed, read.heard) = (version, version, now);
+        (read.version, read.changed) = (version, version);
     }
 
     /// Takes one change; the version is raised by [`Known::reached`].
@@ -72,43 +73,45 @@
     }
 
     /// All changes up to `version` were taken.
-    pub fn reached(&self, now: Instant, kind: Kind, version: u64, has_changes: bool) {
+    pub fn reached(&self, kind: Kind, version: u64, has_changes: bool) {
         let mut read = self.of(kind).lock();
         read.version = read.version.max(version);
         if has_changes {
             read.changed = read.version;
         }
-        read.heard = now;
     }
 
-    /// Time since the store was last heard about a kind.
-    pub fn age(&self, now: Instant, kind: Kind) -> Duration {
-        now.since(self.of(kind).lock().heard)
+    /// Takes whether the store answered the last call about a kind.
+    pub fn set_served(&self, kind: Kind, is_served: bool) {
+        self.of(kind).lock().is_served = is_served;
     }
 
-    /// Another instance has heard from the store `age` ago.
-    pub fn other_heard(&self, now: Instant, age: Duration) {
-        if age < FRESH {
-            *self.others.lock() = now;
-        }
+    /// Whether the store answered the last call about a kind.
+    pub fn is_served(&self, kind: Kind) -> bool {
+        self.of(kind).lock().is_served
+    }
+
+    /// Another instance said that the store serves it.
+    pub fn other_is_served(&self, now: Instant) {
+        *self.others.lock() = now;
     }
 
-    /// Whether another instance has lately heard from the store.
-    pub fn others_hear(&self, now: Instant) -> bool {
+    /// Whether another instance has lately said that the store serves it.
+    pub fn others_are_served(&self, now: Instant) -> bool {
         let heard = *self.others.lock();
         heard != Instant::ZERO && now.since(heard) < FRESH
     }
 
     /// The answer to an instance that asks.
-    pub fn answer(&self, now: Instant, message: Message) -> Answer {
+    pub fn answer(&self, message: Message) -> Answer {
         let read = self.of(message.kind).lock();
-        let age_ms = u32::try_from(now.since(read.heard).as_millis()).unwrap_or(u32::MAX);
+        let is_served = read.is_served;
         if read.changed <= message.version {
-            return Answer::Same { age_ms };
+            return Answer::Same { is_served };
         }
         Answer::Newer {
             version: read.version,
-            age_ms,
+            is_served,
             objects: read.objects.clone().into_iter().collect(),
         }
     }
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -1,7 +1,7 @@
 //! Gives the engines their layers, one instance at a time.
 //!
 //! The giver holds a lease in the store; its version is the fencing token of each
-//! order. Not all engines check it, so each order also names the number of orders that
+//! order. While the store is away from all, one instance goes on without it. Not all engines check it, so each order also names the number of orders that
 //! its engine has accepted by its own report: one that comes late, after another, is
 //! refused.
 
@@ -34,6 +34,7 @@
 use hemlockwind_placement::plan;
 use hemlockwind_platform::engine;
 use hemlockwind_platform::engine::Ordered;
+use hemlockwind_protocol::peer::store::Kind;
 
 use crate::gateway::Gateway;
 
@@ -47,8 +48,6 @@
 const LEASE_TIME: Duration = Duration::from_millis(2_500);
 /// Time between two reads of the lease by those that don't hold it.
 const LEASE_RETRY: Duration = Duration::from_millis(1_000);
-/// Time for which a giver goes on when it can't renew its lease and knows of no other.
-const ALONE_TIME: Duration = Duration::from_secs(20);
 /// Time between two looks at an engine that loads: a load of a few layers takes about
 /// a second, and each look is charged.
 const WATCH_INTERVAL: Duration = Duration::from_millis(300);
@@ -114,6 +113,9 @@
         let urgency = self.urgency(now, model, &engines, may_even);
         let orders = plan(model, &engines, urgency);
         let mut due = Vec::with_capacity(orders.len());
+        let loading = self.given.len() + orders.len();
+        // More loads at a time than the weights' store serves take longer in proportion.
+        let queue = (loading as f64 / f64::from(model.loads_at_once)).max(1.0);
         for order in orders {
             let Some(server) = servers.iter().find(|s| s.id == order.id) else {
                 continue;
@@ -121,7 +123,7 @@
             let given = Given {
                 layers: order.layers,
                 born_ms: server.born_ms,
-                again_at: now + ORDER_TIME + model.load.mul_f64(share(model, order.layers)),
+                again_at: now + ORDER_TIME + model.load.mul_f64(share(model, order.layers) * queue),
             };
             self.given.insert(Arc::clone(&order.id), given);
             due.push((Arc::clone(server), order));
@@ -203,7 +205,7 @@
     });
     let mut givers: SeededHashMap<Arc<str>, Giver> = SeededHashMap::default();
     let mut held = false;
-    let mut last = None;
+    let mut last = 0;
     let mut action = holder.on_event(gateway.now(), Event::Candidate(false));
     loop {
         if gateway.stopping.is_cancelled() && !holder.is_released() {
@@ -214,27 +216,26 @@
             action = holder.on_event(gateway.now(), event);
         }
         let now = gateway.now();
-        if let Some(fencing) = holder.holds(now) {
-            last = Some((fencing, now + ALONE_TIME));
-        }
-        // Without the store nobody else can take the lease. An engine that has accepted
-        // another's order since its report refuses this one's, so a giver that goes on
-        // for a while does no harm, and gaps are closed meanwhile.
-        let may_go_on = holder.other().is_none() && !gateway.known.others_hear(now);
-        let fencing = last.filter(|(_, until)| may_go_on && *until > now);
+        let fencing = match holder.holds(now) {
+            Some(fencing) => {
+                last = fencing.0;
+                Some(fencing.0)
+            }
+            None => alone(&gateway).then_some(last),
+        };
         if fencing.is_some() != held {
             held = fencing.is_some();
             info!(gateway.log, "gives orders"; "gives" => held,
                 "holds_lease" => holder.holds(now).is_some(),
-                "fencing" => fencing.map(|(f, _)| f.0));
+                "fencing" => fencing);
             if !held {
                 givers.clear();
             }
         }
-        if let Some((fencing, _)) = fencing {
+        if let Some(fencing) = fencing {
             // What an engine gives up must be heard of by all, through the store.
             let may_even = holder.holds(now).is_some();
-            give(&gateway, &mut givers, fencing.0, may_even).await;
+            give(&gateway, &mut givers, fencing, may_even).await;
         }
         sleep(LOOK_INTERVAL).await;
         let now = gateway.now();
@@ -243,6 +244,17 @@
     }
 }
 
+/// Whether this instance gives orders without the lease. While the store serves no
+/// instance that can be reached, nobody can take the lease, and gaps have to be closed
+/// meanwhile. Two such givers, on both sides of a cut, do no harm: an engine that has
+/// accepted an order since its report refuses the other's.
+fn alone(gateway: &Gateway) -> bool {
+    let now = gateway.now();
+    !gateway.known.is_served(Kind::Servers)
+        && !gateway.known.others_are_served(now)
+        && gateway.peers.is_candidate(DUTY, 1)
+}
+
 /// Does what the holder asks of the store.
 async fn act(gateway: &Gateway, action: Action) -> Event {
     match action {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -220,10 +220,7 @@
                     .await;
                 Reply::Paths(answer)
             }
-            Request::Store(message) => {
-                let now = self.gateway.now();
-                Reply::Store(self.gateway.known.answer(now, message))
-            }
+            Request::Store(message) => Reply::Store(self.gateway.known.answer(message)),
             Request::Membership(_)
             | Request::Tickets(_)
             | Request::Grants(_)
--- a/crates/protocol/src/peer/store.rs
+++ b/crates/protocol/src/peer/store.rs
@@ -29,15 +29,15 @@
 pub enum Answer {
     /// Nothing newer.
     Same {
-        /// Time since the other instance last heard from the store, in milliseconds.
-        age_ms: u32,
+        /// Whether the store serves the other instance, as far as it knows.
+        is_served: bool,
     },
     /// Everything of the kind, as of a version of the store.
     Newer {
         /// The version.
         version: u64,
-        /// Time since the other instance last heard from the store, in milliseconds.
-        age_ms: u32,
+        /// Whether the store serves the other instance, as far as it knows.
+        is_served: bool,
         /// The objects' names and contents.
         objects: Vec<(String, String)>,
     },
--- a/crates/state/placement/src/balance.rs
+++ b/crates/state/placement/src/balance.rs
@@ -3,7 +3,7 @@
 //! Answers a loss that was closed by extending the engines beside it: these then have
 //! little memory left for requests and bound the whole copy. A crowded engine first
 //! gives up layers that others hold with more room; else one neighbour takes layers over
-//! from it. That is one small step at a time, as an engine that takes layers has less
+//! from it. Each engine takes part in one step at a time, as one that takes layers has less
 //! room itself until the other has given them up.
 
 use hemlockwind_core::layers::LayerRange;
@@ -29,18 +29,33 @@
         .filter(|(own, ..)| *own < limit)
         .collect();
     crowded.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.id.cmp(&b.1.id)));
+    let mut room = room.to_vec();
+    let mut orders = Vec::new();
     for &(own, engine, layers) in &crowded {
-        if let Some(kept) = trimmed(layers, own, room) {
-            return vec![order(engine, kept)];
+        if let Some(kept) = trimmed(layers, own, &room) {
+            for layer in range(layers).filter(|l| !range(kept).contains(l)) {
+                room[layer] -= own;
+            }
+            orders.push(order(engine, kept));
         }
     }
+    if !orders.is_empty() {
+        return orders;
+    }
+    let mut touched: Vec<&str> = Vec::new();
     for &(own, engine, layers) in &crowded {
         let is_alone = room[range(layers)].iter().any(|r| *r < own + limit / 2.0);
-        if is_alone && let Some(order) = relieve(model, &held, engine, layers) {
-            return vec![order];
+        if !is_alone || touched.contains(&&*engine.id) {
+            continue;
+        }
+        let untouched = held.iter().filter(|(e, _)| !touched.contains(&&*e.id));
+        let untouched: Vec<(&Engine, LayerRange)> = untouched.copied().collect();
+        if let Some((neighbour, layers)) = relieve(model, &untouched, engine, layers) {
+            touched.extend([&*engine.id, &*neighbour.id]);
+            orders.push(order(neighbour, layers));
         }
     }
-    Vec::new()
+    orders
 }
 
 fn order(engine: &Engine, layers: LayerRange) -> Order {
@@ -85,12 +100,12 @@
 
 /// Has the neighbour with most room take over layers, as many as leave both with the
 /// same room for each.
-fn relieve(
+fn relieve<'a>(
     model: &EngineModel,
-    held: &[(&Engine, LayerRange)],
+    held: &[(&'a Engine, LayerRange)],
     engine: &Engine,
     layers: LayerRange,
-) -> Option<Order> {
+) -> Option<(&'a Engine, LayerRange)> {
     let neighbours = held.iter().filter(|(e, l)| {
         let touches = l.end() == layers.start() || l.start() == layers.end();
         e.id != engine.id && touches
@@ -112,5 +127,5 @@
         true => LayerRange::new(theirs.start(), theirs.end() + moved),
         false => LayerRange::new(theirs.start() - moved, theirs.end()),
     };
-    Some(order(neighbour, taken.ok()?))
+    Some((neighbour, taken.ok()?))
 }
--- a/crates/state/placement/src/cover.rs
+++ b/crates/state/placement/src/cover.rs
@@ -8,6 +8,7 @@
 use crate::Urgency;
 use crate::balance;
 use crate::layout;
+use crate::shift;
 
 /// The orders for one group of engines.
 pub fn orders(model: &EngineModel, engines: &[&Engine], urgency: Urgency) -> Vec<Order> {
@@ -30,10 +31,13 @@
     }
     if urgency != Urgency::Empty {
         orders.extend(extend(model, &live, &mut room));
-        if urgency == Urgency::Even && gap(&room).is_some() {
-            // The neighbours are full. No path leads through this copy, so nothing is lost
-            // by moving all ranges at once.
-            return layout::again(model, &live);
+        // The neighbours are full. No path leads through this copy, so nothing is lost by
+        // moving some of it; but only when none is moving already.
+        if let Some(gap) = gap(&room)
+            && orders.is_empty()
+            && live.iter().all(|e| e.is_free)
+        {
+            return shift::orders(model, &live, gap);
         }
     }
     // One thing at a time: a copy is evened out only when nothing else is to do.
--- a/crates/state/placement/src/layout.rs
+++ b/crates/state/placement/src/layout.rs
@@ -69,17 +69,3 @@
     }
     orders
 }
-
-/// One whole copy over engines that hold something already, in the order in which they
-/// stand, so that each moves as little as can be.
-pub fn again(model: &EngineModel, engines: &[&Engine]) -> Vec<Order> {
-    let mut free: Vec<&Engine> = engines.iter().filter(|e| e.is_free).copied().collect();
-    let middle = |e: &Engine| e.layers.map_or(0, |l| l.start() + l.end());
-    free.sort_by(|a, b| middle(a).cmp(&middle(b)).then(a.id.cmp(&b.id)));
-    let mut orders = orders(model, &free);
-    orders.retain(|order| {
-        let engine = free.iter().find(|e| e.id == order.id);
-        engine.is_some_and(|e| e.layers != Some(order.layers))
-    });
-    orders
-}
--- a/crates/state/placement/src/lib.rs
+++ b/crates/state/placement/src/lib.rs
@@ -9,6 +9,7 @@
 mod balance;
 mod cover;
 mod layout;
+mod shift;
 
 use std::sync::Arc;
 
@@ -49,8 +50,8 @@
     Empty,
     /// Engines beside a gap are also extended over it.
     Repair,
-    /// Crowded engines are also relieved, and a copy whose gap can't be closed otherwise
-    /// is laid out anew. This gives up layers, so what is known must be fresh.
+    /// Crowded engines are also relieved. This gives up layers that are in use, so what
+    /// is known must be fresh.
     Even,
 }
 
--- /dev/null
+++ b/crates/state/placement/src/shift.rs
@@ -0,0 +1,93 @@
+//! Closes a gap whose neighbours are full, by moving a row of engines.
+//!
+//! The engine beside the gap moves over it as far as it can hold; what it leaves behind
+//! is closed by the engine behind it in the same way, until one has memory to spare.
+
+use hemlockwind_core::layers::LayerRange;
+use hemlockwind_core::servers::EngineModel;
+
+use crate::Engine;
+use crate::Order;
+use crate::layout;
+
+/// The side of a gap from which engines move.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Side {
+    Before,
+    After,
+}
+
+/// The shortest row of orders that closes `gap`, none when no row does.
+pub fn orders(model: &EngineModel, live: &[&Engine], gap: (u16, u16)) -> Vec<Order> {
+    let before = row(model, live, gap, Side::Before);
+    let after = row(model, live, gap, Side::After);
+    match (before, after) {
+        (Some(before), Some(after)) if after.len() < before.len() => after,
+        (Some(before), _) => before,
+        (None, after) => after.unwrap_or_default(),
+    }
+}
+
+fn row(model: &EngineModel, live: &[&Engine], gap: (u16, u16), side: Side) -> Option<Vec<Order>> {
+    let mut orders: Vec<Order> = Vec::new();
+    let (mut start, mut end) = gap;
+    // Each round moves another engine.
+    for _ in 0..live.len() {
+        let (engine, held) = neighbour(live, &orders, (start, end), side)?;
+        let most = layout::most(model, engine);
+        let moved = match side {
+            Side::Before => (held.start().max(end.saturating_sub(most)), end),
+            Side::After => (start, held.end().min(start + most)),
+        };
+        let layers = LayerRange::new(moved.0, moved.1).ok()?;
+        orders.push(Order {
+            id: engine.id.clone(),
+            layers,
+        });
+        let left = match side {
+            Side::Before => (held.start(), layers.start()),
+            Side::After => (layers.end(), held.end()),
+        };
+        match uncovered(live, &orders, left) {
+            None => return Some(orders),
+            Some(rest) => (start, end) = rest,
+        }
+    }
+    None
+}
+
+/// The engine that ends or begins at the gap, with most room to move.
+fn neighbour<'a>(
+    live: &[&'a Engine],
+    orders: &[Order],
+    (start, end): (u16, u16),
+    side: Side,
+) -> Option<(&'a Engine, LayerRange)> {
+    let moved = |e: &Engine| orders.iter().any(|o| o.id == e.id);
+    let held = live.iter().filter(|e| !moved(e));
+    let held = held.filter_map(|e| Some((*e, e.layers?)));
+    let beside = held.filter(|(_, l)| match side {
+        Side::Before => l.start() < start && l.end() >= start,
+        Side::After => l.start() <= end && l.end() > end,
+    });
+    beside.max_by(|(a, _), (b, _)| a.card.memory_bytes.total_cmp(&b.card.memory_bytes))
+}
+
+/// The layers of `left` that nobody holds once the orders are carried out, from the first
+/// to the last of them.
+fn uncovered(live: &[&Engine], orders: &[Order], left: (u16, u16)) -> Option<(u16, u16)> {
+    let is_held = |layer: u16| {
+        let holds = |l: LayerRange| l.start() <= layer && layer < l.end();
+        let ordered = orders.iter().any(|o| holds(o.layers));
+        let stays = live
+            .iter()
+            .filter(|e| !orders.iter().any(|o| o.id == e.id))
+            .filter_map(|e| e.layers)
+            .any(holds);
+        ordered || stays
+    };
+    let mut open = (left.0..left.1).filter(|layer| !is_held(*layer));
+    let first = open.next()?;
+    let last = open.next_back().unwrap_or(first);
+    Some((first, last + 1))
+}
