--- /dev/null
+++ b/crates/gateway/tests/directory.rs
@@ -0,0 +1,86 @@
+//! The directory of backend servers, over outages of the store.
+
+use hemlockwind_core::layers::LayerRange;
+use hemlockwind_core::servers::BackendServer;
+use hemlockwind_core::servers::ServerState;
+use hemlockwind_core::time::Instant;
+use hemlockwind_gateway::directory::Directory;
+
+fn server(id: &str, addr: &str) -> BackendServer {
+    BackendServer {
+        id: id.into(),
+        service: "drafts".into(),
+        addr: addr.parse().unwrap(),
+        data_centre: "a".into(),
+        state: ServerState::Ready,
+        slots: 6,
+        card: None,
+        layers: None,
+        born_ms: 1,
+    }
+}
+
+fn at(ms: u64) -> Instant {
+    Instant::from_millis(10_000 + ms)
+}
+
+fn directory() -> Directory {
+    let mut directory = Directory::default();
+    directory.put(server("one", "10.0.0.1:80"));
+    directory.put(server("two", "10.0.0.2:80"));
+    directory
+}
+
+#[test]
+fn remove_at_once_in_calm() {
+    let mut directory = directory();
+    directory.remove(at(0), "one");
+    assert!(directory.get("one").is_none());
+}
+
+#[test]
+fn remove_waits_after_the_stores_return() {
+    let mut directory = directory();
+    directory.lost();
+    directory.regained(at(0));
+    directory.replace(at(10), vec![server("two", "10.0.0.2:80")]);
+    assert!(
+        directory.get("one").is_some(),
+        "it may come back within two seconds"
+    );
+    assert!(!directory.expire(at(2_000)));
+    assert!(directory.expire(at(2_400)));
+    assert!(directory.get("one").is_none());
+}
+
+#[test]
+fn remove_undone_when_the_entry_comes_back() {
+    let mut directory = directory();
+    directory.lost();
+    directory.regained(at(0));
+    directory.remove(at(10), "one");
+    directory.put(server("one", "10.0.0.1:80"));
+    assert!(!directory.expire(at(5_000)));
+    assert!(directory.get("one").is_some());
+}
+
+#[test]
+fn put_address_of_another_server() {
+    let mut directory = directory();
+    directory.put(server("new", "10.0.0.1:80"));
+    assert!(
+        directory.get("one").is_none(),
+        "an address belongs to one server"
+    );
+    assert_eq!(directory.of("drafts").count(), 2);
+}
+
+#[test]
+fn set_layers_by_report() {
+    let mut directory = directory();
+    let layers = LayerRange::new(0, 8).ok();
+    assert!(directory.set_layers("one", layers));
+    assert!(!directory.set_layers("one", layers));
+    assert!(!directory.set_layers("unknown", layers));
+    assert_eq!(directory.get("one").unwrap().layers, layers);
+}
--- /dev/null
+++ b/crates/gateway/tests/servers.rs
@@ -0,0 +1,90 @@
+//! The choice of a plain server when some are loaded, slow, failing or away.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hemlockwind_core::servers::BackendServer;
+use hemlockwind_core::servers::ServerState;
+use hemlockwind_core::time::Instant;
+use hemlockwind_gateway::servers::Outcome;
+use hemlockwind_gateway::servers::Servers;
+
+const NOW: Instant = Instant::from_millis(5_000);
+
+fn three() -> Vec<Arc<BackendServer>> {
+    let servers = (1..=3).map(|i| {
+        Arc::new(BackendServer {
+            id: format!("s{i}").into(),
+            service: "ledger".into(),
+            addr: format!("10.0.0.{i}:80").parse().unwrap(),
+            data_centre: "a".into(),
+            state: ServerState::Ready,
+            slots: 6,
+            card: None,
+            layers: None,
+            born_ms: 1,
+        })
+    });
+    servers.collect()
+}
+
+/// How many of a hundred calls each server gets when all take as long as told.
+fn spread(servers: &Servers, among: &[Arc<BackendServer>], ms: [u64; 3]) -> [u32; 3] {
+    let mut counts = [0; 3];
+    for _ in 0..100 {
+        let chosen = servers.begin(NOW, among, "a", &[]).unwrap();
+        let which = among.iter().position(|s| s.addr == chosen.addr).unwrap();
+        counts[which] += 1;
+        let time = Duration::from_millis(ms[which]);
+        servers.end(NOW, chosen.addr, Outcome::Answered(time));
+    }
+    counts
+}
+
+#[test]
+fn begin_least_loaded() {
+    let servers = Servers::default();
+    let among = three();
+    let first = servers.begin(NOW, &among, "a", &[]).unwrap();
+    let second = servers.begin(NOW, &among, "a", &[]).unwrap();
+    assert_ne!(first.addr, second.addr);
+}
+
+#[test]
+fn begin_slow_server_gets_little() {
+    let servers = Servers::default();
+    let counts = spread(&servers, &three(), [300, 60, 60]);
+    assert!(counts[0] <= 10, "{counts:?}");
+}
+
+#[test]
+fn begin_failing_server_is_avoided() {
+    let servers = Servers::default();
+    let among = three();
+    let failing = among[0].addr;
+    for _ in 0..10 {
+        servers.end(NOW, failing, Outcome::Failed);
+    }
+    let later = NOW + Duration::from_millis(1_000);
+    let chosen = servers.begin(later, &among, "a", &[]).unwrap();
+    assert_ne!(chosen.addr, failing);
+}
+
+#[test]
+fn begin_never_a_leaving_server() {
+    let servers = Servers::default();
+    let mut among = three();
+    for server in &mut among {
+        Arc::make_mut(server).state = ServerState::Leaving;
+    }
+    assert!(servers.begin(NOW, &among, "a", &[]).is_none());
+}
+
+#[test]
+fn begin_not_again_where_it_was_tried() {
+    let servers = Servers::default();
+    let among = three();
+    let tried = [among[0].addr, among[1].addr];
+    let chosen = servers.begin(NOW, &among, "a", &tried).unwrap();
+    assert_eq!(chosen.addr, among[2].addr);
+}
--- a/crates/state/paths/src/choice.rs
+++ b/crates/state/paths/src/choice.rs
@@ -33,71 +33,88 @@
     pub must_fit: bool,
 }
 
-/// What leads to a boundary.
+/// What leads to a boundary, on an engine of one data centre.
 #[derive(Clone, Copy)]
 struct Step {
     cost: f64,
-    from: usize,
+    /// The boundary before, and the place of the data centre there.
+    from: (usize, usize),
     engine: BackendServerKey,
 }
 
+/// The best step to each boundary for each data centre that it ends in: a crossing costs,
+/// so the cheapest step to a boundary need not be part of the cheapest path.
+type Table = Vec<Vec<Option<Step>>>;
+
+/// An engine that may be part of the path, and the place of its data centre.
+type Usable<'a> = (BackendServerKey, &'a Engine, usize);
+
 /// The cheapest path for `need`, `None` when there is none.
 pub fn choose(engines: &Engines, now: Instant, need: Need<'_>) -> Option<Vec<Stage>> {
     let last = engines.model.layers;
-    let usable: Vec<(BackendServerKey, &Engine)> = engines
-        .iter()
-        .filter(|(_, e)| e.is_usable(now) && need.within.is_none_or(|d| *e.data_centre == *d))
-        .collect();
+    let mut data_centres: Vec<&str> = Vec::new();
+    let mut usable: Vec<Usable<'_>> = Vec::new();
+    for (key, engine) in engines.iter() {
+        let is_within = need.within.is_none_or(|d| *engine.data_centre == *d);
+        if !engine.is_usable(now) || !is_within {
+            continue;
+        }
+        let known = data_centres.iter().position(|d| *d == &*engine.data_centre);
+        let place = known.unwrap_or_else(|| {
+            data_centres.push(&engine.data_centre);
+            data_centres.len() - 1
+        });
+        usable.push((key, engine, place));
+    }
     let bounds = boundaries(&usable, last);
-    let mut best: Vec<Option<Step>> = vec![None; bounds.len()];
+    let mut table: Table = vec![vec![None; data_centres.len()]; bounds.len()];
     for at in 0..bounds.len() {
-        let reached = best[at];
-        if at > 0 && reached.is_none() {
-            continue;
+        let mut reached: Vec<(usize, Option<Step>)> = Vec::new();
+        if at == 0 {
+            reached.push((usize::MAX, None));
         }
-        let before = reached.and_then(|step| engines.get(step.engine));
-        let cost = reached.map_or(0.0, |step| step.cost);
-        for &(key, engine) in &usable {
-            if reached.is_some_and(|step| step.engine == key) {
-                continue;
+        let steps = table[at].iter().enumerate();
+        reached.extend(steps.filter_map(|(place, step)| Some((place, Some((*step)?)))));
+        for (place, step) in reached {
+            for engine in &usable {
+                extend(
+                    engines,
+                    need,
+                    &bounds,
+                    &mut table,
+                    (at, place, step),
+                    engine,
+                );
             }
-            extend(
-                engines,
-                need,
-                &bounds,
-                &mut best,
-                (at, cost),
-                before,
-                (key, engine),
-            );
         }
     }
-    let path = trace(&bounds, &best)?;
+    let path = trace(&bounds, &table)?;
     Some(merge(path))
 }
 
-/// Tries to go on from boundary `at` with one engine.
+/// Tries to go on with one engine from boundary `at`, reached in the data centre at `place`.
 fn extend(
     engines: &Engines,
     need: Need<'_>,
     bounds: &[u16],
-    best: &mut [Option<Step>],
-    (at, cost): (usize, f64),
-    before: Option<&Engine>,
-    (key, engine): (BackendServerKey, &Engine),
+    table: &mut Table,
+    (at, place, step): (usize, usize, Option<Step>),
+    &(key, engine, its_place): &Usable<'_>,
 ) {
     let start = bounds[at];
-    if engine.layers.start() > start || engine.layers.end() <= start {
+    let holds = engine.layers.start() <= start && engine.layers.end() > start;
+    if !holds || step.is_some_and(|step| step.engine == key) {
         return;
     }
-    if need.must_fit && before.is_none() && engine.first >= engine.slots {
+    if need.must_fit && step.is_none() && engine.first >= engine.slots {
         return;
     }
-    let hop = match before {
+    let hop = match step {
         None => 0.0,
-        Some(before) if before.data_centre == engine.data_centre => HOP_MS,
+        Some(_) if place == its_place => HOP_MS,
         Some(_) => FAR_HOP_MS,
     };
+    let before = step.map_or(0.0, |step| step.cost);
     let by_layer = layer_cost(engines, engine);
     for (to, &end) in bounds.iter().enumerate().skip(at + 1) {
         if end > engine.layers.end() {
@@ -107,11 +124,12 @@
         if need.must_fit && engine.free() < f64::from(need.tokens) * layers {
             break;
         }
-        let cost = cost + hop + layers * by_layer;
-        if best[to].is_none_or(|known| cost < known.cost) {
-            best[to] = Some(Step {
+        let cost = before + hop + layers * by_layer;
+        let best = &mut table[to][its_place];
+        if best.is_none_or(|known| cost < known.cost) {
+            *best = Some(Step {
                 cost,
-                from: at,
+                from: (at, place),
                 engine: key,
             });
         }
@@ -131,9 +149,9 @@
 }
 
 /// All layers at which a range begins or ends, with the first and the last one.
-fn boundaries(usable: &[(BackendServerKey, &Engine)], last: u16) -> Vec<u16> {
+fn boundaries(usable: &[Usable<'_>], last: u16) -> Vec<u16> {
     let mut bounds = vec![0, last];
-    for (_, engine) in usable {
+    for (_, engine, _) in usable {
         bounds.push(engine.layers.start());
         bounds.push(engine.layers.end());
     }
@@ -143,21 +161,24 @@
     bounds
 }
 
-/// The stages that lead to the last boundary.
-fn trace(bounds: &[u16], best: &[Option<Step>]) -> Option<Vec<Stage>> {
+/// The stages of the cheapest way to the last boundary.
+fn trace(bounds: &[u16], table: &Table) -> Option<Vec<Stage>> {
     let mut at = bounds.len().checked_sub(1)?;
+    let ends = table[at].iter().enumerate();
+    let ends = ends.filter_map(|(place, step)| Some((place, (*step)?.cost)));
+    let (mut place, _) = ends.min_by(|(_, a), (_, b)| a.total_cmp(b))?;
     let mut path = Vec::new();
     while at > 0 {
-        let step = best[at]?;
-        let layers = LayerRange::new(bounds[step.from], bounds[at]).ok()?;
+        let step = table[at][place]?;
+        let layers = LayerRange::new(bounds[step.from.0], bounds[at]).ok()?;
         path.push(Stage {
             engine: step.engine,
             layers,
         });
-        at = step.from;
+        (at, place) = step.from;
     }
     path.reverse();
-    (!path.is_empty()).then_some(path)
+    Some(path)
 }
 
 /// An engine must stand in a path once only: what lies between its two parts is its
--- /dev/null
+++ b/crates/state/paths/tests/choice.rs
@@ -0,0 +1,166 @@
+//! Paths run every layer once and in order, over engines that may take them.
+
+mod support;
+
+use std::time::Duration;
+
+use proptest::collection::vec;
+use proptest::prelude::*;
+
+use hemlockwind_core::layers::LayerRange;
+use hemlockwind_core::servers::ServerState;
+use hemlockwind_core::time::Instant;
+use hemlockwind_paths::Engines;
+use hemlockwind_paths::choice::Need;
+use hemlockwind_paths::choice::choose;
+use hemlockwind_paths::engines::Stage;
+
+use support::copy;
+use support::engines;
+use support::server;
+
+const NOW: Instant = Instant::from_millis(5_000);
+
+fn need(tokens: u32) -> Need<'static> {
+    Need {
+        tokens,
+        within: None,
+        must_fit: true,
+    }
+}
+
+/// Whether a path is one: all layers once, in order, each engine once and on layers
+/// that it holds.
+fn is_path(engines: &Engines, path: &[Stage]) -> bool {
+    let mut at = 0;
+    for (i, stage) in path.iter().enumerate() {
+        let engine = engines.get(stage.engine).unwrap();
+        let holds = engine.layers.start() <= stage.layers.start()
+            && stage.layers.end() <= engine.layers.end();
+        let again = path[..i].iter().any(|s| s.engine == stage.engine);
+        if !holds || again || stage.layers.start() != at || !engine.is_usable(NOW) {
+            return false;
+        }
+        at = stage.layers.end();
+    }
+    at == engines.model.layers
+}
+
+#[test]
+fn choose_whole_copy() {
+    let engines = engines(&copy("a", 0));
+    let path = choose(&engines, NOW, need(900)).unwrap();
+    assert_eq!(path.len(), 10);
+    assert!(is_path(&engines, &path));
+}
+
+#[test]
+fn choose_none_over_a_gap() {
+    let mut servers = copy("a", 0);
+    servers.remove(4);
+    assert_eq!(choose(&engines(&servers), NOW, need(900)), None);
+}
+
+#[test]
+fn choose_none_over_a_leaving_engine() {
+    let mut servers = copy("a", 0);
+    servers[3].state = ServerState::Leaving;
+    assert_eq!(choose(&engines(&servers), NOW, need(900)), None);
+}
+
+#[test]
+fn choose_part_of_a_range() {
+    // Ranges overlap; an engine runs only a part of what it holds.
+    let overlapping = (0..10).map(|i| server(i, "a", (i * 8, (i * 8 + 10).min(80))));
+    let engines = engines(&overlapping.collect::<Vec<_>>());
+    let path = choose(&engines, NOW, need(1)).unwrap();
+    assert!(is_path(&engines, &path));
+}
+
+#[test]
+fn choose_other_engine_when_one_is_full() {
+    let mut servers = copy("a", 0);
+    servers.push(server(50, "a", (0, 8)));
+    let mut engines = engines(&servers);
+    let first = choose(&engines, NOW, need(900)).unwrap();
+    for _ in 0..1_000 {
+        engines.take(&first[..1], 900);
+    }
+    let second = choose(&engines, NOW, need(900)).unwrap();
+    assert_ne!(first[0].engine, second[0].engine);
+    assert!(is_path(&engines, &second));
+}
+
+#[test]
+fn choose_data_centre_only() {
+    let mut servers = copy("a", 0);
+    servers.remove(4);
+    servers.extend(copy("b", 20));
+    let engines = engines(&servers);
+    let within = |data_centre| Need {
+        within: Some(data_centre),
+        ..need(900)
+    };
+    assert_eq!(choose(&engines, NOW, within("a")), None);
+    assert!(choose(&engines, NOW, within("b")).is_some());
+    let path = choose(&engines, NOW, need(900)).unwrap();
+    let crossings = path.windows(2).filter(|w| {
+        let of = |s: &Stage| engines.get(s.engine).unwrap().data_centre.clone();
+        of(&w[0]) != of(&w[1])
+    });
+    assert_eq!(
+        crossings.count(),
+        0,
+        "a whole copy is there without crossing"
+    );
+}
+
+#[test]
+fn choose_slow_engine_last() {
+    let mut servers = copy("a", 0);
+    servers.push(server(50, "a", (24, 32)));
+    let mut engines = engines(&servers);
+    engines.set_slowness("e003", 3.0);
+    let path = choose(&engines, NOW, need(900)).unwrap();
+    assert_eq!(path[3].engine, engines.key("e050").unwrap());
+}
+
+#[test]
+fn choose_shunned_engine_after_its_time() {
+    let mut engines = engines(&copy("a", 0));
+    let addr = engines.iter().next().unwrap().1.addr;
+    engines.shun(NOW, addr, Duration::from_millis(100));
+    assert_eq!(choose(&engines, NOW, need(1)), None);
+    let later = NOW + Duration::from_millis(101);
+    assert!(choose(&engines, later, need(1)).is_some());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 512, rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
+    /// Over any ranges and any load, what is chosen is a path that fits.
+    #[test]
+    fn choose_any_ranges(ranges in vec((0u16..79, 1u16..40), 1..30), used in vec(0u32..60_000, 30)) {
+        let servers: Vec<_> = ranges
+            .iter()
+            .enumerate()
+            .map(|(i, (start, len))| {
+                let data_centre = ["a", "b"][i % 2];
+                server(i as u16, data_centre, (*start, (start + len).min(80)))
+            })
+            .collect();
+        let mut engines = engines(&servers);
+        let keys: Vec<_> = engines.iter().map(|(key, e)| (key, e.layers)).collect();
+        for ((engine, layers), used) in keys.iter().zip(&used) {
+            let stage = Stage { engine: *engine, layers: LayerRange::new(layers.start(), layers.end()).unwrap() };
+            engines.take(&[stage], used / 40);
+        }
+        if let Some(path) = choose(&engines, NOW, need(900)) {
+            prop_assert!(is_path(&engines, &path), "{path:?}");
+            for stage in &path {
+                let engine = engines.get(stage.engine).unwrap();
+                prop_assert!(engine.free() >= 900.0 * f64::from(stage.layers.count()));
+            }
+        }
+    }
+}
