Retry budget: a restarted instance takes a small part until the others are known; hemlockwind explain

Change: the part follows the number of instances; 64 are assumed before it is known. hemlockwind explain tells the story of one request from the logs. Not run: the new test on the old code.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -43,6 +43,8 @@
     Drain(Drain),
     /// Shows the instances.
     Status(Status),
+    /// Tells the story of one request.
+    Explain(Explain),
 }
 
 /// check settings or a configuration, and report every fault with line and column
@@ -128,3 +130,17 @@
     #[argh(option)]
     pub settings: String,
 }
+
+/// tell the story of one request from the logs of all instances, in order of time
+#[derive(Debug)]
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct Explain {
+    /// the id of the caller's attempt
+    #[argh(positional)]
+    pub id: String,
+
+    /// files with log lines
+    #[argh(positional)]
+    pub files: Vec<String>,
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod args;
 pub mod check;
 pub mod drain;
+pub mod explain;
 pub mod get;
 pub mod outcome;
 pub mod sheet;
@@ -26,5 +27,6 @@
         Command::Sheet(command) => sheet::run(&command).await,
         Command::Drain(command) => drain::run(&command).await,
         Command::Status(command) => status::run(&command).await,
+        Command::Explain(command) => explain::run(&command),
     }
 }
--- /dev/null
+++ b/crates/cli/tests/explain.rs
@@ -0,0 +1,73 @@
+//! The story of a failed request, for the three kinds that docs/OPERATIONS.md shows.
+
+use std::io::Write;
+
+use hemlockwind_cli::args::Explain;
+use hemlockwind_cli::explain;
+use hemlockwind_cli::outcome::Exit;
+
+/// Lines of two instances, out of order between the files.
+const ONE: &str = r#"{"msg":"store lost","level":"WARN","ts":"2026-01-01T00:00:01.0Z","instance":"one","kind":"servers"}
+{"msg":"stream broken","level":"INFO","ts":"2026-01-01T00:00:03.0Z","instance":"one","id":"aa","why":"10.0.0.2:80 makes no progress","after":7,"path":"10.0.0.1:80=0-40,10.0.0.2:80=40-80"}
+{"msg":"stream","level":"INFO","ts":"2026-01-01T00:00:05.0Z","instance":"one","id":"aa","outcome":"complete","events":20,"sent":2}
+{"msg":"call","level":"INFO","ts":"2026-01-01T00:00:04.0Z","instance":"one","id":"cc","status":502,"sent":1,"servers":"[10.0.0.9:80]","error":"10.0.0.9:80: connection closed"}
+"#;
+const TWO: &str = r#"noise that is no line
+  -2.1 two {"msg":"engine makes no progress","level":"INFO","ts":"2026-01-01T00:00:02.5Z","instance":"two","engine":"10.0.0.2:80"}
+{"msg":"engine makes no progress","level":"INFO","ts":"2026-01-01T00:00:02.6Z","instance":"two","engine":"10.0.0.77:80"}
+{"msg":"stream not started","level":"INFO","ts":"2026-01-01T00:00:06.0Z","instance":"two","id":"bb","status":429,"error":"The queue of this organisation and rank is full; retry in 1.2s."}
+"#;
+
+fn tell(id: &str) -> (Exit, String) {
+    let dir = std::env::temp_dir().join(format!("hemlockwind-explain-{id}-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let files = [("one", ONE), ("two", TWO)].map(|(name, text)| {
+        let path = dir.join(name);
+        std::fs::File::create(&path)
+            .unwrap()
+            .write_all(text.as_bytes())
+            .unwrap();
+        path.to_str().unwrap().to_string()
+    });
+    let outcome = explain::run(&Explain {
+        id: id.into(),
+        files: files.into(),
+    });
+    std::fs::remove_dir_all(&dir).unwrap();
+    (outcome.exit, outcome.text)
+}
+
+#[test]
+fn run_stream_broken_in_the_middle() {
+    let (exit, text) = tell("aa");
+    assert_eq!(exit, Exit::Done);
+    let lines: Vec<&str> = text.lines().collect();
+    assert!(lines[0].contains("store lost"), "{text}");
+    assert!(lines[1].contains("10.0.0.2:80") && lines[1].contains("no progress"));
+    assert!(lines[2].contains("stream broken"));
+    assert!(lines[3].contains("outcome=\"complete\""));
+    assert!(
+        !text.contains("10.0.0.77"),
+        "an engine that it did not meet"
+    );
+}
+
+#[test]
+fn run_refused_in_a_flood() {
+    let (exit, text) = tell("bb");
+    assert_eq!(exit, Exit::Done);
+    assert!(text.contains("status=429") && text.contains("queue"));
+}
+
+#[test]
+fn run_call_of_unknown_outcome() {
+    let (_, text) = tell("cc");
+    assert!(text.contains("status=502") && text.contains("connection closed"));
+}
+
+#[test]
+fn run_unknown_id() {
+    let (exit, text) = tell("zz");
+    assert_eq!(exit, Exit::Refused);
+    assert!(text.starts_with("error 7004"), "{text}");
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -170,6 +170,7 @@
         let budget = budgets
             .entry(Arc::clone(service))
             .or_insert_with(|| RetryBudget::new(now, policy));
+        budget.set_policy(now, policy);
         budget.on_success(now);
     }
 
@@ -181,6 +182,7 @@
         let budget = budgets
             .entry(Arc::clone(service))
             .or_insert_with(|| RetryBudget::new(now, policy));
+        budget.set_policy(now, policy);
         let allowed = budget.try_retry(now);
         if !allowed {
             self.counters.add("retries_denied");
@@ -190,9 +192,9 @@
 
     /// This instance's part of the budget that all instances share: its own requests
     /// give the ratio, and the slack is divided by the instances.
-    fn retry_policy(&self) -> Policy {
+    pub fn retry_policy(&self) -> Policy {
         let bounds = &self.settings.bounds;
-        let instances = self.peers.len() as f64;
+        let instances = self.peers.count().unwrap_or(INSTANCES_UNKNOWN) as f64;
         let slack = bounds.retry_slack / instances * SLACK_USED;
         let window = bounds.retry_window.as_secs_f64().max(1.0);
         Policy {
@@ -209,6 +211,9 @@
     }
 }
 
+/// Instances that the slack is divided by before the others are known: more than a small
+/// deployment has, since too small a part does less harm than too large a one.
+const INSTANCES_UNKNOWN: usize = 64;
 /// The part of the ratio that is used: windows slide, and instances differ in load.
 const RATIO_USED: f64 = 0.8;
 /// The part of the slack that is used, for instances that are not counted yet.
--- a/crates/gateway/src/instances.rs
+++ b/crates/gateway/src/instances.rs
@@ -78,6 +78,7 @@
         for object in &listing.objects {
             take(gateway, object, false);
         }
+        gateway.peers.set_known();
         return Ok(Some(listing.version));
     };
     match gateway.store.watch(KIND, version, WATCH_WAIT).await? {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -6,6 +6,8 @@
 use std::hash::BuildHasher;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -55,6 +57,7 @@
     others: RwLock<SeededHashMap<Arc<str>, Instance>>,
     suspects: Mutex<SeededHashMap<Arc<str>, Instance>>,
     client: H2Peer,
+    is_known: AtomicBool,
 }
 
 impl Peers {
@@ -65,6 +68,7 @@
             me,
             others: RwLock::default(),
             suspects: Mutex::default(),
+            is_known: AtomicBool::new(false),
         }
     }
 
@@ -87,14 +91,15 @@
         self.suspects.lock().remove(name);
     }
 
-    /// The number of instances that are known, this one included.
-    pub fn len(&self) -> usize {
-        self.others.read().len() + 1
+    /// The number of instances, this one included; `None` before the others are known.
+    pub fn count(&self) -> Option<usize> {
+        let is_known = self.is_known.load(Ordering::Relaxed);
+        is_known.then(|| self.others.read().len() + 1)
     }
 
-    /// Whether no other instance is known.
-    pub fn is_empty(&self) -> bool {
-        self.others.read().is_empty()
+    /// All instances of the store were taken.
+    pub fn set_known(&self) {
+        self.is_known.store(true, Ordering::Relaxed);
     }
 
     /// The instance that keeps the home of these engines: by rendezvous hashing over the
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -118,6 +118,7 @@
         Ok(Started::Failure(answer)) => Ok(answer),
         Err(e) => Err(e),
     };
+    let error = outcome.as_ref().err().map(|(e, _)| e.to_string());
     let response = match outcome {
         Ok(answer) => {
             let (parts, body) = answer.into_parts();
@@ -132,7 +133,8 @@
         let (running, waiting) = gateway.homes.load();
         info!(gateway.log, "stream not started"; "id" => &accepted.attempt,
             "route" => &*accepted.route.name, "routes" => accepted.version,
-            "status" => response.status().as_u16(), "sent" => sent, "refused" => refused,
+            "status" => response.status().as_u16(), "error" => error,
+            "sent" => sent, "refused" => refused,
             "running" => running, "waiting" => waiting, "tokens" => tokens(&accepted),
             "ms" => accepted.arrived.elapsed().as_millis() as u64, "left_out" => left_out);
     }
--- a/crates/state/limits/src/retry.rs
+++ b/crates/state/limits/src/retry.rs
@@ -50,6 +50,13 @@
         budget
     }
 
+    /// Goes on with another policy; what is saved beyond its burst is lost.
+    pub fn set_policy(&mut self, now: Instant, policy: Policy) {
+        self.add(now);
+        self.policy = policy;
+        self.saved = self.saved.min(self.most());
+    }
+
     /// Takes a success.
     pub fn on_success(&mut self, now: Instant) {
         self.add(now);
