--- a/crates/core/src/servers.rs
+++ b/crates/core/src/servers.rs
@@ -28,6 +28,8 @@
     pub addr: SocketAddr,
     /// Its data centre.
     pub data_centre: Arc<str>,
+    /// The version of its software.
+    pub version: Arc<str>,
     /// Ready or leaving.
     pub state: ServerState,
     /// Requests that it runs at a time.
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -28,6 +28,7 @@
 use hemlockwind_lease::Outcome;
 use hemlockwind_lease::Value;
 use hemlockwind_placement::Engine;
+use hemlockwind_placement::Handoff;
 use hemlockwind_placement::Order;
 use hemlockwind_placement::Urgency;
 use hemlockwind_placement::has_gap;
@@ -160,6 +161,7 @@
             id: Arc::clone(&server.id),
             data_centre: Arc::clone(&server.data_centre),
             card,
+            version: Arc::clone(&server.version),
             layers: given.map(|g| g.layers).or(server.layers),
             is_free: given.is_none(),
             is_live,
@@ -387,5 +389,14 @@
         return Ordered::Outdated;
     }
     let target = (server.addr, &*server.id);
-    engine::place(&gateway.http, target, order.layers, fencing, report.orders).await
+    let cuts = order.handoff == Handoff::Cut;
+    engine::place(
+        &gateway.http,
+        target,
+        order.layers,
+        cuts,
+        fencing,
+        report.orders,
+    )
+    .await
 }
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -12,6 +12,7 @@
         service: "drafts".into(),
         addr: addr.parse().unwrap(),
         data_centre: "a".into(),
+        version: "v1".into(),
         state: ServerState::Ready,
         slots: 6,
         card: None,
--- a/crates/gateway/tests/servers.rs
+++ b/crates/gateway/tests/servers.rs
@@ -18,6 +18,7 @@
             service: "ledger".into(),
             addr: format!("10.0.0.{i}:80").parse().unwrap(),
             data_centre: "a".into(),
+            version: "v1".into(),
             state: ServerState::Ready,
             slots: 6,
             card: None,
--- a/crates/state/paths/tests/support/mod.rs
+++ b/crates/state/paths/tests/support/mod.rs
@@ -47,6 +47,7 @@
             .parse()
             .unwrap(),
         data_centre: data_centre.into(),
+        version: "v1".into(),
         state: ServerState::Ready,
         slots: 192,
         card: Some("l4".into()),
--- a/crates/state/placement/src/balance.rs
+++ b/crates/state/placement/src/balance.rs
@@ -10,6 +10,7 @@
 use hemlockwind_core::servers::EngineModel;
 
 use crate::Engine;
+use crate::Handoff;
 use crate::Order;
 use crate::layout;
 
@@ -17,6 +18,11 @@
 /// costs loads, and a little unevenness costs nothing.
 const CROWDED: f64 = 0.6;
 
+/// The gain in room that a move of layers between two engines must bring.
+const WORTHWHILE: f64 = 1.25;
+/// The room of others, as a multiple of an engine's own, with which its layers are spare.
+const SPARE: f64 = 1.1;
+
 /// The orders of the next step, none when the copy is even enough. `room` is the room
 /// of each layer in tokens.
 pub fn orders(model: &EngineModel, live: &[&Engine], room: &[f64]) -> Vec<Order> {
@@ -52,7 +58,7 @@
             .iter()
             .filter(|(e, _)| e.is_free && !touched.contains(&&*e.id));
         let untouched: Vec<(&Engine, LayerRange)> = untouched.copied().collect();
-        if let Some((neighbour, layers)) = relieve(model, &untouched, engine, layers, limit) {
+        if let Some((neighbour, layers)) = relieve(model, &untouched, engine, layers) {
             touched.extend([&*engine.id, &*neighbour.id]);
             orders.push(order(neighbour, layers));
         }
@@ -64,6 +70,7 @@
     Order {
         id: engine.id.clone(),
         layers,
+        handoff: Handoff::Wait,
     }
 }
 
@@ -88,7 +95,7 @@
 /// have more room than itself; `None` when there are none.
 fn trimmed(layers: LayerRange, own: f64, room: &[f64]) -> Option<LayerRange> {
     // Without this engine, others must still have more room than it has now.
-    let is_spare = |layer: u16| room[usize::from(layer)] - own > own * 1.5;
+    let is_spare = |layer: u16| room[usize::from(layer)] - own > own * SPARE;
     let (mut start, mut end) = (layers.start(), layers.end());
     while start + 1 < end && is_spare(start) {
         start += 1;
@@ -107,7 +114,6 @@
     held: &[(&'a Engine, LayerRange)],
     engine: &Engine,
     layers: LayerRange,
-    limit: f64,
 ) -> Option<(&'a Engine, LayerRange)> {
     let neighbours = held.iter().filter(|(e, l)| {
         let touches = l.end() == layers.start() || l.start() == layers.end();
@@ -123,9 +129,14 @@
     let moved = (mine * memory(neighbour) - its * memory(engine)) / total;
     let most = layout::most(model, neighbour).saturating_sub(theirs.count());
     let moved = (moved.round().max(0.0) as u16).min(most);
-    // A neighbour that would be crowded in turn gives the layers back at the next step.
-    let is_crowded = own_room(model, neighbour, theirs.count() + moved) < limit;
-    if moved == 0 || moved >= layers.count() || is_crowded {
+    if moved == 0 || moved >= layers.count() {
+        return None;
+    }
+    // A move that gains little is undone by the next step.
+    let now = own_room(model, engine, layers.count());
+    let then = own_room(model, engine, layers.count() - moved);
+    let then = then.min(own_room(model, neighbour, theirs.count() + moved));
+    if then < now * WORTHWHILE {
         return None;
     }
     let taken = match theirs.end() == layers.start() {
--- a/crates/state/placement/src/cover.rs
+++ b/crates/state/placement/src/cover.rs
@@ -4,6 +4,7 @@
 use hemlockwind_core::servers::EngineModel;
 
 use crate::Engine;
+use crate::Handoff;
 use crate::Order;
 use crate::Urgency;
 use crate::balance;
@@ -20,12 +21,28 @@
     let mut room = room(model, &live);
     let mut orders = Vec::new();
     let empty = live.iter().filter(|e| e.is_free && e.layers.is_none());
-    for engine in empty {
+    let mut empty: Vec<&Engine> = empty.copied().collect();
+    while let Some(gap) = gap(&room)
+        && let Some(at) = fitting(model, &empty, gap)
+    {
+        let engine = empty.remove(at);
+        let Some(layers) = thinnest(model, &live, engine, &room) else {
+            break;
+        };
+        add(model, engine, layers, &mut room);
+        orders.push(Order {
+            id: engine.id.clone(),
+            layers,
+            handoff: Handoff::Wait,
+        });
+    }
+    for engine in empty.into_iter().filter(|e| !is_replacement(&live, e)) {
         if let Some(layers) = thinnest(model, &live, engine, &room) {
             add(model, engine, layers, &mut room);
             orders.push(Order {
                 id: engine.id.clone(),
                 layers,
+                handoff: Handoff::Wait,
             });
         }
     }
@@ -50,6 +67,27 @@
     orders
 }
 
+/// The place of the empty engine for a gap: the smallest that closes it, else the largest.
+fn fitting(model: &EngineModel, empty: &[&Engine], (start, end): (u16, u16)) -> Option<usize> {
+    let most = |at: &usize| layout::most(model, empty[*at]);
+    let closes = (0..empty.len()).filter(|at| most(at) >= end - start);
+    closes
+        .min_by_key(most)
+        .or_else(|| (0..empty.len()).max_by_key(most))
+}
+
+/// Whether an empty engine probably stands in for one that leaves soon: in a replacement
+/// of the software the new engine comes first. It is kept empty, so that it can take
+/// what the other leaves behind at once.
+fn is_replacement(live: &[&Engine], engine: &Engine) -> bool {
+    live.iter().any(|other| {
+        other.layers.is_some()
+            && other.version != engine.version
+            && other.card == engine.card
+            && other.data_centre == engine.data_centre
+    })
+}
+
 /// Whether no live engine of the group holds some layer.
 pub fn has_gap(model: &EngineModel, engines: &[&Engine]) -> bool {
     let live: Vec<&Engine> = engines.iter().filter(|e| e.is_live).copied().collect();
@@ -154,6 +192,7 @@
                 orders.push(Order {
                     id: engine.id.clone(),
                     layers,
+                    handoff: Handoff::Wait,
                 });
             }
         };
--- a/crates/state/placement/src/layout.rs
+++ b/crates/state/placement/src/layout.rs
@@ -4,6 +4,7 @@
 use hemlockwind_core::servers::EngineModel;
 
 use crate::Engine;
+use crate::Handoff;
 use crate::Order;
 
 /// The part of its memory that an engine may use for weights at most. The rest holds
@@ -55,6 +56,7 @@
 
 /// One whole copy over `engines`.
 pub fn orders(model: &EngineModel, engines: &[&Engine]) -> Vec<Order> {
+    let engines = &alternating(engines);
     let mut at = 0;
     let mut orders = Vec::new();
     for (engine, share) in engines.iter().zip(shares(model, engines)) {
@@ -63,9 +65,28 @@
             orders.push(Order {
                 id: engine.id.clone(),
                 layers,
+                handoff: Handoff::Wait,
             });
         }
         at = end;
     }
     orders
 }
+
+/// Large and small engines by turns, a large one first: a small engine has little memory
+/// to take over from a neighbour that is lost.
+fn alternating<'a>(engines: &[&'a Engine]) -> Vec<&'a Engine> {
+    let mut by_size = engines.to_vec();
+    by_size.sort_by(|a, b| {
+        let size = b.card.memory_bytes.total_cmp(&a.card.memory_bytes);
+        size.then_with(|| a.id.cmp(&b.id))
+    });
+    let small = by_size.split_off(by_size.len().div_ceil(2));
+    let mut small = small.into_iter();
+    let mut turns = Vec::with_capacity(engines.len());
+    for large in by_size {
+        turns.push(large);
+        turns.extend(small.next());
+    }
+    turns
+}
--- a/crates/state/placement/src/lib.rs
+++ b/crates/state/placement/src/lib.rs
@@ -26,6 +26,8 @@
     pub data_centre: Arc<str>,
     /// Its accelerator.
     pub card: Card,
+    /// The version of its software.
+    pub version: Arc<str>,
     /// The layers that it holds or is loading.
     pub layers: Option<LayerRange>,
     /// Whether it may be given an order: it is not leaving and has none in progress.
@@ -41,6 +43,17 @@
     pub id: Arc<str>,
     /// The layers to hold.
     pub layers: LayerRange,
+    /// What happens to work that passes through layers that are given up.
+    pub handoff: Handoff,
+}
+
+/// `Handoff` is what happens to work that passes through layers that are given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Handoff {
+    /// It ends first, which takes seconds.
+    Wait,
+    /// It is cut off, for a copy through which no path leads any more.
+    Cut,
 }
 
 /// `Urgency` is how far a plan may go.
--- a/crates/state/placement/tests/plan.rs
+++ b/crates/state/placement/tests/plan.rs
@@ -52,6 +52,7 @@
         id: name.into(),
         data_centre: data_centre.into(),
         card: card(gigabytes),
+        version: "v1".into(),
         layers: layers.map(|(start, end)| LayerRange::new(start, end).unwrap()),
         is_free: true,
         is_live: true,
@@ -184,6 +185,45 @@
     );
 }
 
+#[test]
+fn plan_replacement_waits_for_the_engine_that_leaves() {
+    let mut engines = chain(
+        21.6,
+        &[
+            (0, 10),
+            (10, 20),
+            (20, 30),
+            (30, 40),
+            (40, 50),
+            (50, 60),
+            (60, 70),
+            (70, 80),
+        ],
+    );
+    let mut new = engine("new", "a", 21.6, None);
+    new.version = "v2".into();
+    engines.push(new);
+    assert!(plan(&model(), &engines, Urgency::Even).is_empty());
+    engines[3].is_live = false;
+    let orders = plan(&model(), &engines, Urgency::Empty);
+    assert_eq!(orders.len(), 1);
+    assert_eq!(&*orders[0].id, "new");
+    assert_eq!(orders[0].layers, LayerRange::new(30, 40).unwrap());
+}
+
+#[test]
+fn plan_smallest_empty_engine_that_closes_the_gap() {
+    let mut engines = chain(36.0, &[(0, 16), (16, 32), (38, 54), (54, 70), (66, 80)]);
+    engines.push(engine("huge", "a", 72.0, None));
+    engines.push(engine("right", "a", 14.4, None));
+    let orders = plan(&model(), &engines, Urgency::Empty);
+    let right = orders.iter().find(|o| &*o.id == "right").unwrap();
+    assert!(
+        right.layers.start() <= 32 && right.layers.end() >= 38,
+        "{orders:?}"
+    );
+}
+
 #[test]
 fn plan_crowded_engine_is_relieved() {
     let ranges = [
