Placement: rows of moves wait again, less relief; attempts count engines that stay

Change: rows wait (the cut is reverted: failed try); relief below 0.45 of the even room for a gain of 1.6; the largest engines in the middle; engines that are still listed as ready count as attempts.

--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -28,7 +28,6 @@
 use hemlockwind_lease::Outcome;
 use hemlockwind_lease::Value;
 use hemlockwind_placement::Engine;
-use hemlockwind_placement::Handoff;
 use hemlockwind_placement::Order;
 use hemlockwind_placement::Urgency;
 use hemlockwind_placement::has_gap;
@@ -389,14 +388,5 @@
         return Ordered::Outdated;
     }
     let target = (server.addr, &*server.id);
-    let cuts = order.handoff == Handoff::Cut;
-    engine::place(
-        &gateway.http,
-        target,
-        order.layers,
-        cuts,
-        fencing,
-        report.orders,
-    )
-    .await
+    engine::place(&gateway.http, target, order.layers, fencing, report.orders).await
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -21,6 +21,7 @@
 use hemlockwind_backend::http1::Exchange;
 use hemlockwind_core::Error;
 use hemlockwind_core::routes::Repeat;
+use hemlockwind_core::servers::ServerState;
 use hemlockwind_platform::engine;
 use hemlockwind_platform::engine::Report;
 use hemlockwind_telemetry::histograms::Measure;
@@ -96,7 +97,7 @@
     grant: Option<Grant>,
     tx: mpsc::Sender<Sent>,
     faults: broadcast::Receiver<Fault>,
-    /// First engines that this stream was sent to and that still live.
+    /// First engines that this stream was sent to.
     firsts: Vec<SocketAddr>,
     sent: u32,
     /// The last event that was passed on.
@@ -303,15 +304,10 @@
 
     /// Goes on over another path, after the last event that was passed on.
     async fn resume(&mut self, end: &End) -> Option<Exchange> {
-        if let End::Dead(addr) | End::Leaving(addr) = end {
-            // Engines that end don't count as attempts.
-            self.firsts.retain(|first| first != addr);
-        }
         match end {
             End::Dead(addr) => streams::dead(&self.gateway, *addr),
             End::Broken(_) => {
                 if let Some(first) = self.first() {
-                    self.firsts.retain(|known| *known != first);
                     self.gateway.homes.shun_for(
                         self.gateway.now(),
                         first,
@@ -384,7 +380,7 @@
         let first = path.first().map(|s| s.addr)?;
         let is_new = !self.firsts.contains(&first);
         let attempts = self.accepted.route.attempts as usize;
-        if is_new && self.firsts.len() >= attempts {
+        if is_new && self.attempts_used() >= attempts {
             // Another path may begin at an engine that the stream was sent to before.
             return None;
         }
@@ -414,6 +410,16 @@
         }
     }
 
+    /// Engines that this stream was sent to and that have not ended since.
+    fn attempts_used(&self) -> usize {
+        let directory = self.gateway.directory.read();
+        let stays = |addr: &SocketAddr| {
+            let mut listed = directory.iter();
+            listed.any(|s| s.addr == *addr && s.state == ServerState::Ready)
+        };
+        self.firsts.iter().filter(|addr| stays(addr)).count()
+    }
+
     fn first(&self) -> Option<SocketAddr> {
         let grant = self.grant.as_ref()?;
         grant.path.first().map(|s| s.addr)
--- a/crates/state/placement/src/balance.rs
+++ b/crates/state/placement/src/balance.rs
@@ -10,18 +10,17 @@
 use hemlockwind_core::servers::EngineModel;
 
 use crate::Engine;
-use crate::Handoff;
 use crate::Order;
 use crate::layout;
 
 /// The part of the even share of memory below which an engine is crowded. Moving layers
 /// costs loads, and a little unevenness costs nothing.
-const CROWDED: f64 = 0.6;
+const CROWDED: f64 = 0.45;
 
 /// The gain in room that a move of layers between two engines must bring.
-const WORTHWHILE: f64 = 1.25;
+const WORTHWHILE: f64 = 1.6;
 /// The room of others, as a multiple of an engine's own, with which its layers are spare.
-const SPARE: f64 = 1.1;
+const SPARE: f64 = 1.3;
 
 /// The orders of the next step, none when the copy is even enough. `room` is the room
 /// of each layer in tokens.
@@ -70,7 +69,6 @@
     Order {
         id: engine.id.clone(),
         layers,
-        handoff: Handoff::Wait,
     }
 }
 
--- a/crates/state/placement/src/cover.rs
+++ b/crates/state/placement/src/cover.rs
@@ -4,7 +4,6 @@
 use hemlockwind_core::servers::EngineModel;
 
 use crate::Engine;
-use crate::Handoff;
 use crate::Order;
 use crate::Urgency;
 use crate::balance;
@@ -33,7 +32,6 @@
         orders.push(Order {
             id: engine.id.clone(),
             layers,
-            handoff: Handoff::Wait,
         });
     }
     for engine in empty.into_iter().filter(|e| !is_replacement(&live, e)) {
@@ -42,7 +40,6 @@
             orders.push(Order {
                 id: engine.id.clone(),
                 layers,
-                handoff: Handoff::Wait,
             });
         }
     }
@@ -192,7 +189,6 @@
                 orders.push(Order {
                     id: engine.id.clone(),
                     layers,
-                    handoff: Handoff::Wait,
                 });
             }
         };
--- a/crates/state/placement/src/layout.rs
+++ b/crates/state/placement/src/layout.rs
@@ -1,10 +1,11 @@
 //! The layout of a copy over engines that all hold nothing.
 
+use std::collections::VecDeque;
+
 use hemlockwind_core::layers::LayerRange;
 use hemlockwind_core::servers::EngineModel;
 
 use crate::Engine;
-use crate::Handoff;
 use crate::Order;
 
 /// The part of its memory that an engine may use for weights at most. The rest holds
@@ -65,7 +66,6 @@
             orders.push(Order {
                 id: engine.id.clone(),
                 layers,
-                handoff: Handoff::Wait,
             });
         }
         at = end;
@@ -73,8 +73,9 @@
     orders
 }
 
-/// Large and small engines by turns, a large one first: a small engine has little memory
-/// to take over from a neighbour that is lost.
+/// Large and small engines by turns, the largest in the middle: a small engine has little
+/// memory to take over from a neighbour that is lost, and what a large one leaves behind
+/// needs neighbours on both sides.
 fn alternating<'a>(engines: &[&'a Engine]) -> Vec<&'a Engine> {
     let mut by_size = engines.to_vec();
     by_size.sort_by(|a, b| {
@@ -82,10 +83,17 @@
         size.then_with(|| a.id.cmp(&b.id))
     });
     let small = by_size.split_off(by_size.len().div_ceil(2));
+    let mut large = VecDeque::with_capacity(by_size.len());
+    for (i, engine) in by_size.into_iter().enumerate() {
+        match i % 2 {
+            0 => large.push_back(engine),
+            _ => large.push_front(engine),
+        }
+    }
     let mut small = small.into_iter();
     let mut turns = Vec::with_capacity(engines.len());
-    for large in by_size {
-        turns.push(large);
+    for engine in large {
+        turns.push(engine);
         turns.extend(small.next());
     }
     turns
--- a/crates/state/placement/src/lib.rs
+++ b/crates/state/placement/src/lib.rs
@@ -43,17 +43,6 @@
     pub id: Arc<str>,
     /// The layers to hold.
     pub layers: LayerRange,
-    /// What happens to work that passes through layers that are given up.
-    pub handoff: Handoff,
-}
-
-/// `Handoff` is what happens to work that passes through layers that are given up.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Handoff {
-    /// It ends first, which takes seconds.
-    Wait,
-    /// It is cut off, for a copy through which no path leads any more.
-    Cut,
 }
 
 /// `Urgency` is how far a plan may go.
--- a/crates/state/placement/src/shift.rs
+++ b/crates/state/placement/src/shift.rs
@@ -7,7 +7,6 @@
 use hemlockwind_core::servers::EngineModel;
 
 use crate::Engine;
-use crate::Handoff;
 use crate::Order;
 use crate::layout;
 
@@ -44,7 +43,6 @@
         orders.push(Order {
             id: engine.id.clone(),
             layers,
-            handoff: Handoff::Cut,
         });
         let left = match side {
             Side::Before => (held.start(), layers.start()),
