--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -8,10 +8,10 @@
 use axum::routing::get;
 use tokio::net::TcpListener;
 
+use hemlockwind_platform::settings::READY_PATH;
+
 use crate::gateway::Gateway;
 
-/// The path that the balancer asks.
-const READY_PATH: &str = "/api/ready";
 /// The path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
