Gateway: the homes in modules of one job each

Change: keep (the keeper's side), tell (messages between instances), wire (conversions); with_budget.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -165,29 +165,29 @@
     /// Takes a request for `service`, which allows a share of a further run later.
     pub fn count_request(&self, service: &Arc<str>) {
         let now = self.now();
-        let mut budgets = self.budgets.lock();
-        let policy = self.retry_policy();
-        let budget = budgets
-            .entry(Arc::clone(service))
-            .or_insert_with(|| RetryBudget::new(now, policy));
-        budget.set_policy(now, policy);
-        budget.on_success(now);
+        self.with_budget(service, |budget| budget.on_success(now));
     }
 
     /// Whether a request for `service` may be sent once more.
     pub fn may_retry(&self, service: &Arc<str>) -> bool {
         let now = self.now();
-        let mut budgets = self.budgets.lock();
+        let allowed = self.with_budget(service, |budget| budget.try_retry(now));
+        if !allowed {
+            self.counters.add("retries_denied");
+        }
+        allowed
+    }
+
+    /// Uses the budget of a service, by the policy for the instances known now.
+    fn with_budget<T>(&self, service: &Arc<str>, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let now = self.now();
         let policy = self.retry_policy();
+        let mut budgets = self.budgets.lock();
         let budget = budgets
             .entry(Arc::clone(service))
             .or_insert_with(|| RetryBudget::new(now, policy));
         budget.set_policy(now, policy);
-        let allowed = budget.try_retry(now);
-        if !allowed {
-            self.counters.add("retries_denied");
-        }
-        allowed
+        f(budget)
     }
 
     /// This instance's part of the budget that all instances share: its own requests
--- a/crates/gateway/src/homes.rs
+++ b/crates/gateway/src/homes.rs
@@ -5,7 +5,10 @@
 //! and waits at the one with the shortest wait. A home that does not answer is replaced
 //! by the next instance; streams that run are told to the new one.
 
+mod keep;
 pub mod local;
+mod tell;
+mod wire;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -21,7 +24,6 @@
 use hemlockwind_core::collections::HashMap;
 use hemlockwind_core::collections::SeededHashMap;
 use hemlockwind_core::edges::Clock;
-use hemlockwind_core::layers::LayerRange;
 use hemlockwind_core::names::InstanceKey;
 use hemlockwind_core::names::Names;
 use hemlockwind_core::names::OrganisationKey;
@@ -30,24 +32,21 @@
 use hemlockwind_core::time::Instant;
 use hemlockwind_paths::Engines;
 use hemlockwind_paths::Home;
-use hemlockwind_paths::Ticket;
-use hemlockwind_paths::TicketId;
 use hemlockwind_paths::ticket::Reason;
 use hemlockwind_platform::headers::Stage;
 use hemlockwind_protocol::peer::Reply;
 use hemlockwind_protocol::peer::Request;
-use hemlockwind_protocol::peer::paths as wire;
+use hemlockwind_protocol::peer::paths as message;
 
 use crate::directory::Directory;
-use crate::doubt;
-use crate::follow;
-use crate::gateway::Fault;
 use crate::gateway::Gateway;
 use crate::homes::local::Cell;
 use crate::homes::local::Decided;
 use crate::homes::local::Local;
-use crate::orders::CANDIDATES;
-use crate::orders::DUTY;
+use crate::homes::wire::engines;
+use crate::homes::wire::from_wire;
+use crate::homes::wire::reason_from_wire;
+use crate::homes::wire::to_wire;
 use crate::peers::EVERYWHERE;
 use crate::peers::Instance;
 
@@ -156,6 +155,10 @@
         }
     }
 
+    fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
     /// Takes the services and engines as they are now.
     pub fn update(&self, routes: &Routes, directory: &Directory) {
         for service in routes.services() {
@@ -246,7 +249,7 @@
         ask: &Ask,
     ) -> Result<Grant, (Reason, Duration)> {
         for _ in 0..HOME_TRIES {
-            let now = self.clock.now();
+            let now = self.now();
             let keeper = gateway.peers.home(&key.0, &key.1);
             let claim = Claim {
                 key: key.clone(),
@@ -289,16 +292,16 @@
         gateway: &Gateway,
         keeper: &Instance,
         key: &HomeKey,
-        ask: wire::Ask,
+        ask: message::Ask,
     ) -> Option<Decided> {
-        let req = Request::Paths(wire::Message::Ask(engines(key), ask));
+        let req = Request::Paths(message::Message::Ask(engines(key), ask));
         let reply = gateway.peers.call(keeper, req).await;
         match reply {
-            Ok(Reply::Paths(wire::Answer::Granted(path))) => {
+            Ok(Reply::Paths(message::Answer::Granted(path))) => {
                 let path: Option<Vec<Stage>> = path.into_iter().map(from_wire).collect();
                 path.map(Ok)
             }
-            Ok(Reply::Paths(wire::Answer::Refused(reason, ms))) => Some(Err((
+            Ok(Reply::Paths(message::Answer::Refused(reason, ms))) => Some(Err((
                 reason_from_wire(reason),
                 Duration::from_millis(ms.into()),
             ))),
@@ -314,146 +317,6 @@
         }
     }
 
-    /// Asks the home that this instance keeps, for itself or for `from`.
-    async fn ask_local(&self, key: &HomeKey, from: &str, ask: &wire::Ask) -> Decided {
-        let cell = self.homes.lock().get(key).cloned();
-        let Some(cell) = cell else {
-            return Err((Reason::NoPath, NO_HOME_RETRY));
-        };
-        let now = self.clock.now();
-        let ticket = {
-            let mut names = self.names.lock();
-            Ticket {
-                id: TicketId {
-                    instance: names.instances.intern(from),
-                    number: ask.number,
-                },
-                organisation: names.organisations.intern(&ask.organisation),
-                rank: Rank(ask.rank),
-                tokens: ask.tokens,
-                on_time_by: now + Duration::from_millis(ask.on_time_ms.into()),
-                latest: now + Duration::from_millis(ask.latest_ms.into()),
-                may_wait: ask.may_wait,
-            }
-        };
-        local::ask(&cell, now, ticket).await
-    }
-
-    /// Answers another instance.
-    pub async fn answer(
-        &self,
-        gateway: &Arc<Gateway>,
-        from: &str,
-        message: wire::Message,
-    ) -> wire::Answer {
-        let now = self.clock.now();
-        match message {
-            wire::Message::Ask(of, ask) => {
-                let key = (of.service.into(), of.data_centre.into());
-                match self.ask_local(&key, from, &ask).await {
-                    Ok(path) => wire::Answer::Granted(path.iter().map(stage_to_wire).collect()),
-                    Err((reason, wait)) => refused(reason, wait),
-                }
-            }
-            wire::Message::Done(of, numbers) => {
-                self.done_local(&(of.service.into(), of.data_centre.into()), from, &numbers);
-                wire::Answer::Done
-            }
-            wire::Message::Running(of, numbers) => {
-                let key = (of.service.into(), of.data_centre.into());
-                wire::Answer::Unknown(self.running_local(&key, from, &numbers))
-            }
-            wire::Message::Held(of, held) => {
-                let key = (of.service.into(), of.data_centre.into());
-                self.adopt_local(&key, from, &held);
-                wire::Answer::Done
-            }
-            wire::Message::Detour(of, number, must_fit) => {
-                let key = (of.service.into(), of.data_centre.into());
-                match self.detour_local(&key, from, number, must_fit) {
-                    Some(path) => wire::Answer::Granted(path.iter().map(stage_to_wire).collect()),
-                    None => refused(Reason::NoPath, NO_HOME_RETRY),
-                }
-            }
-            wire::Message::Refused(of, addr, ms) => {
-                let key = (of.service.into(), of.data_centre.into());
-                self.refused_local(gateway, &key, addr, Duration::from_millis(ms.into()));
-                wire::Answer::Done
-            }
-            wire::Message::Dead(addr) => {
-                self.shun(now, addr);
-                // Nobody listens when no stream runs.
-                let _ = gateway.faults.send(Fault::Dead(addr));
-                wire::Answer::Done
-            }
-            wire::Message::Holds { id, layers } => {
-                let layers = layers.and_then(|(start, end)| LayerRange::new(start, end).ok());
-                self.holds_local(gateway, &id, layers);
-                wire::Answer::Done
-            }
-            wire::Message::Leaving(addr) => {
-                if self.shun(now, addr) {
-                    let _ = gateway.faults.send(Fault::Leaving(addr));
-                }
-                wire::Answer::Done
-            }
-        }
-    }
-
-    fn id(&self, from: &str, number: u64) -> TicketId {
-        TicketId {
-            instance: self.names.lock().instances.intern(from),
-            number,
-        }
-    }
-
-    fn cell(&self, key: &HomeKey) -> Option<Cell> {
-        self.homes.lock().get(key).cloned()
-    }
-
-    fn done_local(&self, key: &HomeKey, from: &str, numbers: &[u64]) {
-        let Some(cell) = self.cell(key) else { return };
-        let now = self.clock.now();
-        let ids: Vec<TicketId> = numbers.iter().map(|n| self.id(from, *n)).collect();
-        let mut local = cell.lock();
-        for id in ids {
-            local.done(now, id);
-        }
-        local.poll(now);
-    }
-
-    fn running_local(&self, key: &HomeKey, from: &str, numbers: &[u64]) -> Vec<u64> {
-        let Some(cell) = self.cell(key) else {
-            return Vec::new();
-        };
-        let instance = self.id(from, 0).instance;
-        let now = self.clock.now();
-        cell.lock().home.running_at(now, instance, numbers)
-    }
-
-    fn adopt_local(&self, key: &HomeKey, from: &str, held: &[wire::Held]) {
-        let Some(cell) = self.cell(key) else { return };
-        let instance = self.id(from, 0).instance;
-        let now = self.clock.now();
-        let mut local = cell.lock();
-        for one in held {
-            local.adopt(now, instance, one);
-        }
-    }
-
-    fn detour_local(
-        &self,
-        key: &HomeKey,
-        from: &str,
-        number: u64,
-        must_fit: bool,
-    ) -> Option<Vec<Stage>> {
-        let cell = self.cell(key)?;
-        let id = self.id(from, number);
-        let now = self.clock.now();
-        cell.lock().detour(now, id, must_fit)
-    }
-
     /// Another path for a granted stream in the same data centre, one that it fits on if
     /// it must. Returns whether there is one.
     pub async fn detour(&self, gateway: &Gateway, grant: &mut Grant, must_fit: bool) -> bool {
@@ -463,9 +326,9 @@
         let path = match keeper.name == gateway.peers.me().name {
             true => self.detour_local(key, "", number, must_fit),
             false => {
-                let req = Request::Paths(wire::Message::Detour(engines(key), number, must_fit));
+                let req = Request::Paths(message::Message::Detour(engines(key), number, must_fit));
                 match gateway.peers.call(&keeper, req).await {
-                    Ok(Reply::Paths(wire::Answer::Granted(path))) => {
+                    Ok(Reply::Paths(message::Answer::Granted(path))) => {
                         path.into_iter().map(from_wire).collect()
                     }
                     // A home that does not know the stream has nothing to offer for it.
@@ -497,182 +360,11 @@
             return;
         }
         let ms = u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
-        let req = Request::Paths(wire::Message::Refused(engines(key), addr, ms));
+        let req = Request::Paths(message::Message::Refused(engines(key), addr, ms));
         // A home that does not hear it grants such a path once more, no worse.
         let _ = gateway.peers.call(&keeper, req).await;
     }
 
-    /// An engine of a home that is kept here refused. One that goes on refusing is asked
-    /// for a report: it lacks memory, or it leaves and the directory does not tell.
-    fn refused_local(
-        &self,
-        gateway: &Arc<Gateway>,
-        key: &HomeKey,
-        addr: SocketAddr,
-        time: Duration,
-    ) {
-        let Some(cell) = self.cell(key) else { return };
-        let now = self.clock.now();
-        let is_suspicious = cell.lock().refused(now, addr, time);
-        if is_suspicious && !self.is_dead(now, addr) {
-            let gateway = Arc::clone(gateway);
-            tokio::spawn(async move { doubt::examine(&gateway, addr).await });
-        }
-    }
-
-    /// Starts and refuses what waits, as far as it can be told now.
-    pub fn poll(&self, now: Instant) {
-        let cells: Vec<Cell> = self.homes.lock().values().cloned().collect();
-        for cell in cells {
-            cell.lock().poll(now);
-        }
-    }
-
-    /// Tells the homes which streams have ended, until the task is ended.
-    pub async fn tell_ended(&self, gateway: &Gateway) {
-        loop {
-            self.ended.notified().await;
-            tokio::time::sleep(DONE_INTERVAL).await;
-            let ended: Vec<(HomeKey, Vec<u64>)> = {
-                let mut accounts = self.accounts.lock();
-                let full = accounts.iter_mut().filter(|(_, a)| !a.done.is_empty());
-                full.map(|(key, a)| (key.clone(), std::mem::take(&mut a.done)))
-                    .collect()
-            };
-            let calls = ended.into_iter().map(|(key, numbers)| async move {
-                let keeper = gateway.peers.home(&key.0, &key.1);
-                if keeper.name == gateway.peers.me().name {
-                    self.done_local(&key, "", &numbers);
-                    return;
-                }
-                let req = Request::Paths(wire::Message::Done(engines(&key), numbers));
-                // What is lost here, the next report mends.
-                let _ = gateway.peers.call(&keeper, req).await;
-            });
-            futures::future::join_all(calls).await;
-        }
-    }
-
-    /// Reports the running streams to their homes, now and then and whenever the keeper
-    /// of a home has changed, until the task is ended.
-    pub async fn report(&self, gateway: &Gateway) {
-        loop {
-            tokio::time::sleep(REPORT_INTERVAL).await;
-            let keys: Vec<HomeKey> = self.accounts.lock().keys().cloned().collect();
-            let calls = keys.iter().map(|key| self.report_to(gateway, key));
-            futures::future::join_all(calls).await;
-        }
-    }
-
-    async fn report_to(&self, gateway: &Gateway, key: &HomeKey) {
-        let keeper = gateway.peers.home(&key.0, &key.1);
-        let numbers: Vec<u64> = {
-            let mut accounts = self.accounts.lock();
-            let account = accounts.entry(key.clone()).or_default();
-            if account.running.is_empty() && account.told.as_ref() != Some(&keeper.name) {
-                account.told = Some(Arc::clone(&keeper.name));
-                return;
-            }
-            account.told = Some(Arc::clone(&keeper.name));
-            account.running.keys().copied().collect()
-        };
-        let is_mine = keeper.name == gateway.peers.me().name;
-        let unknown = match is_mine {
-            true => self.running_local(key, "", &numbers),
-            false => {
-                let req = Request::Paths(wire::Message::Running(engines(key), numbers));
-                match gateway.peers.call(&keeper, req).await {
-                    Ok(Reply::Paths(wire::Answer::Unknown(unknown))) => unknown,
-                    // The next report goes to the next keeper.
-                    Ok(_) | Err(_) => return,
-                }
-            }
-        };
-        if unknown.is_empty() {
-            return;
-        }
-        let held: Vec<wire::Held> = {
-            let accounts = self.accounts.lock();
-            let running = accounts.get(key).map(|a| &a.running);
-            let known = unknown.iter().filter_map(|n| Some((n, running?.get(n)?)));
-            known
-                .map(|(n, (tokens, path))| held(*n, *tokens, path))
-                .collect()
-        };
-        if is_mine {
-            self.adopt_local(key, "", &held);
-        } else {
-            let req = Request::Paths(wire::Message::Held(engines(key), held));
-            // The next report says it again.
-            let _ = gateway.peers.call(&keeper, req).await;
-        }
-    }
-
-    /// An engine makes no progress or leaves: the keeper of its home hears of it, and so
-    /// do all instances with streams over it and those that may give orders.
-    pub async fn tell(&self, gateway: &Gateway, fault: Fault) {
-        let (addr, message) = match fault {
-            Fault::Dead(addr) => (addr, wire::Message::Dead(addr)),
-            Fault::Leaving(addr) => (addr, wire::Message::Leaving(addr)),
-        };
-        let server = {
-            let directory = gateway.directory.read();
-            directory.iter().find(|s| s.addr == addr).cloned()
-        };
-        let Some(server) = server else { return };
-        let keeper = gateway.peers.home(&server.service, &server.data_centre);
-        let mut tell: Vec<Instance> = gateway.peers.candidates(DUTY, CANDIDATES);
-        if keeper.name != gateway.peers.me().name {
-            tell.push(keeper);
-        }
-        let cells: Vec<Cell> = self.homes.lock().values().cloned().collect();
-        for cell in cells {
-            let instances = cell.lock().home.instances_over(addr);
-            let names = self.names.lock();
-            let names = instances.iter().map(|key| names.instances.name(*key));
-            tell.extend(names.filter_map(|name| gateway.peers.get(&name)));
-        }
-        tell.sort_unstable_by(|a, b| a.name.cmp(&b.name));
-        tell.dedup();
-        let calls = tell.iter().map(|instance| {
-            let req = Request::Paths(message.clone());
-            gateway.peers.call(instance, req)
-        });
-        // Who is not reached finds it out by itself.
-        futures::future::join_all(calls).await;
-    }
-
-    /// An engine's report says which layers it holds, newer than its entry: this instance
-    /// and all others hear of it.
-    pub async fn holds(&self, gateway: &Gateway, id: &str, layers: Option<LayerRange>) {
-        if !self.holds_local(gateway, id, layers) {
-            return;
-        }
-        let message = wire::Message::Holds {
-            id: id.to_string(),
-            layers: layers.map(|l| (l.start(), l.end())),
-        };
-        let all = gateway.peers.all();
-        let calls = all.iter().map(|instance| {
-            gateway
-                .peers
-                .call(instance, Request::Paths(message.clone()))
-        });
-        // Who is not reached hears it from the store.
-        futures::future::join_all(calls).await;
-    }
-
-    /// Takes what an engine's report said of its layers. Returns whether it is news.
-    fn holds_local(&self, gateway: &Gateway, id: &str, layers: Option<LayerRange>) -> bool {
-        let is_news = gateway.directory.write().set_layers(id, layers);
-        if is_news {
-            info!(gateway.log, "engine holds"; "engine" => id,
-                "layers" => layers.map(|l| l.to_string()));
-            follow::changed(gateway);
-        }
-        is_news
-    }
-
     /// Gives the engine at `addr` no new work for a while. Returns whether that is news.
     pub fn shun(&self, now: Instant, addr: SocketAddr) -> bool {
         let is_news = {
@@ -690,39 +382,6 @@
         dead.get(&addr).is_some_and(|until| *until > now)
     }
 
-    /// Logs the state of the homes that are kept here.
-    pub fn log_state(&self, gateway: &Gateway) {
-        let now = self.clock.now();
-        let cells: Vec<(HomeKey, Cell)> = {
-            let homes = self.homes.lock();
-            homes
-                .iter()
-                .map(|(k, c)| (k.clone(), Arc::clone(c)))
-                .collect()
-        };
-        for (key, cell) in cells {
-            let keeper = gateway.peers.home(&key.0, &key.1);
-            if keeper.name != gateway.peers.me().name || &*key.1 == EVERYWHERE {
-                continue;
-            }
-            let local = cell.lock();
-            info!(gateway.log, "home"; "service" => &*key.0, "data_centre" => &*key.1,
-                "running" => local.home.running(), "waiting" => local.home.waiting(),
-                "engines" => local.summary(now));
-        }
-    }
-
-    /// Notes whether each home has a whole path. Returns the homes that have gained or
-    /// lost it.
-    pub fn turns(&self, now: Instant) -> Vec<(Arc<str>, Arc<str>, bool)> {
-        let homes = self.homes.lock();
-        let turned = homes.iter().filter_map(|((service, data_centre), cell)| {
-            let has_path = cell.lock().turn(now)?;
-            Some((Arc::clone(service), Arc::clone(data_centre), has_path))
-        });
-        turned.collect()
-    }
-
     /// Gives the engine at `addr` no new work for `time`.
     pub fn shun_for(&self, now: Instant, addr: SocketAddr, time: Duration) {
         for cell in self.homes.lock().values() {
@@ -757,7 +416,7 @@
     fn believed_wait(&self, key: &HomeKey) -> Option<Duration> {
         let accounts = self.accounts.lock();
         let (wait, until) = accounts.get(key)?.wait?;
-        (until > self.clock.now()).then_some(wait)
+        (until > self.now()).then_some(wait)
     }
 
     fn believe_wait(&self, key: &HomeKey, now: Instant, wait: Duration) {
@@ -807,66 +466,3 @@
     all.dedup();
     all
 }
-
-fn engines(key: &HomeKey) -> wire::Engines {
-    wire::Engines {
-        service: key.0.to_string(),
-        data_centre: key.1.to_string(),
-    }
-}
-
-fn to_wire(ask: &Ask, number: u64, now: Instant) -> wire::Ask {
-    let until = |at: Instant| u32::try_from(at.since(now).as_millis()).unwrap_or(u32::MAX);
-    wire::Ask {
-        number,
-        organisation: ask.organisation.to_string(),
-        rank: ask.rank.0,
-        tokens: ask.tokens,
-        on_time_ms: until(ask.on_time_by),
-        latest_ms: until(ask.latest),
-        may_wait: ask.may_wait,
-    }
-}
-
-fn stage_to_wire(stage: &Stage) -> wire::Stage {
-    wire::Stage {
-        id: stage.id.to_string(),
-        addr: stage.addr,
-        start: stage.layers.start(),
-        end: stage.layers.end(),
-    }
-}
-
-fn from_wire(stage: wire::Stage) -> Option<Stage> {
-    Some(Stage {
-        id: stage.id.into(),
-        addr: stage.addr,
-        layers: LayerRange::new(stage.start, stage.end).ok()?,
-    })
-}
-
-fn held(number: u64, tokens: u32, path: &[Stage]) -> wire::Held {
-    wire::Held {
-        number,
-        tokens,
-        path: path.iter().map(stage_to_wire).collect(),
-    }
-}
-
-fn refused(reason: Reason, wait: Duration) -> wire::Answer {
-    let reason = match reason {
-        Reason::NoPath => wire::Reason::NoPath,
-        Reason::WaitTooLong => wire::Reason::WaitTooLong,
-        Reason::Expired => wire::Reason::Expired,
-    };
-    let ms = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
-    wire::Answer::Refused(reason, ms)
-}
-
-const fn reason_from_wire(reason: wire::Reason) -> Reason {
-    match reason {
-        wire::Reason::NoPath => Reason::NoPath,
-        wire::Reason::WaitTooLong => Reason::WaitTooLong,
-        wire::Reason::Expired => Reason::Expired,
-    }
-}
--- /dev/null
+++ b/crates/gateway/src/homes/wire.rs
@@ -0,0 +1,75 @@
+//! Between the gateway's types and those of the messages.
+
+use std::time::Duration;
+
+use hemlockwind_core::layers::LayerRange;
+use hemlockwind_core::time::Instant;
+use hemlockwind_paths::ticket::Reason;
+use hemlockwind_platform::headers::Stage;
+use hemlockwind_protocol::peer::paths as message;
+
+use crate::homes::Ask;
+use crate::homes::HomeKey;
+
+pub(super) fn engines(key: &HomeKey) -> message::Engines {
+    message::Engines {
+        service: key.0.to_string(),
+        data_centre: key.1.to_string(),
+    }
+}
+
+pub(super) fn to_wire(ask: &Ask, number: u64, now: Instant) -> message::Ask {
+    let until = |at: Instant| u32::try_from(at.since(now).as_millis()).unwrap_or(u32::MAX);
+    message::Ask {
+        number,
+        organisation: ask.organisation.to_string(),
+        rank: ask.rank.0,
+        tokens: ask.tokens,
+        on_time_ms: until(ask.on_time_by),
+        latest_ms: until(ask.latest),
+        may_wait: ask.may_wait,
+    }
+}
+
+pub(super) fn stage_to_wire(stage: &Stage) -> message::Stage {
+    message::Stage {
+        id: stage.id.to_string(),
+        addr: stage.addr,
+        start: stage.layers.start(),
+        end: stage.layers.end(),
+    }
+}
+
+pub(super) fn from_wire(stage: message::Stage) -> Option<Stage> {
+    Some(Stage {
+        id: stage.id.into(),
+        addr: stage.addr,
+        layers: LayerRange::new(stage.start, stage.end).ok()?,
+    })
+}
+
+pub(super) fn held(number: u64, tokens: u32, path: &[Stage]) -> message::Held {
+    message::Held {
+        number,
+        tokens,
+        path: path.iter().map(stage_to_wire).collect(),
+    }
+}
+
+pub(super) fn refused(reason: Reason, wait: Duration) -> message::Answer {
+    let reason = match reason {
+        Reason::NoPath => message::Reason::NoPath,
+        Reason::WaitTooLong => message::Reason::WaitTooLong,
+        Reason::Expired => message::Reason::Expired,
+    };
+    let ms = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
+    message::Answer::Refused(reason, ms)
+}
+
+pub(super) const fn reason_from_wire(reason: message::Reason) -> Reason {
+    match reason {
+        message::Reason::NoPath => Reason::NoPath,
+        message::Reason::WaitTooLong => Reason::WaitTooLong,
+        message::Reason::Expired => Reason::Expired,
+    }
+}
