Streams: an engine that leaves counts as an attempt until its entry is removed

Ruled out: refusals, which are not counted by the rule. Change: engines count while they are listed at all.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -21,7 +21,6 @@
 use hemlockwind_backend::http1::Exchange;
 use hemlockwind_core::Error;
 use hemlockwind_core::routes::Repeat;
-use hemlockwind_core::servers::ServerState;
 use hemlockwind_platform::engine;
 use hemlockwind_platform::engine::Report;
 use hemlockwind_telemetry::histograms::Measure;
@@ -410,14 +409,15 @@
         }
     }
 
-    /// Engines that this stream was sent to and that have not ended since.
+    /// Engines that this stream was sent to and that have not ended since. One that is
+    /// leaving still counts, as it may serve for many seconds.
     fn attempts_used(&self) -> usize {
         let directory = self.gateway.directory.read();
-        let stays = |addr: &SocketAddr| {
-            let mut listed = directory.iter();
-            listed.any(|s| s.addr == *addr && s.state == ServerState::Ready)
-        };
-        self.firsts.iter().filter(|addr| stays(addr)).count()
+        let listed = self
+            .firsts
+            .iter()
+            .filter(|addr| directory.is_listed(**addr));
+        listed.count()
     }
 
     fn first(&self) -> Option<SocketAddr> {
