--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -3,7 +3,6 @@
 //! Entries may lapse while the store is away although their servers live. They come
 //! back within a known time of its return; until then a removal is only noted.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -117,11 +116,6 @@
         self.iter().filter(move |s| *s.service == *service)
     }
 
-    /// Whether a server at this address has an entry, ready or leaving.
-    pub fn is_listed(&self, addr: SocketAddr) -> bool {
-        self.iter().any(|s| s.addr == addr)
-    }
-
     /// The server with this id.
     pub fn get(&self, id: &str) -> Option<&Arc<BackendServer>> {
         self.entries.get(id).map(|e| &e.server)
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -379,7 +379,8 @@
         let first = path.first().map(|s| s.addr)?;
         let is_new = !self.firsts.contains(&first);
         let attempts = self.accepted.route.attempts as usize;
-        if is_new && self.attempts_used() >= attempts {
+        // An engine without an entry may still serve for many seconds, so all count.
+        if is_new && self.firsts.len() >= attempts {
             // Another path may begin at an engine that the stream was sent to before.
             return None;
         }
@@ -409,17 +410,6 @@
         }
     }
 
-    /// Engines that this stream was sent to and that have not ended since. One that is
-    /// leaving still counts, as it may serve for many seconds.
-    fn attempts_used(&self) -> usize {
-        let directory = self.gateway.directory.read();
-        let listed = self
-            .firsts
-            .iter()
-            .filter(|addr| directory.is_listed(**addr));
-        listed.count()
-    }
-
     fn first(&self) -> Option<SocketAddr> {
         let grant = self.grant.as_ref()?;
         grant.path.first().map(|s| s.addr)
