--- a/crates/gateway/src/doubt.rs
+++ b/crates/gateway/src/doubt.rs
@@ -26,6 +26,7 @@
             return;
         }
     };
+    gateway.homes.report_memory(gateway.now(), addr, &report);
     let is_full = report.waiting > 0 || report.room_used >= report.room * FULL;
     info!(gateway.log, "engine examined"; "engine" => %addr, "room" => report.room,
         "room_used" => report.room_used, "waiting" => report.waiting,
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -234,6 +234,9 @@
             "removed" => change.is_removed, "readable" => after.is_some(),
             "state" => after.as_ref().map(|s| format!("{:?}", s.state)),
             "layers" => after.as_ref().and_then(|s| s.layers).map(|l| l.to_string()),
+            "data_centre" => after.as_ref().map(|s| s.data_centre.to_string()),
+            "card" => after.as_ref().and_then(|s| s.card.as_ref()).map(|c| c.to_string()),
+            "addr" => after.as_ref().map(|s| s.addr.to_string()),
             "object_version" => change.object.version.0, "left_out" => left_out);
     }
     match after {
@@ -268,9 +271,8 @@
             changed(&gateway);
         }
         gateway.homes.poll(now);
-        for (service, data_centre, has_path) in gateway.homes.turns(now) {
-            info!(gateway.log, "whole path"; "service" => &*service,
-                "data_centre" => &*data_centre, "there" => has_path);
+        for (service, has_path) in gateway.homes.turns(now) {
+            info!(gateway.log, "whole path"; "service" => &*service, "there" => has_path);
         }
     }
 }
--- a/crates/gateway/src/homes.rs
+++ b/crates/gateway/src/homes.rs
@@ -1,9 +1,9 @@
 //! Where and when a stream may start, by the homes of its service.
 //!
-//! Each data centre with engines of a service has one home, kept by one of its
-//! instances. A request asks the home of its own data centre first, then the others,
-//! and waits at the one with the shortest wait. A home that does not answer is replaced
-//! by the next instance; streams that run are told to the new one.
+//! The engines of a service have one home, kept by one of the instances, which has the
+//! only ledger of their memory. A home that does not answer is replaced by the next
+//! instance; streams that run are told to the new one. On both sides of a cut instances
+//! choose a home among those that they reach, for the engines that they reach.
 
 mod keep;
 pub mod local;
@@ -32,6 +32,7 @@
 use hemlockwind_core::time::Instant;
 use hemlockwind_paths::Engines;
 use hemlockwind_paths::Home;
+use hemlockwind_paths::home::Detour;
 use hemlockwind_paths::ticket::Reason;
 use hemlockwind_platform::headers::Stage;
 use hemlockwind_protocol::peer::Reply;
@@ -43,11 +44,9 @@
 use crate::homes::local::Cell;
 use crate::homes::local::Decided;
 use crate::homes::local::Local;
-use crate::homes::wire::engines;
 use crate::homes::wire::from_wire;
 use crate::homes::wire::reason_from_wire;
 use crate::homes::wire::to_wire;
-use crate::peers::EVERYWHERE;
 use crate::peers::Instance;
 
 /// Time that an engine gets no new work after it stopped making progress: its entry is
@@ -61,8 +60,6 @@
 pub const DONE_INTERVAL: Duration = Duration::from_millis(10);
 /// Homes that are tried for one data centre.
 const HOME_TRIES: u32 = 3;
-/// Time that a home's word about its wait is believed at most.
-const WAIT_BELIEVED: Duration = Duration::from_millis(100);
 
 /// `Ask` is what a stream asks of a home.
 #[derive(Clone, Debug)]
@@ -92,8 +89,8 @@
     pub retry_after: Duration,
 }
 
-/// The service and the data centre of a home's engines.
-type HomeKey = (Arc<str>, Arc<str>);
+/// The service of a home's engines.
+type HomeKey = Arc<str>;
 
 /// What this instance has running at one home.
 #[derive(Default)]
@@ -102,8 +99,6 @@
     done: Vec<u64>,
     /// The instance that was last told of the running streams.
     told: Option<Arc<str>>,
-    /// The wait that the home told, and until when it is believed.
-    wait: Option<(Duration, Instant)>,
 }
 
 type Accounts = Mutex<SeededHashMap<HomeKey, Account>>;
@@ -118,6 +113,8 @@
     numbers: AtomicU64,
     /// Engines that others were told of, until when.
     dead: Mutex<HashMap<SocketAddr, Instant>>,
+    /// Data centres that can't be reached from here.
+    cut_off: Mutex<Vec<Arc<str>>>,
 }
 
 #[derive(Default)]
@@ -152,6 +149,7 @@
             ended: Arc::new(Notify::new()),
             numbers: AtomicU64::new(1),
             dead: Mutex::default(),
+            cut_off: Mutex::default(),
         }
     }
 
@@ -165,106 +163,44 @@
             let Some(model) = service.engine.as_ref().filter(|m| m.is_joint()) else {
                 continue;
             };
-            let mut data_centres = data_centres(directory, &service.name);
-            data_centres.push(EVERYWHERE.into());
-            for data_centre in data_centres {
-                let cell = {
-                    let key = (Arc::clone(&service.name), Arc::clone(&data_centre));
-                    let mut homes = self.homes.lock();
-                    let cell = homes.entry(key).or_insert_with(|| {
-                        let engines = Engines::new(Arc::clone(model));
-                        let within =
-                            (&*data_centre != EVERYWHERE).then(|| Arc::clone(&data_centre));
-                        let home = Home::new(engines, within);
-                        Arc::new(Mutex::new(Local::new(home)))
-                    });
-                    Arc::clone(cell)
-                };
-                let engines = &mut cell.lock().home.engines;
-                engines.model = Arc::clone(model);
-                let entries = directory.of(&service.name);
-                let entries =
-                    entries.filter(|s| &*data_centre == EVERYWHERE || s.data_centre == data_centre);
-                engines.update(entries.map(|s| &**s));
-            }
+            let cell = {
+                let mut homes = self.homes.lock();
+                let cell = homes.entry(Arc::clone(&service.name)).or_insert_with(|| {
+                    let home = Home::new(Engines::new(Arc::clone(model)));
+                    Arc::new(Mutex::new(Local::new(home)))
+                });
+                Arc::clone(cell)
+            };
+            let engines = &mut cell.lock().home.engines;
+            engines.model = Arc::clone(model);
+            engines.update(directory.of(&service.name).map(|s| &**s));
+            engines.set_cut_off(&self.cut_off.lock());
         }
     }
 
-    /// Asks for a start of a stream, and waits for it where that is of use.
+    /// Asks the home of a service for a start of a stream, and waits for it where that is of
+    /// use. Asks the next one when it does not answer.
     ///
     /// # Errors
     ///
     /// The reason why it may not start.
     pub async fn ask(&self, gateway: &Gateway, ask: &Ask) -> Result<Grant, Refusal> {
-        let mut best: Option<(Duration, HomeKey)> = None;
-        for key in self.keys(&ask.service, &gateway.settings.data_centre) {
-            // Paths through several data centres load the links between them, so they are
-            // for the time when no data centre has a whole path.
-            if &*key.1 == EVERYWHERE && best.is_some() {
-                break;
-            }
-            let decided = match self.believed_wait(&key) {
-                Some(wait) => Err((Reason::WaitTooLong, wait)),
-                None => {
-                    let now = Ask {
-                        may_wait: false,
-                        ..ask.clone()
-                    };
-                    match self.ask_home(gateway, &key, &now).await {
-                        Ok(grant) => return Ok(grant),
-                        Err(refused) => Err::<(), _>(refused),
-                    }
-                }
-            };
-            if let Err((Reason::WaitTooLong, wait)) = decided
-                && best.as_ref().is_none_or(|(shortest, _)| wait < *shortest)
-            {
-                best = Some((wait, key));
-            }
-        }
-        let Some((wait, key)) = best else {
-            return Err(Refusal {
-                reason: Reason::NoPath,
-                retry_after: NO_HOME_RETRY,
-            });
-        };
-        if !ask.may_wait {
-            return Err(Refusal {
-                reason: Reason::WaitTooLong,
-                retry_after: wait,
-            });
-        }
-        let granted = self.ask_home(gateway, &key, ask).await;
-        granted.map_err(|(reason, retry_after)| Refusal {
-            reason,
-            retry_after,
-        })
-    }
-
-    /// Asks the home of `key`, and the next one when it does not answer.
-    async fn ask_home(
-        &self,
-        gateway: &Gateway,
-        key: &HomeKey,
-        ask: &Ask,
-    ) -> Result<Grant, (Reason, Duration)> {
         for _ in 0..HOME_TRIES {
             let now = self.now();
-            let keeper = gateway.peers.home(&key.0, &key.1);
+            let keeper = gateway.peers.home(&ask.service);
             let claim = Claim {
-                key: key.clone(),
+                key: Arc::clone(&ask.service),
                 number: self.numbers.fetch_add(1, Ordering::Relaxed),
                 accounts: Arc::clone(&self.accounts),
                 ended: Arc::clone(&self.ended),
             };
+            let near = &gateway.settings.data_centre;
+            let asked = to_wire(ask, near, claim.number, now);
             let decided = match keeper.name == gateway.peers.me().name {
-                true => Some(
-                    self.ask_local(key, "", &to_wire(ask, claim.number, now))
-                        .await,
-                ),
+                true => Some(self.ask_local(&ask.service, "", &asked).await),
                 false => {
-                    self.ask_remote(gateway, &keeper, key, to_wire(ask, claim.number, now))
-                        .await
+                    let remote = self.ask_remote(gateway, &keeper, &ask.service, asked);
+                    remote.await
                 }
             };
             match decided {
@@ -275,16 +211,19 @@
                         ticket: claim,
                     });
                 }
-                Some(Err((reason, wait))) => {
-                    if reason == Reason::WaitTooLong {
-                        self.believe_wait(key, now, wait);
-                    }
-                    return Err((reason, wait));
+                Some(Err((reason, retry_after))) => {
+                    return Err(Refusal {
+                        reason,
+                        retry_after,
+                    });
                 }
                 None => {}
             }
         }
-        Err((Reason::NoPath, NO_HOME_RETRY))
+        Err(Refusal {
+            reason: Reason::NoPath,
+            retry_after: NO_HOME_RETRY,
+        })
     }
 
     async fn ask_remote(
@@ -294,7 +233,7 @@
         key: &HomeKey,
         ask: message::Ask,
     ) -> Option<Decided> {
-        let req = Request::Paths(message::Message::Ask(engines(key), ask));
+        let req = Request::Paths(message::Message::Ask(key.to_string(), ask));
         let reply = gateway.peers.call(keeper, req).await;
         match reply {
             Ok(Reply::Paths(message::Answer::Granted(path))) => {
@@ -310,33 +249,16 @@
                 gateway.counters.add("homes_unreachable");
                 if let Some(left_out) = gateway.lines.take(gateway.now(), "home_lost") {
                     info!(gateway.log, "home without answer"; "instance" => &*keeper.name,
-                        "data_centre" => &*key.1, "error" => %e, "left_out" => left_out);
+                        "service" => &**key, "error" => %e, "left_out" => left_out);
                 }
                 None
             }
         }
     }
 
-    /// Another path for a granted stream in the same data centre, one that it fits on if
-    /// it must. Returns whether there is one.
-    pub async fn detour(&self, gateway: &Gateway, grant: &mut Grant, must_fit: bool) -> bool {
-        let key = &grant.ticket.key;
-        let number = grant.ticket.number;
-        let keeper = gateway.peers.home(&key.0, &key.1);
-        let path = match keeper.name == gateway.peers.me().name {
-            true => self.detour_local(key, "", number, must_fit),
-            false => {
-                let req = Request::Paths(message::Message::Detour(engines(key), number, must_fit));
-                match gateway.peers.call(&keeper, req).await {
-                    Ok(Reply::Paths(message::Answer::Granted(path))) => {
-                        path.into_iter().map(from_wire).collect()
-                    }
-                    // A home that does not know the stream has nothing to offer for it.
-                    Ok(_) | Err(_) => None,
-                }
-            }
-        };
-        let Some(path) = path else {
+    /// Another path for a granted stream. Returns whether there is one.
+    pub async fn detour(&self, gateway: &Gateway, grant: &mut Grant, by: Detour) -> bool {
+        let Some(path) = self.other_path(gateway, grant, by).await else {
             return false;
         };
         grant.ticket.moved(&path);
@@ -344,6 +266,27 @@
         true
     }
 
+    async fn other_path(&self, gateway: &Gateway, grant: &Grant, by: Detour) -> Option<Vec<Stage>> {
+        let key = &grant.ticket.key;
+        let detour = message::Detour {
+            number: grant.ticket.number,
+            must_fit: by.must_fit,
+            keeps_first: by.keeps_first,
+        };
+        let keeper = gateway.peers.home(key);
+        if keeper.name == gateway.peers.me().name {
+            return self.detour_local(key, "", detour);
+        }
+        let req = Request::Paths(message::Message::Detour(key.to_string(), detour));
+        match gateway.peers.call(&keeper, req).await {
+            Ok(Reply::Paths(message::Answer::Granted(path))) => {
+                path.into_iter().map(from_wire).collect()
+            }
+            // A home that does not know the stream has nothing to offer for it.
+            Ok(_) | Err(_) => None,
+        }
+    }
+
     /// An engine refused to be part of the path of `grant`: its home gives it nothing new
     /// for `time`.
     pub async fn refused(
@@ -354,13 +297,13 @@
         time: Duration,
     ) {
         let key = &grant.ticket.key;
-        let keeper = gateway.peers.home(&key.0, &key.1);
+        let keeper = gateway.peers.home(key);
         if keeper.name == gateway.peers.me().name {
             self.refused_local(gateway, key, addr, time);
             return;
         }
         let ms = u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
-        let req = Request::Paths(message::Message::Refused(engines(key), addr, ms));
+        let req = Request::Paths(message::Message::Refused(key.to_string(), addr, ms));
         // A home that does not hear it grants such a path once more, no worse.
         let _ = gateway.peers.call(&keeper, req).await;
     }
@@ -382,6 +325,11 @@
         dead.get(&addr).is_some_and(|until| *until > now)
     }
 
+    /// Whether a data centre can't be reached from here.
+    pub fn is_cut_off(&self, data_centre: &str) -> bool {
+        self.cut_off.lock().iter().any(|d| **d == *data_centre)
+    }
+
     /// Gives the engine at `addr` no new work for `time`.
     pub fn shun_for(&self, now: Instant, addr: SocketAddr, time: Duration) {
         for cell in self.homes.lock().values() {
@@ -398,32 +346,6 @@
         });
         loads.fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1))
     }
-
-    /// The homes of a service: the one of the own data centre first, and last the one
-    /// whose paths lead through several data centres.
-    fn keys(&self, service: &str, own: &str) -> Vec<HomeKey> {
-        let homes = self.homes.lock();
-        let mut keys: Vec<HomeKey> = homes
-            .keys()
-            .filter(|(name, _)| **name == *service)
-            .cloned()
-            .collect();
-        let order = |d: &Arc<str>| (&**d == EVERYWHERE, **d != *own);
-        keys.sort_unstable_by(|(_, a), (_, b)| order(a).cmp(&order(b)).then(a.cmp(b)));
-        keys
-    }
-
-    fn believed_wait(&self, key: &HomeKey) -> Option<Duration> {
-        let accounts = self.accounts.lock();
-        let (wait, until) = accounts.get(key)?.wait?;
-        (until > self.now()).then_some(wait)
-    }
-
-    fn believe_wait(&self, key: &HomeKey, now: Instant, wait: Duration) {
-        let mut accounts = self.accounts.lock();
-        let account = accounts.entry(key.clone()).or_default();
-        account.wait = Some((wait, now + (wait / 4).min(WAIT_BELIEVED)));
-    }
 }
 
 impl Claim {
@@ -458,11 +380,3 @@
         self.path.iter().any(|s| s.addr == addr)
     }
 }
-
-fn data_centres(directory: &Directory, service: &str) -> Vec<Arc<str>> {
-    let all = directory.of(service).map(|s| Arc::clone(&s.data_centre));
-    let mut all: Vec<Arc<str>> = all.collect();
-    all.sort_unstable();
-    all.dedup();
-    all
-}
--- a/crates/gateway/src/homes/keep.rs
+++ b/crates/gateway/src/homes/keep.rs
@@ -11,7 +11,9 @@
 use hemlockwind_core::time::Instant;
 use hemlockwind_paths::Ticket;
 use hemlockwind_paths::TicketId;
+use hemlockwind_paths::home::Detour;
 use hemlockwind_paths::ticket::Reason;
+use hemlockwind_platform::engine::Report;
 use hemlockwind_platform::headers::Stage;
 use hemlockwind_protocol::peer::paths as message;
 
@@ -26,7 +28,6 @@
 use crate::homes::local::Decided;
 use crate::homes::wire::refused;
 use crate::homes::wire::stage_to_wire;
-use crate::peers::EVERYWHERE;
 
 impl Homes {
     /// Asks the home that this instance keeps, for itself or for `from`.
@@ -36,6 +37,7 @@
             return Err((Reason::NoPath, NO_HOME_RETRY));
         };
         let now = self.now();
+        let near = cell.lock().home.engines.data_centre(&ask.data_centre);
         let ticket = {
             let mut names = self.names.lock();
             Ticket {
@@ -43,6 +45,7 @@
                     instance: names.instances.intern(from),
                     number: ask.number,
                 },
+                near,
                 organisation: names.organisations.intern(&ask.organisation),
                 rank: Rank(ask.rank),
                 tokens: ask.tokens,
@@ -64,28 +67,28 @@
         let now = self.now();
         match message {
             message::Message::Ask(of, ask) => {
-                let key = (of.service.into(), of.data_centre.into());
+                let key: HomeKey = of.into();
                 match self.ask_local(&key, from, &ask).await {
                     Ok(path) => message::Answer::Granted(path.iter().map(stage_to_wire).collect()),
                     Err((reason, wait)) => refused(reason, wait),
                 }
             }
             message::Message::Done(of, numbers) => {
-                self.done_local(&(of.service.into(), of.data_centre.into()), from, &numbers);
+                self.done_local(&of.into(), from, &numbers);
                 message::Answer::Done
             }
             message::Message::Running(of, numbers) => {
-                let key = (of.service.into(), of.data_centre.into());
+                let key: HomeKey = of.into();
                 message::Answer::Unknown(self.running_local(&key, from, &numbers))
             }
             message::Message::Held(of, held) => {
-                let key = (of.service.into(), of.data_centre.into());
+                let key: HomeKey = of.into();
                 self.adopt_local(&key, from, &held);
                 message::Answer::Done
             }
-            message::Message::Detour(of, number, must_fit) => {
-                let key = (of.service.into(), of.data_centre.into());
-                match self.detour_local(&key, from, number, must_fit) {
+            message::Message::Detour(of, detour) => {
+                let key: HomeKey = of.into();
+                match self.detour_local(&key, from, detour) {
                     Some(path) => {
                         message::Answer::Granted(path.iter().map(stage_to_wire).collect())
                     }
@@ -93,7 +96,7 @@
                 }
             }
             message::Message::Refused(of, addr, ms) => {
-                let key = (of.service.into(), of.data_centre.into());
+                let key: HomeKey = of.into();
                 self.refused_local(gateway, &key, addr, Duration::from_millis(ms.into()));
                 message::Answer::Done
             }
@@ -162,13 +165,16 @@
         &self,
         key: &HomeKey,
         from: &str,
-        number: u64,
-        must_fit: bool,
+        detour: message::Detour,
     ) -> Option<Vec<Stage>> {
         let cell = self.cell(key)?;
-        let id = self.id(from, number);
+        let id = self.id(from, detour.number);
+        let by = Detour {
+            must_fit: detour.must_fit,
+            keeps_first: detour.keeps_first,
+        };
         let now = self.now();
-        cell.lock().detour(now, id, must_fit)
+        cell.lock().detour(now, id, by)
     }
 
     /// An engine of a home that is kept here refused. One that goes on refusing is asked
@@ -208,25 +214,40 @@
                 .collect()
         };
         for (key, cell) in cells {
-            let keeper = gateway.peers.home(&key.0, &key.1);
-            if keeper.name != gateway.peers.me().name || &*key.1 == EVERYWHERE {
+            if gateway.peers.home(&key).name != gateway.peers.me().name {
                 continue;
             }
             let local = cell.lock();
-            info!(gateway.log, "home"; "service" => &*key.0, "data_centre" => &*key.1,
+            info!(gateway.log, "home"; "service" => &*key,
                 "running" => local.home.running(), "waiting" => local.home.waiting(),
                 "engines" => local.summary(now));
         }
     }
 
-    /// Notes whether each home has a whole path. Returns the homes that have gained or
+    /// Notes whether each home has a whole path. Returns the services that have gained or
     /// lost it.
-    pub fn turns(&self, now: Instant) -> Vec<(Arc<str>, Arc<str>, bool)> {
+    pub fn turns(&self, now: Instant) -> Vec<(Arc<str>, bool)> {
         let homes = self.homes.lock();
-        let turned = homes.iter().filter_map(|((service, data_centre), cell)| {
+        let turned = homes.iter().filter_map(|(service, cell)| {
             let has_path = cell.lock().turn(now)?;
-            Some((Arc::clone(service), Arc::clone(data_centre), has_path))
+            Some((Arc::clone(service), has_path))
         });
         turned.collect()
     }
+
+    /// Takes the data centres whose engines can't be reached from here.
+    pub fn set_cut_off(&self, data_centres: &[Arc<str>]) {
+        *self.cut_off.lock() = data_centres.to_vec();
+        for cell in self.homes.lock().values() {
+            cell.lock().home.engines.set_cut_off(data_centres);
+        }
+    }
+
+    /// Takes an engine's report on its memory.
+    pub fn report_memory(&self, now: Instant, addr: SocketAddr, report: &Report) {
+        for cell in self.homes.lock().values() {
+            let engines = &mut cell.lock().home.engines;
+            engines.report(now, addr, report.room, report.room_used);
+        }
+    }
 }
--- a/crates/gateway/src/homes/local.rs
+++ b/crates/gateway/src/homes/local.rs
@@ -15,6 +15,7 @@
 use hemlockwind_paths::Ticket;
 use hemlockwind_paths::TicketId;
 use hemlockwind_paths::engines::Stage as Place;
+use hemlockwind_paths::home::Detour;
 use hemlockwind_paths::home::Held;
 use hemlockwind_paths::ticket::Decision;
 use hemlockwind_paths::ticket::Reason;
@@ -86,8 +87,8 @@
     }
 
     /// Another path for a running stream.
-    pub fn detour(&mut self, now: Instant, id: TicketId, must_fit: bool) -> Option<Vec<Stage>> {
-        let path = self.home.detour(now, id, must_fit)?;
+    pub fn detour(&mut self, now: Instant, id: TicketId, by: Detour) -> Option<Vec<Stage>> {
+        let path = self.home.detour(now, id, by)?;
         Some(self.resolve(&path))
     }
 
@@ -123,7 +124,8 @@
         engines.sort_by_key(|e| (e.layers, e.addr));
         let parts = engines.iter().map(|e| {
             let used = 100.0 * e.used / e.room.max(1.0);
-            let mark = if e.is_usable(now) { "" } else { "!" };
+            let is_usable = self.home.engines.is_usable(e, now);
+            let mark = if is_usable { "" } else { "!" };
             format!("{}{mark} {} {used:.0}", e.layers, e.streams)
         });
         parts.collect::<Vec<_>>().join(", ")
--- a/crates/gateway/src/homes/tell.rs
+++ b/crates/gateway/src/homes/tell.rs
@@ -17,7 +17,6 @@
 use crate::homes::Homes;
 use crate::homes::REPORT_INTERVAL;
 use crate::homes::local::Cell;
-use crate::homes::wire::engines;
 use crate::homes::wire::held;
 use crate::orders::CANDIDATES;
 use crate::orders::DUTY;
@@ -36,12 +35,12 @@
                     .collect()
             };
             let calls = ended.into_iter().map(|(key, numbers)| async move {
-                let keeper = gateway.peers.home(&key.0, &key.1);
+                let keeper = gateway.peers.home(&key);
                 if keeper.name == gateway.peers.me().name {
                     self.done_local(&key, "", &numbers);
                     return;
                 }
-                let req = Request::Paths(message::Message::Done(engines(&key), numbers));
+                let req = Request::Paths(message::Message::Done(key.to_string(), numbers));
                 // What is lost here, the next report mends.
                 let _ = gateway.peers.call(&keeper, req).await;
             });
@@ -61,7 +60,7 @@
     }
 
     pub(super) async fn report_to(&self, gateway: &Gateway, key: &HomeKey) {
-        let keeper = gateway.peers.home(&key.0, &key.1);
+        let keeper = gateway.peers.home(key);
         let numbers: Vec<u64> = {
             let mut accounts = self.accounts.lock();
             let account = accounts.entry(key.clone()).or_default();
@@ -76,7 +75,7 @@
         let unknown = match is_mine {
             true => self.running_local(key, "", &numbers),
             false => {
-                let req = Request::Paths(message::Message::Running(engines(key), numbers));
+                let req = Request::Paths(message::Message::Running(key.to_string(), numbers));
                 match gateway.peers.call(&keeper, req).await {
                     Ok(Reply::Paths(message::Answer::Unknown(unknown))) => unknown,
                     // The next report goes to the next keeper.
@@ -98,7 +97,7 @@
         if is_mine {
             self.adopt_local(key, "", &held);
         } else {
-            let req = Request::Paths(message::Message::Held(engines(key), held));
+            let req = Request::Paths(message::Message::Held(key.to_string(), held));
             // The next report says it again.
             let _ = gateway.peers.call(&keeper, req).await;
         }
@@ -116,7 +115,7 @@
             directory.iter().find(|s| s.addr == addr).cloned()
         };
         let Some(server) = server else { return };
-        let keeper = gateway.peers.home(&server.service, &server.data_centre);
+        let keeper = gateway.peers.home(&server.service);
         let mut tell: Vec<Instance> = gateway.peers.candidates(DUTY, CANDIDATES);
         if keeper.name != gateway.peers.me().name {
             tell.push(keeper);
--- a/crates/gateway/src/homes/wire.rs
+++ b/crates/gateway/src/homes/wire.rs
@@ -9,19 +9,12 @@
 use hemlockwind_protocol::peer::paths as message;
 
 use crate::homes::Ask;
-use crate::homes::HomeKey;
 
-pub(super) fn engines(key: &HomeKey) -> message::Engines {
-    message::Engines {
-        service: key.0.to_string(),
-        data_centre: key.1.to_string(),
-    }
-}
-
-pub(super) fn to_wire(ask: &Ask, number: u64, now: Instant) -> message::Ask {
+pub(super) fn to_wire(ask: &Ask, near: &str, number: u64, now: Instant) -> message::Ask {
     let until = |at: Instant| u32::try_from(at.since(now).as_millis()).unwrap_or(u32::MAX);
     message::Ask {
         number,
+        data_centre: near.to_string(),
         organisation: ask.organisation.to_string(),
         rank: ask.rank.0,
         tokens: ask.tokens,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod answers;
 pub mod calls;
+mod cuts;
 pub mod directory;
 pub mod doubt;
 pub mod events;
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -63,6 +63,12 @@
 /// Time that a gap lasts before the engines beside it are extended: enough for an
 /// engine that has just registered to be the one that fills it.
 const GAP_TIME: Duration = Duration::from_millis(150);
+/// Time that a new engine may be kept empty: in a replacement of the software the old
+/// one leaves about a second after the new one has come.
+const NEW_TIME: Duration = Duration::from_millis(2_500);
+/// Time without a change after which layers may be given up: their memory is free only
+/// when what passes through them has ended, and the next loss finds it taken.
+const CALM_TIME: Duration = Duration::from_millis(3_000);
 /// Instances that compete for the lease. The others need not read it.
 pub const CANDIDATES: usize = 3;
 /// Time after which an order whose effect does not show is given again, beside the
@@ -83,6 +89,10 @@
     /// When the first engine was seen, when the last new one, and how many there are.
     gathered: Option<(Instant, Instant, usize)>,
     gap_since: Option<Instant>,
+    /// When each engine was seen first.
+    seen: SeededHashMap<Arc<str>, Instant>,
+    /// The engines at the last change, and when that was.
+    last: (Vec<Engine>, Instant),
 }
 
 impl Giver {
@@ -105,11 +115,13 @@
             let server = servers.iter().find(|s| s.id == *id);
             server.is_some_and(|s| s.layers != Some(given.layers) && given.again_at > now)
         });
+        self.see(now, servers);
         let live = |s: &BackendServer| s.state == ServerState::Ready && !is_dead(s);
         let engines: Vec<Engine> = servers
             .iter()
-            .filter_map(|s| self.engine(model, s, live(s)))
+            .filter_map(|s| self.engine(now, model, s, live(s)))
             .collect();
+        let may_even = may_even && self.is_calm(now, &engines);
         let urgency = self.urgency(now, model, &engines, may_even);
         let orders = plan(model, &engines, urgency);
         let mut due = Vec::with_capacity(orders.len());
@@ -151,7 +163,37 @@
         }
     }
 
-    fn engine(&self, model: &EngineModel, server: &BackendServer, is_live: bool) -> Option<Engine> {
+    /// Notes which engines have appeared.
+    fn see(&mut self, now: Instant, servers: &[Arc<BackendServer>]) {
+        self.seen
+            .retain(|id, _| servers.iter().any(|s| s.id == *id));
+        for server in servers {
+            self.seen.entry(Arc::clone(&server.id)).or_insert(now);
+        }
+    }
+
+    /// Whether nothing has changed for a while.
+    fn is_calm(&mut self, now: Instant, engines: &[Engine]) -> bool {
+        let is_same = self.last.0.len() == engines.len()
+            && self
+                .last
+                .0
+                .iter()
+                .zip(engines)
+                .all(|(a, b)| a.id == b.id && a.layers == b.layers && a.is_live == b.is_live);
+        if !is_same {
+            self.last = (engines.to_vec(), now);
+        }
+        now.since(self.last.1) >= CALM_TIME
+    }
+
+    fn engine(
+        &self,
+        now: Instant,
+        model: &EngineModel,
+        server: &BackendServer,
+        is_live: bool,
+    ) -> Option<Engine> {
         let card = *model.cards.get(server.card.as_ref()?)?;
         let given = self.given.get(&server.id);
         // A restart has forgotten what it was ordered.
@@ -164,6 +206,10 @@
             layers: given.map(|g| g.layers).or(server.layers),
             is_free: given.is_none(),
             is_live,
+            is_new: self
+                .seen
+                .get(&server.id)
+                .is_some_and(|at| now.since(*at) < NEW_TIME),
         })
     }
 
@@ -320,7 +366,9 @@
         };
         let giver = givers.entry(Arc::clone(&service.name)).or_default();
         let now = gateway.now();
-        let is_dead = |s: &BackendServer| gateway.homes.is_dead(now, s.addr);
+        let is_dead = |s: &BackendServer| {
+            gateway.homes.is_dead(now, s.addr) || gateway.homes.is_cut_off(&s.data_centre)
+        };
         let due = giver.due(now, model, &servers, is_dead, may_even);
         let calls = due.into_iter().map(|(server, order)| async move {
             let ordered = place(gateway, &server, &order, fencing).await;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -14,6 +14,7 @@
 use parking_lot::Mutex;
 use parking_lot::RwLock;
 use rand::seq::IndexedRandom;
+use rand::seq::SliceRandom;
 use rustc_hash::FxBuildHasher;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -37,9 +38,6 @@
 /// Time beyond a ticket's own wait in which a home must have answered.
 const ASK_TIME: Duration = Duration::from_millis(250);
 
-/// The data centre of a home whose paths may lead through all of them.
-pub const EVERYWHERE: &str = "";
-
 /// `Instance` is one other instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Instance {
@@ -102,20 +100,33 @@
         self.is_known.store(true, Ordering::Relaxed);
     }
 
-    /// The instance that keeps the home of these engines: by rendezvous hashing over the
-    /// instances of their data centre, or over all for [`EVERYWHERE`]; this one where
-    /// none of them answers.
-    pub fn home(&self, service: &str, data_centre: &str) -> Instance {
+    /// The instance that keeps the home of a service: by rendezvous hashing over all that
+    /// answer; this one where none does.
+    pub fn home(&self, service: &str) -> Instance {
         let suspects = self.suspects.lock();
         let others = self.others.read();
         let all = others.values().chain([&self.me]);
-        let candidates =
-            all.filter(|i| data_centre == EVERYWHERE || *i.data_centre == *data_centre);
-        let live = candidates.filter(|i| !suspects.contains_key(&i.name));
+        let live = all.filter(|i| !suspects.contains_key(&i.name));
         let best = live.max_by_key(|i| weight(i, service));
         best.unwrap_or(&self.me).clone()
     }
 
+    /// The data centres of which no instance answers, although some are listed.
+    pub fn silent_data_centres(&self) -> Vec<Arc<str>> {
+        let suspects = self.suspects.lock();
+        let others = self.others.read();
+        let is_live = |i: &Instance| !suspects.contains_key(&i.name);
+        let mut silent: Vec<Arc<str>> = others
+            .values()
+            .filter(|i| i.data_centre != self.me.data_centre && !is_live(i))
+            .map(|i| Arc::clone(&i.data_centre))
+            .filter(|d| !others.values().any(|i| i.data_centre == *d && is_live(i)))
+            .collect();
+        silent.sort_unstable();
+        silent.dedup();
+        silent
+    }
+
     /// Whether this instance is among the first `count` of all for a duty.
     pub fn is_candidate(&self, duty: &str, count: usize) -> bool {
         let others = self.candidates(duty, count);
@@ -135,9 +146,11 @@
         live
     }
 
-    /// All other instances that answer.
+    /// All other instances that answer, in any order.
     pub fn all(&self) -> Vec<Instance> {
-        self.candidates("", usize::MAX)
+        let mut all = self.candidates("", usize::MAX);
+        all.shuffle(&mut rand::rng());
+        all
     }
 
     /// Another instance that may be asked anything.
@@ -181,18 +194,38 @@
         reply
     }
 
+    /// Probes one instance of each other data centre, and all of one that did not answer.
+    pub async fn sample(&self) {
+        let mut sample: Vec<Instance> = Vec::new();
+        for instance in self.all() {
+            let is_new = !sample.iter().any(|i| i.data_centre == instance.data_centre);
+            if instance.data_centre != self.me.data_centre && is_new {
+                sample.push(instance);
+            }
+        }
+        let silent = self.probe_all(sample).await;
+        let mut beside = self.all();
+        beside.retain(|i| silent.iter().any(|s| s.data_centre == i.data_centre));
+        self.probe_all(beside).await;
+    }
+
+    /// Probes instances. Returns those that did not answer, which are passed over now.
+    async fn probe_all(&self, instances: Vec<Instance>) -> Vec<Instance> {
+        let probes = instances.into_iter().map(|instance| async move {
+            let silent = self.call(&instance, nothing()).await.is_err();
+            silent.then_some(instance)
+        });
+        let answers = futures::future::join_all(probes).await;
+        answers.into_iter().flatten().collect()
+    }
+
     /// Probes the instances that did not answer, until the task is ended.
     pub async fn probe(&self) {
         loop {
             sleep(PROBE_INTERVAL).await;
             let suspects: Vec<Instance> = self.suspects.lock().values().cloned().collect();
             let probes = suspects.iter().map(|instance| async move {
-                // Nothing is newer than the newest version, so the reply is short.
-                let nothing = store::Message {
-                    kind: store::Kind::Routes,
-                    version: u64::MAX,
-                };
-                let probe = self.client.call(instance.addr, Request::Store(nothing));
+                let probe = self.client.call(instance.addr, nothing());
                 if let Ok(Ok(_)) = timeout(ASK_TIME, probe).await {
                     self.suspects.lock().remove(&instance.name);
                 }
@@ -202,6 +235,14 @@
     }
 }
 
+/// A probe. Nothing is newer than the newest version, so the reply is short.
+const fn nothing() -> Request {
+    Request::Store(store::Message {
+        kind: store::Kind::Routes,
+        version: u64::MAX,
+    })
+}
+
 /// The weight of an instance for a duty, by rendezvous hashing.
 fn weight(instance: &Instance, duty: &str) -> u64 {
     FxBuildHasher.hash_one((&instance.name, duty))
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -21,8 +21,11 @@
 use hemlockwind_backend::http1::Exchange;
 use hemlockwind_core::Error;
 use hemlockwind_core::routes::Repeat;
+use hemlockwind_paths::home::Detour;
 use hemlockwind_platform::engine;
+use hemlockwind_platform::engine::Ordered;
 use hemlockwind_platform::engine::Report;
+use hemlockwind_platform::headers;
 use hemlockwind_telemetry::histograms::Measure;
 
 use crate::events::Splitter;
@@ -49,6 +52,9 @@
 /// before.
 const RESUME_PAUSE: Duration = Duration::from_millis(60);
 const RESUME_PAUSE_LIMIT: Duration = Duration::from_millis(240);
+/// Tries to go on over other engines behind the same first one, before the stream is sent
+/// again.
+const REPATH_TRIES: u32 = 2;
 /// Time beyond the deadline after which a stream is broken off.
 const DEADLINE_GRACE: Duration = Duration::from_millis(200);
 /// Time between two tries to find a path away from a leaving engine.
@@ -182,21 +188,25 @@
                     None => return self.on_end(splitter, first, sender, &head).await,
                 },
                 fault = self.faults.recv() => if let Some(end) = self.on_fault(fault) {
-                    return end;
+                    if !self.replace(&end).await {
+                        return end;
+                    }
+                    look_at = Instant::now() + self.doubt_after();
                 },
                 () = sleep_until(look_at) => {
+                    look_at = Instant::now() + LOOK_AGAIN;
                     if let Some(end) = self.look().await {
-                        return end;
+                        if !self.replace(&end).await {
+                            return end;
+                        }
+                        look_at = Instant::now() + self.doubt_after();
                     }
-                    look_at = Instant::now() + LOOK_AGAIN;
                 }
                 () = sleep_until(leave_at.unwrap_or(look_at + Duration::from_secs(60))) => {
-                    if let Some((_, addr)) = self.leave_at.take() {
-                        // The run goes on until there is another path to move to.
-                        if self.find_path(true).await {
-                            return End::Leaving(addr);
-                        }
-                        self.leave_at = Some((Instant::now() + LEAVE_AGAIN, addr));
+                    if let Some((_, addr)) = self.leave_at.take()
+                        && let Some(end) = self.move_away(addr).await
+                    {
+                        return end;
                     }
                 }
                 () = sleep_until(self.accepted.deadline + DEADLINE_GRACE) => return End::Deadline,
@@ -301,6 +311,73 @@
         }
     }
 
+    /// Moves away from an engine that leaves. The run goes on until there is another path.
+    async fn move_away(&mut self, addr: SocketAddr) -> Option<End> {
+        let is_moved = match self.first() == Some(addr) {
+            true => {
+                if self.find_path(true).await {
+                    return Some(End::Leaving(addr));
+                }
+                false
+            }
+            false => self.repath(true).await,
+        };
+        if !is_moved {
+            self.leave_at = Some((Instant::now() + LEAVE_AGAIN, addr));
+        }
+        None
+    }
+
+    /// Has the first engine go on with the stream where a later one has died. Returns
+    /// whether it does; if not, the stream has to be sent again.
+    async fn replace(&mut self, end: &End) -> bool {
+        let End::Dead(addr) = *end else { return false };
+        streams::dead(&self.gateway, addr);
+        if self.first() == Some(addr) {
+            return false;
+        }
+        for _ in 0..REPATH_TRIES {
+            if self.repath(false).await {
+                self.heard = Instant::now();
+                return true;
+            }
+            sleep(RESUME_PAUSE).await;
+        }
+        false
+    }
+
+    /// Puts the stream on another path with the same first engine, where only the new
+    /// engines read its tokens again.
+    async fn repath(&mut self, must_fit: bool) -> bool {
+        let gateway = Arc::clone(&self.gateway);
+        let Some(grant) = self.grant.as_mut() else {
+            return false;
+        };
+        let by = Detour {
+            must_fit,
+            keeps_first: true,
+        };
+        let before = headers::path(&grant.path);
+        if !gateway.homes.detour(&gateway, grant, by).await {
+            return false;
+        }
+        let path = headers::path(&grant.path);
+        if path == before {
+            return false;
+        }
+        let ordered = engine::repath(&gateway.http, &self.accepted.attempt, &grant.path).await;
+        gateway.counters.add(match ordered {
+            Ordered::Accepted => "streams_repathed",
+            Ordered::Refused(_) | Ordered::Outdated | Ordered::Unknown(_) => "repaths_refused",
+        });
+        if let Some(left_out) = gateway.lines.take(gateway.now(), "stream_repathed") {
+            info!(gateway.log, "stream on another path"; "id" => &self.accepted.attempt,
+                "before" => before, "path" => path, "outcome" => format!("{ordered:?}"),
+                "events" => self.events, "left_out" => left_out);
+        }
+        ordered == Ordered::Accepted
+    }
+
     /// Goes on over another path, after the last event that was passed on.
     async fn resume(&mut self, end: &End) -> Option<Exchange> {
         match end {
@@ -338,14 +415,14 @@
         None
     }
 
-    /// Takes another path: in the same data centre, or in another one.
+    /// Takes another path, from the home that granted the first one or from a later one.
     async fn find_path(&mut self, must_fit: bool) -> bool {
+        let by = Detour {
+            must_fit,
+            keeps_first: false,
+        };
         if let Some(grant) = self.grant.as_mut()
-            && self
-                .gateway
-                .homes
-                .detour(&self.gateway, grant, must_fit)
-                .await
+            && self.gateway.homes.detour(&self.gateway, grant, by).await
         {
             return true;
         }
@@ -454,9 +531,7 @@
 
     fn path_text(&self) -> String {
         let grant = self.grant.as_ref();
-        grant.map_or_else(String::new, |g| {
-            hemlockwind_platform::headers::path(&g.path)
-        })
+        grant.map_or_else(String::new, |g| headers::path(&g.path))
     }
 
     fn finish(&self, outcome: &str) {
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -22,6 +22,7 @@
 use hemlockwind_protocol::peer::Handler;
 use hemlockwind_protocol::peer::store::Kind;
 
+use crate::cuts;
 use crate::follow;
 use crate::gateway::Gateway;
 use crate::instances;
@@ -72,6 +73,7 @@
         tokio::spawn(instances::run(Arc::clone(&gateway))),
         tokio::spawn(server::serve(peers, key, answers, gateway.log.clone())),
         tokio::spawn(probe(Arc::clone(&gateway))),
+        tokio::spawn(cuts::run(Arc::clone(&gateway))),
         tokio::spawn(homes_ended(Arc::clone(&gateway))),
         tokio::spawn(homes_report(Arc::clone(&gateway))),
         tokio::spawn(follow::tend(Arc::clone(&gateway))),
--- a/crates/protocol/src/peer/paths.rs
+++ b/crates/protocol/src/peer/paths.rs
@@ -5,16 +5,6 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// `Engines` names the engines that a home looks after.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-#[derive(Serialize, Deserialize)]
-pub struct Engines {
-    /// The service.
-    pub service: String,
-    /// The data centre.
-    pub data_centre: String,
-}
-
 /// `Stage` is one engine of a path and the layers that it runs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -35,6 +25,8 @@
 pub struct Ask {
     /// The stream's number at its instance.
     pub number: u64,
+    /// The data centre of its caller.
+    pub data_centre: String,
     /// Who asks.
     pub organisation: String,
     /// Its rank.
@@ -61,20 +53,32 @@
     pub path: Vec<Stage>,
 }
 
-/// `Message` is what an instance tells a home.
+/// `Detour` asks for another path of a running stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Detour {
+    /// The stream's number at its instance.
+    pub number: u64,
+    /// Whether memory must be free for it.
+    pub must_fit: bool,
+    /// Whether it stays with its first stage.
+    pub keeps_first: bool,
+}
+
+/// `Message` is what an instance tells the home of a service, which is named first.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub enum Message {
     /// Asks for a start.
-    Ask(Engines, Ask),
+    Ask(String, Ask),
     /// These streams have ended or don't wait any more.
-    Done(Engines, Vec<u64>),
+    Done(String, Vec<u64>),
     /// All streams that the instance has running there.
-    Running(Engines, Vec<u64>),
+    Running(String, Vec<u64>),
     /// Streams that the home did not know.
-    Held(Engines, Vec<Held>),
-    /// This stream needs another path; one that its memory fits on, if so told.
-    Detour(Engines, u64, bool),
+    Held(String, Vec<Held>),
+    /// This stream needs another path.
+    Detour(String, Detour),
     /// This engine makes no progress.
     Dead(SocketAddr),
     /// This engine finishes what it has and takes nothing new.
@@ -88,7 +92,7 @@
     },
     /// This engine refused to be part of a path; it gets nothing new for this time in
     /// milliseconds.
-    Refused(Engines, SocketAddr, u32),
+    Refused(String, SocketAddr, u32),
 }
 
 /// `Answer` is what a home replies.
--- a/crates/state/paths/src/choice.rs
+++ b/crates/state/paths/src/choice.rs
@@ -7,6 +7,7 @@
 
 use hemlockwind_core::layers::LayerRange;
 use hemlockwind_core::names::BackendServerKey;
+use hemlockwind_core::names::DataCentreKey;
 use hemlockwind_core::time::Instant;
 
 use crate::engines::Engine;
@@ -16,8 +17,15 @@
 /// Time for each token to pass to the next stage, in milliseconds: the delay inside a
 /// data centre and half a pass of the next engine.
 const HOP_MS: f64 = 0.3;
-/// The same to another data centre, with the wait for the shared pipe.
-const FAR_HOP_MS: f64 = 3.0;
+/// The same to another data centre over an idle link. A link is shared by all and soon
+/// full, so that a whole path in another data centre goes before one that crosses.
+const FAR_HOP_MS: f64 = 6.0;
+/// Time for each token that a path may lose by beginning in another data centre than the
+/// caller's, in milliseconds: the answer's bytes are charged.
+const FAR_START_MS: f64 = 1.0;
+/// Time for each token that a running stream may lose by taking a new engine in, which
+/// has to read all tokens so far, in milliseconds.
+const NEW_ENGINE_MS: f64 = 1.0;
 /// Weight of taken memory, in milliseconds for each token at a full engine over all
 /// layers: spreads requests over engines that are equally fast.
 const FULLNESS_MS: f64 = 8.0;
@@ -27,10 +35,24 @@
 pub struct Need<'a> {
     /// Tokens of its prompt and expected answer together.
     pub tokens: u32,
-    /// The data centre that the path stays in, or `None` for all.
-    pub within: Option<&'a str>,
+    /// The caller's data centre.
+    pub near: Option<DataCentreKey>,
     /// Whether memory must be free for it on all stages.
     pub must_fit: bool,
+    /// The path that it runs on, when it has to stay with its first stage.
+    pub held: Option<&'a [Stage]>,
+}
+
+impl Need<'_> {
+    fn first(&self) -> Option<Stage> {
+        self.held?.first().copied()
+    }
+
+    /// Whether the request has memory on an engine for these layers.
+    fn holds(&self, key: BackendServerKey, start: u16, end: u16) -> bool {
+        let mut held = self.held.into_iter().flatten();
+        held.any(|s| s.engine == key && s.layers.start() <= start && end <= s.layers.end())
+    }
 }
 
 /// What leads to a boundary, on an engine of one data centre.
@@ -52,39 +74,48 @@
 /// The cheapest path for `need`, `None` when there is none.
 pub fn choose(engines: &Engines, now: Instant, need: Need<'_>) -> Option<Vec<Stage>> {
     let last = engines.model.layers;
-    let mut data_centres: Vec<&str> = Vec::new();
+    let mut data_centres: Vec<DataCentreKey> = Vec::new();
     let mut usable: Vec<Usable<'_>> = Vec::new();
     for (key, engine) in engines.iter() {
-        let is_within = need.within.is_none_or(|d| *engine.data_centre == *d);
-        if !engine.is_usable(now) || !is_within {
+        if !engines.is_usable(engine, now) {
             continue;
         }
-        let known = data_centres.iter().position(|d| *d == &*engine.data_centre);
+        let known = data_centres.iter().position(|d| *d == engine.data_centre);
         let place = known.unwrap_or_else(|| {
-            data_centres.push(&engine.data_centre);
+            data_centres.push(engine.data_centre);
             data_centres.len() - 1
         });
         usable.push((key, engine, place));
     }
-    let bounds = boundaries(&usable, last);
+    let mut bounds = boundaries(&usable, last);
+    if let Some(first) = need.first()
+        && let Err(at) = bounds.binary_search(&first.layers.end())
+    {
+        bounds.insert(at, first.layers.end());
+    }
     let mut table: Table = vec![vec![None; data_centres.len()]; bounds.len()];
+    if let Some(first) = need.first() {
+        let at = bounds.binary_search(&first.layers.end()).ok()?;
+        let (.., place) = usable.iter().find(|(key, ..)| *key == first.engine)?;
+        table[at][*place] = Some(Step {
+            cost: 0.0,
+            from: (0, *place),
+            engine: first.engine,
+        });
+    }
     for at in 0..bounds.len() {
         let mut reached: Vec<(usize, Option<Step>)> = Vec::new();
-        if at == 0 {
+        if at == 0 && need.held.is_none() {
             reached.push((usize::MAX, None));
         }
         let steps = table[at].iter().enumerate();
         reached.extend(steps.filter_map(|(place, step)| Some((place, Some((*step)?)))));
         for (place, step) in reached {
             for engine in &usable {
-                extend(
-                    engines,
-                    need,
-                    &bounds,
-                    &mut table,
-                    (at, place, step),
-                    engine,
-                );
+                let hop = hop(engines, need, (place, step), engine, &data_centres);
+                let Some(hop) = hop else { continue };
+                let from = (at, place, step);
+                extend(engines, now, need, &bounds, &mut table, from, hop, engine);
             }
         }
     }
@@ -92,13 +123,38 @@
     Some(merge(path))
 }
 
+/// The time for each token to pass to an engine, `None` when the link is full.
+fn hop(
+    engines: &Engines,
+    need: Need<'_>,
+    (place, step): (usize, Option<Step>),
+    &(_, engine, its_place): &Usable<'_>,
+    data_centres: &[DataCentreKey],
+) -> Option<f64> {
+    match step {
+        None => {
+            let is_near = need.near.is_none_or(|d| engine.data_centre == d);
+            Some(if is_near { 0.0 } else { FAR_START_MS })
+        }
+        Some(_) if place == its_place => Some(HOP_MS),
+        Some(_) => {
+            let load = engines.link_load(data_centres[place], engine.data_centre);
+            let is_full = load >= 1.0 && need.must_fit;
+            (!is_full).then_some(FAR_HOP_MS * (1.0 + load))
+        }
+    }
+}
+
 /// Tries to go on with one engine from boundary `at`, reached in the data centre at `place`.
+#[expect(clippy::too_many_arguments, reason = "one step of the search")]
 fn extend(
     engines: &Engines,
+    now: Instant,
     need: Need<'_>,
     bounds: &[u16],
     table: &mut Table,
     (at, place, step): (usize, usize, Option<Step>),
+    hop: f64,
     &(key, engine, its_place): &Usable<'_>,
 ) {
     let start = bounds[at];
@@ -109,22 +165,21 @@
     if need.must_fit && step.is_none() && engine.first >= engine.slots {
         return;
     }
-    let hop = match step {
-        None => 0.0,
-        Some(_) if place == its_place => HOP_MS,
-        Some(_) => FAR_HOP_MS,
-    };
     let before = step.map_or(0.0, |step| step.cost);
     let by_layer = layer_cost(engines, engine);
+    let free = engine.free(now);
     for (to, &end) in bounds.iter().enumerate().skip(at + 1) {
         if end > engine.layers.end() {
             break;
         }
         let layers = f64::from(end - start);
-        if need.must_fit && engine.free() < f64::from(need.tokens) * layers {
+        let is_held = need.holds(key, start, end);
+        if need.must_fit && !is_held && free < f64::from(need.tokens) * layers {
             break;
         }
-        let cost = before + hop + layers * by_layer;
+        let is_new = need.held.is_some() && !is_held;
+        let new = if is_new { NEW_ENGINE_MS } else { 0.0 };
+        let cost = before + hop + new + layers * by_layer;
         let best = &mut table[to][its_place];
         if best.is_none_or(|known| cost < known.cost) {
             *best = Some(Step {
--- a/crates/state/paths/src/home.rs
+++ b/crates/state/paths/src/home.rs
@@ -10,6 +10,7 @@
 
 use hemlockwind_core::collections::HashMap;
 use hemlockwind_core::collections::HashSet;
+use hemlockwind_core::names::DataCentreKey;
 use hemlockwind_core::names::InstanceKey;
 use hemlockwind_core::names::OrganisationKey;
 use hemlockwind_core::names::Rank;
@@ -52,6 +53,21 @@
     pub path: Vec<Stage>,
 }
 
+/// `Detour` says which other path a running stream needs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Detour {
+    /// Whether memory must be free for it.
+    pub must_fit: bool,
+    /// Whether it has to stay with its first stage, which goes on with it.
+    pub keeps_first: bool,
+}
+
+impl Detour {
+    fn held(self, path: &[Stage]) -> Option<&[Stage]> {
+        self.keeps_first.then_some(path)
+    }
+}
+
 #[derive(Debug)]
 struct Running {
     tokens: u32,
@@ -60,12 +76,11 @@
     organisation: Option<OrganisationKey>,
 }
 
-/// `Home` decides who starts on the engines of one model in one data centre.
+/// `Home` decides who starts on the engines of one model.
 #[derive(Debug)]
 pub struct Home {
     /// The engines and what of their memory is taken.
     pub engines: Engines,
-    within: Option<std::sync::Arc<str>>,
     running: HashMap<TicketId, Running>,
     tokens: f64,
     waiting: Vec<(u64, Ticket)>,
@@ -76,11 +91,10 @@
 }
 
 impl Home {
-    /// A home whose paths stay `within` a data centre, or use all.
-    pub fn new(engines: Engines, within: Option<std::sync::Arc<str>>) -> Self {
+    /// A home for `engines` that nothing runs on.
+    pub fn new(engines: Engines) -> Self {
         Self {
             engines,
-            within,
             running: HashMap::default(),
             tokens: 0.0,
             waiting: Vec::new(),
@@ -111,7 +125,7 @@
     /// Takes a new ticket; `None` when it waits.
     pub fn ask(&mut self, now: Instant, ticket: Ticket) -> Option<Decision> {
         let goes_first = !self.waiting.iter().any(|(_, t)| t.rank <= ticket.rank);
-        if goes_first && let Some(path) = self.path(now, ticket.tokens) {
+        if goes_first && let Some(path) = self.path(now, &ticket) {
             return Some(self.start(now, &ticket, path));
         }
         // Engines that are passed over for a moment only are worth waiting for.
@@ -138,20 +152,24 @@
         }
     }
 
-    /// Another path for a running stream. One whose engines have failed goes on even where
-    /// its memory does not fit, unless `must_fit`.
-    pub fn detour(&mut self, now: Instant, id: TicketId, must_fit: bool) -> Option<Vec<Stage>> {
-        let tokens = self.running.get(&id)?.tokens;
-        let fits = self.path(now, tokens);
-        let path = match must_fit {
-            true => fits?,
-            false => fits.or_else(|| self.any_path(now, tokens))?,
+    /// Another path for a running stream, as `by` says. One whose engines have failed goes
+    /// on even where its memory does not fit.
+    pub fn detour(&mut self, now: Instant, id: TicketId, by: Detour) -> Option<Vec<Stage>> {
+        let running = self.running.get(&id)?;
+        let (tokens, old) = (running.tokens, running.path.clone());
+        // What it holds is its own to use again.
+        self.engines.give_back(&old, tokens);
+        let fits = self.choose(now, tokens, None, true, by.held(&old));
+        let path = match by.must_fit {
+            true => fits,
+            false => fits.or_else(|| self.choose(now, tokens, None, false, by.held(&old))),
         };
-        let running = self.running.get_mut(&id)?;
-        self.engines.give_back(&running.path, running.tokens);
-        self.engines.take(&path, running.tokens);
-        running.path.clone_from(&path);
-        Some(path)
+        let taken = path.as_ref().unwrap_or(&old);
+        self.engines.take(taken, tokens);
+        if let (Some(path), Some(running)) = (&path, self.running.get_mut(&id)) {
+            running.path.clone_from(path);
+        }
+        path
     }
 
     /// Takes the numbers of all streams that an instance has running, and forgets its
@@ -208,7 +226,7 @@
                 continue;
             };
             let ticket = self.waiting[at].1;
-            match self.path(now, ticket.tokens) {
+            match self.path(now, &ticket) {
                 Some(path) => {
                     self.waiting.remove(at);
                     let granted = self.start(now, &ticket, path);
@@ -267,27 +285,30 @@
         }
     }
 
-    fn path(&self, now: Instant, tokens: u32) -> Option<Vec<Stage>> {
-        let need = Need {
-            tokens,
-            within: self.within.as_deref(),
-            must_fit: true,
-        };
-        choice::choose(&self.engines, now, need)
+    fn path(&self, now: Instant, ticket: &Ticket) -> Option<Vec<Stage>> {
+        self.choose(now, ticket.tokens, ticket.near, true, None)
     }
 
-    fn any_path(&self, now: Instant, tokens: u32) -> Option<Vec<Stage>> {
+    fn choose(
+        &self,
+        now: Instant,
+        tokens: u32,
+        near: Option<DataCentreKey>,
+        must_fit: bool,
+        held: Option<&[Stage]>,
+    ) -> Option<Vec<Stage>> {
         let need = Need {
             tokens,
-            within: self.within.as_deref(),
-            must_fit: false,
+            near,
+            must_fit,
+            held,
         };
         choice::choose(&self.engines, now, need)
     }
 
     /// Whether any engines join to a whole path, full or not.
     pub fn has_path(&self, now: Instant) -> bool {
-        self.any_path(now, 0).is_some()
+        self.choose(now, 0, None, false, None).is_some()
     }
 
     fn start(&mut self, now: Instant, ticket: &Ticket, path: Vec<Stage>) -> Decision {
--- a/crates/state/paths/src/ticket.rs
+++ b/crates/state/paths/src/ticket.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use hemlockwind_core::names::DataCentreKey;
 use hemlockwind_core::names::InstanceKey;
 use hemlockwind_core::names::OrganisationKey;
 use hemlockwind_core::names::Rank;
@@ -23,6 +24,8 @@
 pub struct Ticket {
     /// Its name.
     pub id: TicketId,
+    /// The data centre of its caller, where known.
+    pub near: Option<DataCentreKey>,
     /// Who asks.
     pub organisation: OrganisationKey,
     /// Its rank.
--- a/crates/state/placement/src/lib.rs
+++ b/crates/state/placement/src/lib.rs
@@ -6,9 +6,10 @@
 //! requests; see docs/design/placement.md. [`plan`] is a pure function of what is
 //! known, so any instance computes the same orders.
 
-mod balance;
 mod cover;
 mod layout;
+mod moves;
+mod need;
 mod shift;
 
 use std::sync::Arc;
@@ -34,6 +35,8 @@
     pub is_free: bool,
     /// Whether it serves or will: it is not leaving and not believed dead.
     pub is_live: bool,
+    /// Whether it has appeared just now.
+    pub is_new: bool,
 }
 
 /// `Order` tells one engine what to hold.
@@ -50,18 +53,22 @@
 pub enum Urgency {
     /// Only engines that hold nothing get orders.
     Empty,
-    /// Engines beside a gap are also extended over it.
+    /// Engines beside a gap are also extended over it. Layers that no other copy holds
+    /// are taken at any cost, others only while memory for requests is left.
     Repair,
-    /// Crowded engines are also relieved. This gives up layers that are in use, so what
-    /// is known must be fresh.
+    /// Engines are also moved over gaps and crowded ones relieved. This gives up layers
+    /// that are in use, whose memory is free only when the last request has left them.
     Even,
 }
 
 /// The orders that bring `engines` closer to a whole copy in each data centre.
 pub fn plan(model: &EngineModel, engines: &[Engine], urgency: Urgency) -> Vec<Order> {
     let mut orders = Vec::new();
-    for group in groups(model, engines) {
-        orders.extend(cover::orders(model, &group, urgency));
+    let groups = groups(model, engines);
+    for (i, group) in groups.iter().enumerate() {
+        let others = groups.iter().enumerate().filter(|(j, _)| *j != i);
+        let others: Vec<&Engine> = others.flat_map(|(_, g)| g.iter().copied()).collect();
+        orders.extend(cover::orders(model, group, &others, urgency));
     }
     orders
 }
