Placement: extensions before moves; streams wait for a nearby engine before they move over a link

Cause: an engine that gave up all its layers took 7.5 s until it held others, as it waits for what passes through them, and was asked each 0.3 s meanwhile; the gap stayed assigned to it. Streams that moved away from a leaving engine sent all tokens so far to another data centre: pauses of 659 ms in the median. Ruled out: the new engine's own reading, 4 ms for a request. Change: orders that keep all layers go first, others only where a gap stays; a busy engine is left alone for a second; a move waits until shortly before the engine ends for one that crosses no more than now. The log line of a stream tells its first event and its longest pause.

--- a/crates/gateway/src/homes.rs
+++ b/crates/gateway/src/homes.rs
@@ -272,6 +272,7 @@
             number: grant.ticket.number,
             must_fit: by.must_fit,
             keeps_first: by.keeps_first,
+            may_cross: by.may_cross,
         };
         let keeper = gateway.peers.home(key);
         if keeper.name == gateway.peers.me().name {
--- a/crates/gateway/src/homes/keep.rs
+++ b/crates/gateway/src/homes/keep.rs
@@ -172,6 +172,7 @@
         let by = Detour {
             must_fit: detour.must_fit,
             keeps_first: detour.keeps_first,
+            may_cross: detour.may_cross,
         };
         let now = self.now();
         cell.lock().detour(now, id, by)
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -51,8 +51,8 @@
 /// Time between two looks at an engine that loads: a load of a few layers takes about
 /// a second, and each look is charged.
 const WATCH_INTERVAL: Duration = Duration::from_millis(300);
-/// Looks at one order at most.
-const WATCH_TRIES: u32 = 10;
+/// Looks at one order at most; the time between two grows by half, to 20 s together.
+const WATCH_TRIES: u32 = 8;
 /// Time between two looks at the engines.
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time without a new engine until the first plan: engines register within the
@@ -75,9 +75,16 @@
 /// load's own time.
 const ORDER_TIME: Duration = Duration::from_millis(2_000);
 
+/// The longest time that an order waits for what passes through layers that are given up:
+/// a request may run for 20 s, but most have ended by then.
+const GIVE_UP_TIME: Duration = Duration::from_millis(10_000);
+/// Time until an engine with another order in progress is asked again.
+const BUSY_TIME: Duration = Duration::from_millis(1_000);
+
 /// What the giver remembers of one order.
 struct Given {
-    layers: LayerRange,
+    /// What the engine will hold.
+    layers: Option<LayerRange>,
     born_ms: u64,
     again_at: Instant,
 }
@@ -113,7 +120,10 @@
         }
         self.given.retain(|id, given| {
             let server = servers.iter().find(|s| s.id == *id);
-            server.is_some_and(|s| s.layers != Some(given.layers) && given.again_at > now)
+            server.is_some_and(|s| {
+                let is_done = given.layers.is_some() && s.layers == given.layers;
+                !is_done && given.again_at > now
+            })
         });
         self.see(now, servers);
         let live = |s: &BackendServer| s.state == ServerState::Ready && !is_dead(s);
@@ -132,10 +142,14 @@
             let Some(server) = servers.iter().find(|s| s.id == order.id) else {
                 continue;
             };
+            let keeps = server.layers.is_none_or(|held| {
+                order.layers.start() <= held.start() && held.end() <= order.layers.end()
+            });
+            let wait = if keeps { ORDER_TIME } else { GIVE_UP_TIME };
             let given = Given {
-                layers: order.layers,
+                layers: Some(order.layers),
                 born_ms: server.born_ms,
-                again_at: now + ORDER_TIME + model.load.mul_f64(share(model, order.layers) * queue),
+                again_at: now + wait + model.load.mul_f64(share(model, order.layers) * queue),
             };
             self.given.insert(Arc::clone(&order.id), given);
             due.push((Arc::clone(server), order));
@@ -187,6 +201,16 @@
         now.since(self.last.1) >= CALM_TIME
     }
 
+    /// An engine has another order in progress; what it holds after it is not known.
+    pub fn busy(&mut self, now: Instant, server: &BackendServer) {
+        let given = Given {
+            layers: server.layers,
+            born_ms: server.born_ms,
+            again_at: now + BUSY_TIME,
+        };
+        self.given.insert(Arc::clone(&server.id), given);
+    }
+
     fn engine(
         &self,
         now: Instant,
@@ -203,7 +227,7 @@
             data_centre: Arc::clone(&server.data_centre),
             card,
             version: Arc::clone(&server.version),
-            layers: given.map(|g| g.layers).or(server.layers),
+            layers: given.map_or(server.layers, |g| g.layers),
             is_free: given.is_none(),
             is_live,
             is_new: self
@@ -384,6 +408,7 @@
                     tokio::spawn(async move { watch(&gateway, &server, order.layers).await });
                 }
                 Ordered::Refused(_) | Ordered::Outdated => giver.refused(gateway.now(), &order.id),
+                Ordered::Busy => giver.busy(gateway.now(), &server),
                 Ordered::Unknown(e) => {
                     warn!(gateway.log, "order without answer"; "engine" => &*order.id,
                         "error" => %e);
@@ -396,8 +421,10 @@
 /// Follows an order until the engine holds `layers`, and tells all instances: the
 /// engine's own entry says it a heartbeat later, or not while the store is away.
 async fn watch(gateway: &Arc<Gateway>, server: &BackendServer, layers: LayerRange) {
+    let mut pause = WATCH_INTERVAL;
     for _ in 0..WATCH_TRIES {
-        sleep(WATCH_INTERVAL).await;
+        sleep(pause).await;
+        pause = pause.mul_f64(1.5);
         let is_told = gateway
             .directory
             .read()
@@ -426,7 +453,7 @@
         Err(e) => return Ordered::Unknown(e),
     };
     if report.is_changing {
-        return Ordered::Outdated;
+        return Ordered::Busy;
     }
     if report.layers != server.layers {
         gateway
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -60,7 +60,7 @@
 /// Time between two tries to find a path away from a leaving engine.
 const LEAVE_AGAIN: Duration = Duration::from_millis(250);
 /// Time before a leaving engine's end by which streams have moved away.
-const LEAVE_MARGIN: Duration = Duration::from_millis(800);
+const LEAVE_MARGIN: Duration = Duration::from_millis(500);
 
 /// How one run of a stream ended.
 enum End {
@@ -109,7 +109,16 @@
     last: Option<u64>,
     events: u64,
     heard: Instant,
+    /// Time from the request's arrival to the first event.
+    first_ms: u64,
+    /// When the last event was passed on.
+    passed: Instant,
+    /// The longest time between two events so far, and the event that ended it.
+    longest: (Duration, u64),
     leave_at: Option<(Instant, SocketAddr)>,
+    /// Until when a move waits for an engine in the data centre of the one that leaves: all
+    /// tokens so far go over the link to another one.
+    leave_by: Option<Instant>,
 }
 
 impl Relay {
@@ -134,7 +143,11 @@
             sent,
             events: 0,
             heard: Instant::now(),
+            first_ms: 0,
+            passed: Instant::now(),
+            longest: (Duration::ZERO, 0),
             leave_at: None,
+            leave_by: None,
         }
     }
 
@@ -232,9 +245,15 @@
                 }
             }
             if self.events == 0 {
+                self.first_ms = self.accepted.arrived.elapsed().as_millis() as u64;
                 streams::first_event(&self.gateway, &self.accepted);
             }
-            self.heard = Instant::now();
+            let now = Instant::now();
+            if self.events > 0 && now - self.passed > self.longest.0 {
+                self.longest = (now - self.passed, self.events);
+            }
+            self.passed = now;
+            self.heard = now;
             self.events += 1;
             self.last = event.id.or(self.last);
             if self.tx.send(Ok(Frame::data(event.bytes))).await.is_err() {
@@ -273,6 +292,7 @@
                 let within = drain.saturating_sub(LEAVE_MARGIN);
                 let wait = within.mul_f64(rand::random::<f64>());
                 self.leave_at = Some((Instant::now() + wait, addr));
+                self.leave_by = Some(Instant::now() + within);
                 None
             }
             // Missed news is found again by the stream's own silence.
@@ -320,7 +340,10 @@
                 }
                 false
             }
-            false => self.repath(true).await,
+            false => {
+                let is_late = self.leave_by.is_none_or(|by| Instant::now() >= by);
+                self.repath(true, is_late).await
+            }
         };
         if !is_moved {
             self.leave_at = Some((Instant::now() + LEAVE_AGAIN, addr));
@@ -337,7 +360,7 @@
             return false;
         }
         for _ in 0..REPATH_TRIES {
-            if self.repath(false).await {
+            if self.repath(false, true).await {
                 self.heard = Instant::now();
                 return true;
             }
@@ -348,7 +371,7 @@
 
     /// Puts the stream on another path with the same first engine, where only the new
     /// engines read its tokens again.
-    async fn repath(&mut self, must_fit: bool) -> bool {
+    async fn repath(&mut self, must_fit: bool, may_cross: bool) -> bool {
         let gateway = Arc::clone(&self.gateway);
         let Some(grant) = self.grant.as_mut() else {
             return false;
@@ -356,6 +379,7 @@
         let by = Detour {
             must_fit,
             keeps_first: true,
+            may_cross,
         };
         let before = headers::path(&grant.path);
         if !gateway.homes.detour(&gateway, grant, by).await {
@@ -368,7 +392,9 @@
         let ordered = engine::repath(&gateway.http, &self.accepted.attempt, &grant.path).await;
         gateway.counters.add(match ordered {
             Ordered::Accepted => "streams_repathed",
-            Ordered::Refused(_) | Ordered::Outdated | Ordered::Unknown(_) => "repaths_refused",
+            Ordered::Refused(_) | Ordered::Outdated | Ordered::Busy | Ordered::Unknown(_) => {
+                "repaths_refused"
+            }
         });
         if let Some(left_out) = gateway.lines.take(gateway.now(), "stream_repathed") {
             info!(gateway.log, "stream on another path"; "id" => &self.accepted.attempt,
@@ -420,6 +446,7 @@
         let by = Detour {
             must_fit,
             keeps_first: false,
+            may_cross: true,
         };
         if let Some(grant) = self.grant.as_mut()
             && self.gateway.homes.detour(&self.gateway, grant, by).await
@@ -547,6 +574,8 @@
             info!(gateway.log, "stream"; "id" => &self.accepted.attempt,
                 "route" => &*self.accepted.route.name, "routes" => self.accepted.version,
                 "outcome" => outcome, "events" => self.events, "sent" => self.sent,
+                "first_ms" => self.first_ms, "longest_pause_ms" => self.longest.0.as_millis() as u64,
+                "after_event" => self.longest.1,
                 "path" => self.path_text(), "ms" => time.as_millis() as u64,
                 "left_out" => left_out);
         }
--- a/crates/protocol/src/peer/paths.rs
+++ b/crates/protocol/src/peer/paths.rs
@@ -63,6 +63,8 @@
     pub must_fit: bool,
     /// Whether it stays with its first stage.
     pub keeps_first: bool,
+    /// Whether it may cross between data centres more often than it does.
+    pub may_cross: bool,
 }
 
 /// `Message` is what an instance tells the home of a service, which is named first.
--- a/crates/state/paths/src/engines.rs
+++ b/crates/state/paths/src/engines.rs
@@ -158,6 +158,12 @@
         (model.pipe_bits_per_s * CROSSING_S * LINK_USED / bits.max(1.0)).max(1.0)
     }
 
+    /// How often a path crosses from one data centre to another.
+    pub fn crossings(&self, path: &[Stage]) -> usize {
+        let of = |stage: &Stage| self.get(stage.engine).map(|e| e.data_centre);
+        path.windows(2).filter(|s| of(&s[0]) != of(&s[1])).count()
+    }
+
     /// Counts the crossings of a path, `up` or down.
     fn cross(&mut self, path: &[Stage], up: bool) {
         for step in path.windows(2) {
--- a/crates/state/paths/src/home.rs
+++ b/crates/state/paths/src/home.rs
@@ -60,6 +60,8 @@
     pub must_fit: bool,
     /// Whether it has to stay with its first stage, which goes on with it.
     pub keeps_first: bool,
+    /// Whether it may cross between data centres more often than it does.
+    pub may_cross: bool,
 }
 
 impl Detour {
@@ -164,6 +166,8 @@
             true => fits,
             false => fits.or_else(|| self.choose(now, tokens, None, false, by.held(&old))),
         };
+        let crossings = |path: &[Stage]| self.engines.crossings(path);
+        let path = path.filter(|p| by.may_cross || crossings(p) <= crossings(&old));
         let taken = path.as_ref().unwrap_or(&old);
         self.engines.take(taken, tokens);
         if let (Some(path), Some(running)) = (&path, self.running.get_mut(&id)) {
--- a/crates/state/paths/tests/home.rs
+++ b/crates/state/paths/tests/home.rs
@@ -26,6 +26,7 @@
 
 use support::copy;
 use support::engines;
+use support::server;
 
 /// Tokens of each request of these tests; a copy has room for about a hundred of them.
 const TOKENS: u32 = 900;
@@ -245,6 +246,7 @@
 const MUST_FIT: Detour = Detour {
     must_fit: true,
     keeps_first: false,
+    may_cross: true,
 };
 const ANY: Detour = Detour {
     must_fit: false,
@@ -304,6 +306,24 @@
     assert!(!detour.contains(&path[4]));
 }
 
+#[test]
+fn detour_crosses_only_where_it_may() {
+    let (mut w, mut servers) = two_copies();
+    let (id, path) = start(&mut w);
+    leave(&mut w, &mut servers, &path, 4);
+    let stays = Detour {
+        may_cross: false,
+        ..KEEPS_FIRST
+    };
+    assert_eq!(w.home.detour(at(1), id, stays), None);
+    // A replacement has come.
+    let lost = path[4].layers;
+    servers.push(server(50, "a", (lost.start(), lost.end())));
+    servers.push(server(51, "b", (lost.start(), lost.end())));
+    w.home.engines.update(servers.iter());
+    assert!(w.home.detour(at(2), id, stays).is_some());
+}
+
 #[test]
 fn detour_none_when_the_first_stage_leaves() {
     let (mut w, mut servers) = two_copies();
--- a/crates/state/placement/src/cover.rs
+++ b/crates/state/placement/src/cover.rs
@@ -7,6 +7,7 @@
 use crate::Urgency;
 use crate::layout;
 use crate::moves;
+use crate::moves::Change;
 use crate::moves::Round;
 use crate::need;
 use crate::need::Need;
@@ -34,13 +35,19 @@
             break;
         };
         let id = &empty.remove(at).id;
-        round.add(|engine| engine.id == *id);
+        round.add(Change::Extend, |engine| engine.id == *id);
     }
     let is_whole = need::gaps(&round.rooms).is_empty();
-    round.add(|engine| match engine.layers {
+    let may_move = |engine: &Engine| match engine.layers {
         None => !is_whole || !is_replacement(&live, engine),
         Some(_) => urgency != Urgency::Empty,
-    });
+    };
+    // What engines hold stays as long as a gap can be closed without giving it up.
+    round.add(Change::Extend, may_move);
+    let is_open = !need::gaps(&round.rooms).is_empty();
+    if urgency == Urgency::Even || (is_open && round.orders.is_empty()) {
+        round.add(Change::Move, may_move);
+    }
     if !round.orders.is_empty() || urgency == Urgency::Empty {
         return round.orders;
     }
--- a/crates/state/placement/src/moves.rs
+++ b/crates/state/placement/src/moves.rs
@@ -17,15 +17,24 @@
 /// The cost of a layer that is loaded: it takes time from the weights' store.
 const LOADED: f64 = 0.03;
 /// The cost of each layer of a gap for each layer that is loaded before it is closed.
-const DELAYED: f64 = 0.05;
-/// The cost of a layer that is given up: its memory is free only when the last request has
-/// left it, and paths through it are refused meanwhile.
-const GIVEN_UP: f64 = 0.12;
+const DELAYED: f64 = 0.1;
+/// The cost of a layer that is given up: the engine first waits for the last request that
+/// passes through it, for several seconds, and only then loads others.
+const GIVEN_UP: f64 = 0.5;
 /// The least gain of an order.
 const WORTHWHILE: f64 = 0.3;
 /// Orders of one round: more loads at a time only take turns.
 const MOST: usize = 6;
 
+/// `Change` is what an order may do to the layers that an engine holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// All of them stay.
+    Extend,
+    /// Some or all may be given up.
+    Move,
+}
+
 /// A range for one engine and what it gains.
 struct Move {
     at: usize,
@@ -57,11 +66,12 @@
     }
 
     /// Adds the orders that help most, for engines that `may_move` names.
-    pub fn add(&mut self, may_move: impl Fn(&Engine) -> bool) {
+    pub fn add(&mut self, change: Change, may_move: impl Fn(&Engine) -> bool) {
         while self.orders.len() < MOST {
             let free = self.engines.iter().enumerate();
             let free = free.filter(|(_, e)| e.is_free && may_move(e));
-            let moves = free.filter_map(|(at, e)| best(self.model, self.need, &self.rooms, at, e));
+            let moves =
+                free.filter_map(|(at, e)| best(self.model, self.need, &self.rooms, change, at, e));
             let best = moves.reduce(|a, b| if b.gain > a.gain { b } else { a });
             let Some(best) = best else { break };
             let engine = &mut self.engines[best.at];
@@ -101,6 +111,7 @@
     model: &EngineModel,
     need: &Need,
     rooms: &[f64],
+    change: Change,
     at: usize,
     engine: &Engine,
 ) -> Option<Move> {
@@ -124,6 +135,9 @@
             sums[layer + 1] = sums[layer] + helps;
         }
         for start in 0..=model.layers.saturating_sub(count) {
+            if change == Change::Extend && !keeps(engine, start, count) {
+                continue;
+            }
             let over = |sums: &[f64]| sums[usize::from(start + count)] - sums[usize::from(start)];
             let gain = over(&sums) - held - cost(engine, start, count, over(&open));
             if gain >= WORTHWHILE && best.as_ref().is_none_or(|b| gain > b.gain) {
@@ -135,6 +149,12 @@
     best.filter(|b| Some(b.layers) != engine.layers)
 }
 
+/// Whether an engine keeps all its layers with `count` from `start` on.
+fn keeps(engine: &Engine, start: u16, count: u16) -> bool {
+    let held = engine.layers;
+    held.is_none_or(|l| start <= l.start() && l.end() <= start + count)
+}
+
 /// What it costs to bring an engine to `count` layers from `start` on, `open` of which
 /// nobody holds.
 fn cost(engine: &Engine, start: u16, count: u16, open: f64) -> f64 {
