--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -85,6 +85,8 @@
 struct Given {
     /// What the engine will hold.
     layers: Option<LayerRange>,
+    /// Whether the order is another's, whose end does not show.
+    is_foreign: bool,
     born_ms: u64,
     again_at: Instant,
 }
@@ -121,7 +123,7 @@
         self.given.retain(|id, given| {
             let server = servers.iter().find(|s| s.id == *id);
             server.is_some_and(|s| {
-                let is_done = given.layers.is_some() && s.layers == given.layers;
+                let is_done = !given.is_foreign && s.layers == given.layers;
                 !is_done && given.again_at > now
             })
         });
@@ -148,6 +150,7 @@
             let wait = if keeps { ORDER_TIME } else { GIVE_UP_TIME };
             let given = Given {
                 layers: Some(order.layers),
+                is_foreign: false,
                 born_ms: server.born_ms,
                 again_at: now + wait + model.load.mul_f64(share(model, order.layers) * queue),
             };
@@ -205,6 +208,7 @@
     pub fn busy(&mut self, now: Instant, server: &BackendServer) {
         let given = Given {
             layers: server.layers,
+            is_foreign: true,
             born_ms: server.born_ms,
             again_at: now + BUSY_TIME,
         };
--- a/crates/state/paths/src/choice.rs
+++ b/crates/state/paths/src/choice.rs
@@ -19,7 +19,7 @@
 const HOP_MS: f64 = 0.3;
 /// The same to another data centre over an idle link. A link is shared by all and soon
 /// full, so that a whole path in another data centre goes before one that crosses.
-const FAR_HOP_MS: f64 = 6.0;
+const FAR_HOP_MS: f64 = 15.0;
 /// Time for each token that a path may lose by beginning in another data centre than the
 /// caller's, in milliseconds: the answer's bytes are charged.
 const FAR_START_MS: f64 = 1.0;
