Streams: a failed link is not a failed engine; slow engines are found by their reports; moves spread over the drain

Streams moved away from a leaving engine at one moment and waited 1.4 s for each other's reading at the new one; a silent stream was sent again after 1 s though its engine said that it runs. Slow engines were not asked for at all. Change: an accused engine behind a crossing is asked itself, and the path then stays in one data centre; moves are spread over the time that the engine still serves; reports are shared by all streams of an instance; an engine of a path with long pauses is asked for its pace, told to those concerned, passed over in paths and in the placement.

--- a/crates/gateway/src/doubt.rs
+++ b/crates/gateway/src/doubt.rs
@@ -18,7 +18,7 @@
 
 /// Examines the engine at `addr` and tells what it finds.
 pub async fn examine(gateway: &Arc<Gateway>, addr: SocketAddr) {
-    let report = match engine::report(&gateway.http, addr).await {
+    let report = match gateway.reports.get(&gateway.http, addr).await {
         Ok(report) => report,
         Err(e) => {
             info!(gateway.log, "engine examined"; "engine" => %addr, "error" => %e);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -34,7 +34,9 @@
 use crate::known::Known;
 use crate::peers::Instance;
 use crate::peers::Peers;
+use crate::reports::Reports;
 use crate::servers::Servers;
+use crate::slow::Slow;
 
 /// Events that a slow stream may lag behind before it misses one.
 const FAULT_BACKLOG: usize = 256;
@@ -74,6 +76,10 @@
     pub known: Known,
     /// Connections to backend servers.
     pub http: Http1,
+    /// Reports of engines.
+    pub reports: Reports,
+    /// Engines that are slow.
+    pub slow: Slow,
     /// The budget for further runs, by service.
     budgets: Mutex<HashMap<Arc<str>, RetryBudget>>,
     /// News about engines.
@@ -142,6 +148,8 @@
             directory: RwLock::default(),
             servers: Servers::default(),
             http: Http1::default(),
+            reports: Reports::default(),
+            slow: Slow::default(),
             budgets: Mutex::default(),
             faults,
             changed: Notify::new(),
--- a/crates/gateway/src/homes.rs
+++ b/crates/gateway/src/homes.rs
@@ -44,6 +44,7 @@
 use crate::homes::local::Cell;
 use crate::homes::local::Decided;
 use crate::homes::local::Local;
+use crate::homes::wire::detour_to_wire;
 use crate::homes::wire::from_wire;
 use crate::homes::wire::reason_from_wire;
 use crate::homes::wire::to_wire;
@@ -268,12 +269,7 @@
 
     async fn other_path(&self, gateway: &Gateway, grant: &Grant, by: Detour) -> Option<Vec<Stage>> {
         let key = &grant.ticket.key;
-        let detour = message::Detour {
-            number: grant.ticket.number,
-            must_fit: by.must_fit,
-            keeps_first: by.keeps_first,
-            may_cross: by.may_cross,
-        };
+        let detour = detour_to_wire(by, grant.ticket.number);
         let keeper = gateway.peers.home(key);
         if keeper.name == gateway.peers.me().name {
             return self.detour_local(key, "", detour);
--- a/crates/gateway/src/homes/keep.rs
+++ b/crates/gateway/src/homes/keep.rs
@@ -11,7 +11,6 @@
 use hemlockwind_core::time::Instant;
 use hemlockwind_paths::Ticket;
 use hemlockwind_paths::TicketId;
-use hemlockwind_paths::home::Detour;
 use hemlockwind_paths::ticket::Reason;
 use hemlockwind_platform::engine::Report;
 use hemlockwind_platform::headers::Stage;
@@ -26,8 +25,10 @@
 use crate::homes::local;
 use crate::homes::local::Cell;
 use crate::homes::local::Decided;
+use crate::homes::wire::detour_from_wire;
 use crate::homes::wire::refused;
 use crate::homes::wire::stage_to_wire;
+use crate::slow;
 
 impl Homes {
     /// Asks the home that this instance keeps, for itself or for `from`.
@@ -111,6 +112,10 @@
                 self.holds_local(gateway, &id, layers);
                 message::Answer::Done
             }
+            message::Message::Slow(addr, hundredths) => {
+                slow::take(gateway, addr, f64::from(hundredths) / 100.0);
+                message::Answer::Done
+            }
             message::Message::Leaving(addr) => {
                 if self.shun(now, addr) {
                     let _ = gateway.faults.send(Fault::Leaving(addr));
@@ -169,11 +174,7 @@
     ) -> Option<Vec<Stage>> {
         let cell = self.cell(key)?;
         let id = self.id(from, detour.number);
-        let by = Detour {
-            must_fit: detour.must_fit,
-            keeps_first: detour.keeps_first,
-            may_cross: detour.may_cross,
-        };
+        let by = detour_from_wire(detour);
         let now = self.now();
         cell.lock().detour(now, id, by)
     }
@@ -244,6 +245,14 @@
         }
     }
 
+    /// Takes how slow an engine is, and until when that is believed.
+    pub fn set_slowness(&self, addr: SocketAddr, slowness: f64, until: Instant) {
+        for cell in self.homes.lock().values() {
+            let engines = &mut cell.lock().home.engines;
+            engines.set_slowness(addr, slowness, until);
+        }
+    }
+
     /// Takes an engine's report on its memory.
     pub fn report_memory(&self, now: Instant, addr: SocketAddr, report: &Report) {
         for cell in self.homes.lock().values() {
--- a/crates/gateway/src/homes/tell.rs
+++ b/crates/gateway/src/homes/tell.rs
@@ -1,5 +1,6 @@
 //! What instances tell each other about streams and engines.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use slog::info;
@@ -110,6 +111,20 @@
             Fault::Dead(addr) => (addr, message::Message::Dead(addr)),
             Fault::Leaving(addr) => (addr, message::Message::Leaving(addr)),
         };
+        self.tell_concerned(gateway, addr, message).await;
+    }
+
+    /// Tells the same instances how slow an engine is.
+    pub async fn tell_slow(&self, gateway: &Gateway, addr: SocketAddr, slowness: f64) {
+        // Truncation is intended: the value is a small factor.
+        let hundredths = (slowness * 100.0) as u32;
+        let message = message::Message::Slow(addr, hundredths);
+        self.tell_concerned(gateway, addr, message).await;
+    }
+
+    /// Tells the keeper of an engine's home, those that may give orders, and all with
+    /// streams over the engine.
+    async fn tell_concerned(&self, gateway: &Gateway, addr: SocketAddr, message: message::Message) {
         let server = {
             let directory = gateway.directory.read();
             directory.iter().find(|s| s.addr == addr).cloned()
--- a/crates/gateway/src/homes/wire.rs
+++ b/crates/gateway/src/homes/wire.rs
@@ -4,6 +4,8 @@
 
 use hemlockwind_core::layers::LayerRange;
 use hemlockwind_core::time::Instant;
+use hemlockwind_paths::home::Crossing;
+use hemlockwind_paths::home::Detour;
 use hemlockwind_paths::ticket::Reason;
 use hemlockwind_platform::headers::Stage;
 use hemlockwind_protocol::peer::paths as message;
@@ -66,3 +68,28 @@
         message::Reason::Expired => Reason::Expired,
     }
 }
+
+pub(super) const fn detour_to_wire(by: Detour, number: u64) -> message::Detour {
+    message::Detour {
+        number,
+        must_fit: by.must_fit,
+        keeps_first: by.keeps_first,
+        crossing: match by.crossing {
+            Crossing::Free => message::Crossing::Free,
+            Crossing::NoMore => message::Crossing::NoMore,
+            Crossing::None => message::Crossing::None,
+        },
+    }
+}
+
+pub(super) const fn detour_from_wire(detour: message::Detour) -> Detour {
+    Detour {
+        must_fit: detour.must_fit,
+        keeps_first: detour.keeps_first,
+        crossing: match detour.crossing {
+            message::Crossing::Free => Crossing::Free,
+            message::Crossing::NoMore => Crossing::NoMore,
+            message::Crossing::None => Crossing::None,
+        },
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,8 +21,10 @@
 pub mod peers;
 pub mod readiness;
 pub mod relay;
+pub mod reports;
 pub mod requests;
 pub mod servers;
+pub mod slow;
 pub mod start;
 pub mod streams;
 
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -395,7 +395,9 @@
         let giver = givers.entry(Arc::clone(&service.name)).or_default();
         let now = gateway.now();
         let is_dead = |s: &BackendServer| {
-            gateway.homes.is_dead(now, s.addr) || gateway.homes.is_cut_off(&s.data_centre)
+            gateway.homes.is_dead(now, s.addr)
+                || gateway.homes.is_cut_off(&s.data_centre)
+                || gateway.slow.is_useless(now, s.addr)
         };
         let due = giver.due(now, model, &servers, is_dead, may_even);
         let calls = due.into_iter().map(|(server, order)| async move {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -17,10 +17,12 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
+use tokio::time::timeout;
 
 use hemlockwind_backend::http1::Exchange;
 use hemlockwind_core::Error;
 use hemlockwind_core::routes::Repeat;
+use hemlockwind_paths::home::Crossing;
 use hemlockwind_paths::home::Detour;
 use hemlockwind_platform::engine;
 use hemlockwind_platform::engine::Ordered;
@@ -34,6 +36,7 @@
 use crate::homes::Ask;
 use crate::homes::Grant;
 use crate::requests::Accepted;
+use crate::slow;
 use crate::streams;
 use crate::streams::Refused;
 use crate::streams::Sent;
@@ -47,11 +50,13 @@
 const LOOK_AGAIN: Duration = Duration::from_millis(200);
 /// The part of the caller's patience after which a silent stream goes on elsewhere
 /// without a known cause: what is left has to suffice for another start.
-const GIVE_UP_PART: f64 = 0.5;
+const GIVE_UP_PART: f64 = 0.75;
 /// The first time between two tries to go on, and the longest; each is twice the one
 /// before.
 const RESUME_PAUSE: Duration = Duration::from_millis(60);
 const RESUME_PAUSE_LIMIT: Duration = Duration::from_millis(240);
+/// Time in which an engine that is said to hold a stream up must answer.
+const ACCUSED_TIME: Duration = Duration::from_millis(150);
 /// Tries to go on over other engines behind the same first one, before the stream is sent
 /// again.
 const REPATH_TRIES: u32 = 2;
@@ -60,7 +65,7 @@
 /// Time between two tries to find a path away from a leaving engine.
 const LEAVE_AGAIN: Duration = Duration::from_millis(250);
 /// Time before a leaving engine's end by which streams have moved away.
-const LEAVE_MARGIN: Duration = Duration::from_millis(500);
+const LEAVE_MARGIN: Duration = Duration::from_millis(200);
 
 /// How one run of a stream ended.
 enum End {
@@ -74,6 +79,8 @@
     Broken(Error),
     /// This engine of the path makes no progress.
     Dead(SocketAddr),
+    /// This engine lives and holds the stream up: others of the path don't reach it.
+    Unlinked(SocketAddr),
     /// No event came, for no known reason.
     Silent,
     /// This engine of the path leaves.
@@ -89,6 +96,7 @@
             Self::Deadline => "the deadline passed".into(),
             Self::Broken(e) => e.to_string(),
             Self::Dead(addr) => format!("{addr} makes no progress"),
+            Self::Unlinked(addr) => format!("{addr} is not reached by the path"),
             Self::Silent => "no event, for no known reason".into(),
             Self::Leaving(addr) => format!("{addr} leaves"),
         }
@@ -249,8 +257,13 @@
                 streams::first_event(&self.gateway, &self.accepted);
             }
             let now = Instant::now();
-            if self.events > 0 && now - self.passed > self.longest.0 {
-                self.longest = (now - self.passed, self.events);
+            let pause = now - self.passed;
+            if self.events > 0 && pause > self.longest.0 {
+                self.longest = (pause, self.events);
+            }
+            if self.events > 0 && pause > self.gap_target() {
+                let path = self.grant.iter().flat_map(|g| &g.path);
+                slow::suspect(&self.gateway, path.map(|s| s.addr));
             }
             self.passed = now;
             self.heard = now;
@@ -307,7 +320,7 @@
         let report = tokio::select! {
             biased;
             () = self.tx.closed() => return Some(End::CallerLeft),
-            report = engine::report(&self.gateway.http, first) => report,
+            report = self.gateway.reports.get(&self.gateway.http, first) => report,
         };
         let silent = self.heard.elapsed();
         match report {
@@ -322,7 +335,7 @@
                     .iter()
                     .find(|(id, _)| *id == self.accepted.attempt);
                 if let Some((_, addr)) = stalled {
-                    return Some(End::Dead(*addr));
+                    return Some(self.accused(*addr).await);
                 }
                 self.log_doubt(first, silent, &report);
                 let patience = streams::patience(&self.accepted);
@@ -342,11 +355,18 @@
             }
             false => {
                 let is_late = self.leave_by.is_none_or(|by| Instant::now() >= by);
-                self.repath(true, is_late).await
+                let crossing = if is_late {
+                    Crossing::Free
+                } else {
+                    Crossing::NoMore
+                };
+                self.repath(true, crossing).await
             }
         };
         if !is_moved {
-            self.leave_at = Some((Instant::now() + LEAVE_AGAIN, addr));
+            // Many streams wait for the same new engine; they come to it one by one.
+            let again = LEAVE_AGAIN.mul_f64(0.5 + 2.0 * rand::random::<f64>());
+            self.leave_at = Some((Instant::now() + again, addr));
         }
         None
     }
@@ -354,13 +374,16 @@
     /// Has the first engine go on with the stream where a later one has died. Returns
     /// whether it does; if not, the stream has to be sent again.
     async fn replace(&mut self, end: &End) -> bool {
-        let End::Dead(addr) = *end else { return false };
-        streams::dead(&self.gateway, addr);
-        if self.first() == Some(addr) {
-            return false;
+        let (by, addr) = match *end {
+            End::Dead(addr) if self.first() != Some(addr) => (Crossing::Free, addr),
+            End::Unlinked(addr) => (Crossing::None, addr),
+            _ => return false,
+        };
+        if by == Crossing::Free {
+            streams::dead(&self.gateway, addr);
         }
         for _ in 0..REPATH_TRIES {
-            if self.repath(false, true).await {
+            if self.repath(false, by).await {
                 self.heard = Instant::now();
                 return true;
             }
@@ -369,9 +392,30 @@
         false
     }
 
+    /// What is wrong when the first engine says that `addr` holds the stream up. Behind a
+    /// cut an engine that lives can't be reached by others of the path.
+    async fn accused(&self, addr: SocketAddr) -> End {
+        let gateway = &self.gateway;
+        let crosses = {
+            let directory = gateway.directory.read();
+            let path = self.grant.iter().flat_map(|g| &g.path);
+            let mut places = path.filter_map(|s| Some(&directory.get(&s.id)?.data_centre));
+            let first = places.next();
+            places.any(|d| Some(d) != first)
+        };
+        if !crosses {
+            return End::Dead(addr);
+        }
+        let asked = gateway.reports.get(&gateway.http, addr);
+        match timeout(ACCUSED_TIME, asked).await {
+            Ok(Ok(_)) => End::Unlinked(addr),
+            Ok(Err(_)) | Err(_) => End::Dead(addr),
+        }
+    }
+
     /// Puts the stream on another path with the same first engine, where only the new
     /// engines read its tokens again.
-    async fn repath(&mut self, must_fit: bool, may_cross: bool) -> bool {
+    async fn repath(&mut self, must_fit: bool, crossing: Crossing) -> bool {
         let gateway = Arc::clone(&self.gateway);
         let Some(grant) = self.grant.as_mut() else {
             return false;
@@ -379,7 +423,7 @@
         let by = Detour {
             must_fit,
             keeps_first: true,
-            may_cross,
+            crossing,
         };
         let before = headers::path(&grant.path);
         if !gateway.homes.detour(&gateway, grant, by).await {
@@ -417,7 +461,7 @@
                     );
                 }
             }
-            End::Silent | End::Leaving(_) => {}
+            End::Silent | End::Leaving(_) | End::Unlinked(_) => {}
             End::Complete | End::CallerLeft | End::Deadline => return None,
         }
         let resumable = Repeat::Stream { resumable: true };
@@ -446,7 +490,7 @@
         let by = Detour {
             must_fit,
             keeps_first: false,
-            may_cross: true,
+            crossing: Crossing::Free,
         };
         if let Some(grant) = self.grant.as_mut()
             && self.gateway.homes.detour(&self.gateway, grant, by).await
@@ -524,10 +568,16 @@
         let route = &self.accepted.route;
         match self.events {
             0 => route.target + DOUBT_MARGIN,
-            _ => route.gap_target.unwrap_or(PAUSE_DEFAULT) + DOUBT_MARGIN,
+            _ => self.gap_target() + DOUBT_MARGIN,
         }
     }
 
+    /// The longest time between two events with which the stream is on time.
+    fn gap_target(&self) -> Duration {
+        let route = &self.accepted.route;
+        route.gap_target.unwrap_or(PAUSE_DEFAULT)
+    }
+
     /// Breaks the caller's connection, so that the answer does not look complete.
     async fn fail(&self, why: &str) {
         // Nobody hears it when the caller is gone.
--- a/crates/protocol/src/peer/paths.rs
+++ b/crates/protocol/src/peer/paths.rs
@@ -63,8 +63,20 @@
     pub must_fit: bool,
     /// Whether it stays with its first stage.
     pub keeps_first: bool,
-    /// Whether it may cross between data centres more often than it does.
-    pub may_cross: bool,
+    /// How it may cross between data centres.
+    pub crossing: Crossing,
+}
+
+/// `Crossing` says how another path may cross between data centres.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum Crossing {
+    /// As is best.
+    Free,
+    /// No more often than the path before.
+    NoMore,
+    /// Not at all.
+    None,
 }
 
 /// `Message` is what an instance tells the home of a service, which is named first.
@@ -85,6 +97,8 @@
     Dead(SocketAddr),
     /// This engine finishes what it has and takes nothing new.
     Leaving(SocketAddr),
+    /// This engine's work takes so many hundredths of the published time.
+    Slow(SocketAddr, u32),
     /// This engine holds these layers by its own report, from the first up to the second.
     Holds {
         /// The engine's id.
--- a/crates/state/paths/src/choice.rs
+++ b/crates/state/paths/src/choice.rs
@@ -41,6 +41,8 @@
     pub must_fit: bool,
     /// The path that it runs on, when it has to stay with its first stage.
     pub held: Option<&'a [Stage]>,
+    /// The only data centre that it may lead through, if there is one.
+    pub within: Option<DataCentreKey>,
 }
 
 impl Need<'_> {
@@ -77,7 +79,8 @@
     let mut data_centres: Vec<DataCentreKey> = Vec::new();
     let mut usable: Vec<Usable<'_>> = Vec::new();
     for (key, engine) in engines.iter() {
-        if !engines.is_usable(engine, now) {
+        let is_within = need.within.is_none_or(|d| engine.data_centre == d);
+        if !engines.is_usable(engine, now) || !is_within {
             continue;
         }
         let known = data_centres.iter().position(|d| *d == engine.data_centre);
@@ -166,7 +169,7 @@
         return;
     }
     let before = step.map_or(0.0, |step| step.cost);
-    let by_layer = layer_cost(engines, engine);
+    let by_layer = layer_cost(engines, now, engine);
     let free = engine.free(now);
     for (to, &end) in bounds.iter().enumerate().skip(at + 1) {
         if end > engine.layers.end() {
@@ -192,7 +195,7 @@
 }
 
 /// The expected time for each token in one layer of an engine, in milliseconds.
-fn layer_cost(engines: &Engines, engine: &Engine) -> f64 {
+fn layer_cost(engines: &Engines, now: Instant, engine: &Engine) -> f64 {
     let model = &engines.model;
     let context = (model.usual_prompt + model.usual_answer) / 1_000.0;
     let by_request = model.step_request_ms + model.step_context_ms * context;
@@ -200,7 +203,7 @@
     let read = model.usual_prompt / model.read_per_s * 1_000.0 / model.usual_answer.max(1.0);
     let time = step * engine.card.step_factor + read * engine.card.read_factor;
     let fullness = engine.used / engine.room.max(1.0);
-    (time * engine.slowness + fullness * FULLNESS_MS) / f64::from(model.layers.max(1))
+    (time * engine.slowness(now) + fullness * FULLNESS_MS) / f64::from(model.layers.max(1))
 }
 
 /// All layers at which a range begins or ends, with the first and the last one.
--- a/crates/state/paths/src/engines.rs
+++ b/crates/state/paths/src/engines.rs
@@ -64,8 +64,9 @@
     pub streams: u32,
     /// Requests of which it is the first stage.
     pub first: u32,
-    /// The time of its work as a multiple of what is published.
-    pub slowness: f64,
+    /// The time of its work as a multiple of what is published, and until when that is
+    /// believed.
+    slowness: (f64, Instant),
     /// Until when it gets no new work, after failures.
     pub shunned_until: Instant,
     /// What its last report said of its memory.
@@ -92,6 +93,12 @@
         room * USABLE_ROOM - self.used - reported.map_or(0.0, |r| r.unknown)
     }
 
+    /// The time of its work at `now` as a multiple of what is published.
+    pub fn slowness(&self, now: Instant) -> f64 {
+        let (slowness, until) = self.slowness;
+        if until > now { slowness } else { 1.0 }
+    }
+
     /// Whether it may be part of a new path.
     pub fn is_usable(&self, now: Instant) -> bool {
         self.is_ready && self.shunned_until <= now
@@ -224,7 +231,7 @@
             used: 0.0,
             streams: 0,
             first: 0,
-            slowness: 1.0,
+            slowness: (1.0, Instant::ZERO),
             shunned_until: Instant::ZERO,
             reported: None,
         });
@@ -290,10 +297,10 @@
         }
     }
 
-    /// Takes an engine's own word on how slow it is.
-    pub fn set_slowness(&mut self, id: &str, slowness: f64) {
-        if let Some(engine) = self.key(id).and_then(|key| self.engines.get_mut(key)) {
-            engine.slowness = slowness.max(0.1);
+    /// Takes the word of the engine at `addr` on how slow it is, believed until `until`.
+    pub fn set_slowness(&mut self, addr: SocketAddr, slowness: f64, until: Instant) {
+        for engine in self.engines.values_mut().filter(|e| e.addr == addr) {
+            engine.slowness = (slowness.max(0.1), until);
         }
     }
 }
--- a/crates/state/paths/src/home.rs
+++ b/crates/state/paths/src/home.rs
@@ -10,7 +10,6 @@
 
 use hemlockwind_core::collections::HashMap;
 use hemlockwind_core::collections::HashSet;
-use hemlockwind_core::names::DataCentreKey;
 use hemlockwind_core::names::InstanceKey;
 use hemlockwind_core::names::OrganisationKey;
 use hemlockwind_core::names::Rank;
@@ -60,8 +59,19 @@
     pub must_fit: bool,
     /// Whether it has to stay with its first stage, which goes on with it.
     pub keeps_first: bool,
-    /// Whether it may cross between data centres more often than it does.
-    pub may_cross: bool,
+    /// How it may cross between data centres.
+    pub crossing: Crossing,
+}
+
+/// `Crossing` says how another path may cross between data centres.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Crossing {
+    /// As is best.
+    Free,
+    /// No more often than the path before.
+    NoMore,
+    /// Not at all: links between data centres have failed.
+    None,
 }
 
 impl Detour {
@@ -161,13 +171,31 @@
         let (tokens, old) = (running.tokens, running.path.clone());
         // What it holds is its own to use again.
         self.engines.give_back(&old, tokens);
-        let fits = self.choose(now, tokens, None, true, by.held(&old));
+        let first = old.first().and_then(|s| self.engines.get(s.engine));
+        let need = Need {
+            tokens,
+            near: None,
+            must_fit: true,
+            held: by.held(&old),
+            within: first
+                .map(|e| e.data_centre)
+                .filter(|_| by.crossing == Crossing::None),
+        };
+        let any = Need {
+            must_fit: false,
+            ..need
+        };
+        let fits = choice::choose(&self.engines, now, need);
         let path = match by.must_fit {
             true => fits,
-            false => fits.or_else(|| self.choose(now, tokens, None, false, by.held(&old))),
+            false => fits.or_else(|| choice::choose(&self.engines, now, any)),
         };
         let crossings = |path: &[Stage]| self.engines.crossings(path);
-        let path = path.filter(|p| by.may_cross || crossings(p) <= crossings(&old));
+        let path = path.filter(|path| match by.crossing {
+            Crossing::Free => true,
+            Crossing::NoMore => crossings(path) <= crossings(&old),
+            Crossing::None => crossings(path) == 0,
+        });
         let taken = path.as_ref().unwrap_or(&old);
         self.engines.take(taken, tokens);
         if let (Some(path), Some(running)) = (&path, self.running.get_mut(&id)) {
@@ -290,29 +318,26 @@
     }
 
     fn path(&self, now: Instant, ticket: &Ticket) -> Option<Vec<Stage>> {
-        self.choose(now, ticket.tokens, ticket.near, true, None)
-    }
-
-    fn choose(
-        &self,
-        now: Instant,
-        tokens: u32,
-        near: Option<DataCentreKey>,
-        must_fit: bool,
-        held: Option<&[Stage]>,
-    ) -> Option<Vec<Stage>> {
         let need = Need {
-            tokens,
-            near,
-            must_fit,
-            held,
+            tokens: ticket.tokens,
+            near: ticket.near,
+            must_fit: true,
+            held: None,
+            within: None,
         };
         choice::choose(&self.engines, now, need)
     }
 
     /// Whether any engines join to a whole path, full or not.
     pub fn has_path(&self, now: Instant) -> bool {
-        self.choose(now, 0, None, false, None).is_some()
+        let need = Need {
+            tokens: 0,
+            near: None,
+            must_fit: false,
+            held: None,
+            within: None,
+        };
+        choice::choose(&self.engines, now, need).is_some()
     }
 
     fn start(&mut self, now: Instant, ticket: &Ticket, path: Vec<Stage>) -> Decision {
--- a/crates/state/paths/tests/choice.rs
+++ b/crates/state/paths/tests/choice.rs
@@ -27,6 +27,7 @@
         near: None,
         must_fit: true,
         held: None,
+        within: None,
     }
 }
 
@@ -138,9 +139,18 @@
     let mut servers = copy("a", 0);
     servers.push(server(50, "a", (24, 32)));
     let mut engines = engines(&servers);
-    engines.set_slowness("e003", 3.0);
+    let addr = engines.get(engines.key("e003").unwrap()).unwrap().addr;
+    let until = NOW + Duration::from_secs(1);
+    engines.set_slowness(addr, 3.0, until);
     let path = choose(&engines, NOW, need(900)).unwrap();
     assert_eq!(path[3].engine, engines.key("e050").unwrap());
+    engines.take(&path, 900);
+    let later = choose(&engines, until, need(900)).unwrap();
+    assert_eq!(
+        later[3].engine,
+        engines.key("e003").unwrap(),
+        "as fast as the other without news"
+    );
 }
 
 #[test]
--- a/crates/state/paths/tests/home.rs
+++ b/crates/state/paths/tests/home.rs
@@ -19,6 +19,7 @@
 use hemlockwind_paths::Ticket;
 use hemlockwind_paths::TicketId;
 use hemlockwind_paths::engines::Stage;
+use hemlockwind_paths::home::Crossing;
 use hemlockwind_paths::home::Detour;
 use hemlockwind_paths::home::Held;
 use hemlockwind_paths::ticket::Decision;
@@ -246,7 +247,7 @@
 const MUST_FIT: Detour = Detour {
     must_fit: true,
     keeps_first: false,
-    may_cross: true,
+    crossing: Crossing::Free,
 };
 const ANY: Detour = Detour {
     must_fit: false,
@@ -312,7 +313,7 @@
     let (id, path) = start(&mut w);
     leave(&mut w, &mut servers, &path, 4);
     let stays = Detour {
-        may_cross: false,
+        crossing: Crossing::NoMore,
         ..KEEPS_FIRST
     };
     assert_eq!(w.home.detour(at(1), id, stays), None);
@@ -324,6 +325,31 @@
     assert!(w.home.detour(at(2), id, stays).is_some());
 }
 
+#[test]
+fn detour_within_a_data_centre_when_links_have_failed() {
+    let (mut w, mut servers) = two_copies();
+    let (id, path) = start(&mut w);
+    leave(&mut w, &mut servers, &path, 4);
+    let crossing = w.home.detour(at(1), id, KEEPS_FIRST).unwrap();
+    assert!(w.home.engines.crossings(&crossing) > 0);
+    let stays = Detour {
+        must_fit: false,
+        crossing: Crossing::None,
+        ..KEEPS_FIRST
+    };
+    assert_eq!(w.home.detour(at(2), id, stays), None);
+    let lost = path[4].layers;
+    let name = servers
+        .iter()
+        .find(|s| s.layers == Some(path[0].layers))
+        .unwrap();
+    let name = std::sync::Arc::clone(&name.data_centre);
+    servers.push(server(50, &name, (lost.start(), lost.end())));
+    w.home.engines.update(servers.iter());
+    let within = w.home.detour(at(3), id, stays).unwrap();
+    assert_eq!(w.home.engines.crossings(&within), 0);
+}
+
 #[test]
 fn detour_none_when_the_first_stage_leaves() {
     let (mut w, mut servers) = two_copies();
