Callers come back when engines have taken over; the giver's lease is inherited by its next process

A dark first engine took 0.8 s until its report failed. Change: Retry-After of 1 to 2 s, spread by chance, as such callers are late in any case; a lease of the own name is taken at once where the platform ends a process before it starts the next; lease 2 s and two candidates; 0.3 s for the report of an engine in doubt.

--- a/crates/coordination/claims/tests/share.rs
+++ b/crates/coordination/claims/tests/share.rs
@@ -80,6 +80,7 @@
             process: instance as u128 + 1,
             duration: LEASE,
             retry: Duration::from_secs(1),
+            inherits: false,
         },
         skew: Duration::from_millis(250),
         future: Duration::from_secs(1),
--- a/crates/coordination/claims/tests/slots.rs
+++ b/crates/coordination/claims/tests/slots.rs
@@ -272,6 +272,7 @@
                 process: self.started,
                 duration: Duration::from_secs(1),
                 retry: Duration::from_millis(50),
+                inherits: false,
             },
             skew: Duration::from_millis(SKEW_MS as u64),
             future: Duration::from_millis(FUTURE_MS as u64),
--- a/crates/coordination/lease/src/holder.rs
+++ b/crates/coordination/lease/src/holder.rs
@@ -31,6 +31,9 @@
     pub duration: Duration,
     /// The time between reads, and between tries after a failure.
     pub retry: Duration,
+    /// Whether an earlier process of this name has ended for certain when this one
+    /// starts, and nothing that it began does harm. What it held is then taken at once.
+    pub inherits: bool,
 }
 
 /// `Event` is what a [`Holder`] hears.
@@ -269,9 +272,17 @@
             return;
         }
         self.version = Some(version);
+        let is_inherited = self.options.inherits && value.holder == self.options.name;
+        let wait = match is_inherited {
+            true => Duration::ZERO,
+            false => value.takeover_wait(),
+        };
+        if is_inherited {
+            self.act_at = now;
+        }
         self.observed = Observed::Other {
             holder: Arc::clone(&value.holder),
-            takeover_at: now + value.takeover_wait(),
+            takeover_at: now + wait,
         };
     }
 
--- a/crates/coordination/lease/tests/holder.rs
+++ b/crates/coordination/lease/tests/holder.rs
@@ -21,6 +21,7 @@
 use hemlockwind_lease::Event;
 use hemlockwind_lease::Fencing;
 use hemlockwind_lease::Holder;
+use hemlockwind_lease::Nonce;
 use hemlockwind_lease::Options;
 use hemlockwind_lease::Orders;
 use hemlockwind_lease::Outcome;
@@ -151,6 +152,7 @@
             process: u128::from(self.started),
             duration: DURATION,
             retry: Duration::from_millis(200),
+            inherits: false,
         });
         Process {
             holder,
@@ -369,3 +371,50 @@
     assert_eq!(held.count(), 1);
     assert_eq!(world.terms, 2);
 }
+
+/// What a holder asks for after it has read a lease of `holder`.
+fn after_read(inherits: bool, holder: &str) -> Option<Action> {
+    let mut fresh = Holder::new(Options {
+        name: "front-1".into(),
+        process: 2,
+        duration: DURATION,
+        retry: Duration::from_millis(500),
+        inherits,
+    });
+    let now = Instant::from_millis(10_000);
+    assert_eq!(
+        fresh.on_event(now, Event::Candidate(true)),
+        Some(Action::Get)
+    );
+    let value = Value {
+        holder: holder.into(),
+        nonce: Nonce {
+            process: 1,
+            write: 7,
+        },
+        duration: DURATION,
+        released: false,
+    };
+    fresh.on_event(now, Event::Read(Some((value, ObjectVersion(9)))))
+}
+
+#[test]
+fn read_takes_the_lease_of_an_earlier_process_at_once() {
+    assert!(matches!(
+        after_read(true, "front-1"),
+        Some(Action::Put {
+            when: Precondition::Version(ObjectVersion(9)),
+            ..
+        })
+    ));
+}
+
+#[test]
+fn read_waits_for_the_lease_of_another_instance() {
+    assert_eq!(after_read(true, "front-2"), None);
+}
+
+#[test]
+fn read_waits_for_an_earlier_process_that_may_still_run() {
+    assert_eq!(after_read(false, "front-1"), None);
+}
--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -101,6 +101,7 @@
                 process: Uuid::new_v4().as_u128(),
                 duration: LEASE,
                 retry: RETRY,
+                inherits: false,
             },
             skew: SKEW,
             future: FUTURE,
--- a/crates/gateway/src/homes.rs
+++ b/crates/gateway/src/homes.rs
@@ -54,7 +54,7 @@
 /// removed, or it is back, by then.
 const DEAD_TIME: Duration = Duration::from_millis(4_000);
 /// When to come back if no home can be reached or no engines are known.
-const NO_HOME_RETRY: Duration = Duration::from_millis(500);
+const NO_HOME_RETRY: Duration = Duration::from_millis(1_000);
 /// Time between two reports of the running streams to their homes.
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Time in which ends of streams are gathered into one message.
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -45,9 +45,9 @@
 pub const DUTY: &str = LEASE_NAME;
 /// How long the lease lasts without a renewal. A gap waits as long for a new giver, and
 /// each renewal, a third of it, costs a call.
-const LEASE_TIME: Duration = Duration::from_millis(2_500);
+const LEASE_TIME: Duration = Duration::from_millis(2_000);
 /// Time between two reads of the lease by those that don't hold it.
-const LEASE_RETRY: Duration = Duration::from_millis(1_000);
+const LEASE_RETRY: Duration = Duration::from_millis(600);
 /// Time between two looks at an engine that loads: a load of a few layers takes about
 /// a second, and each look is charged.
 const WATCH_INTERVAL: Duration = Duration::from_millis(300);
@@ -70,7 +70,7 @@
 /// when what passes through them has ended, and the next loss finds it taken.
 const CALM_TIME: Duration = Duration::from_millis(3_000);
 /// Instances that compete for the lease. The others need not read it.
-pub const CANDIDATES: usize = 3;
+pub const CANDIDATES: usize = 2;
 /// Time after which an order whose effect does not show is given again, beside the
 /// load's own time.
 const ORDER_TIME: Duration = Duration::from_millis(2_000);
@@ -277,6 +277,9 @@
         process: rand::random(),
         duration: LEASE_TIME,
         retry: LEASE_RETRY,
+        // The platform starts an instance again only after its process has ended, and an engine
+        // refuses an order that was given before its latest one.
+        inherits: true,
     });
     let mut givers: SeededHashMap<Arc<str>, Giver> = SeededHashMap::default();
     let mut held = false;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -46,6 +46,9 @@
 const DOUBT_MARGIN: Duration = Duration::from_millis(150);
 /// The longest wanted pause of a route that does not say.
 const PAUSE_DEFAULT: Duration = Duration::from_millis(200);
+/// Time in which an engine must tell of a stream in doubt: far beyond the delay inside a
+/// region, and short beside the caller's patience.
+const LOOK_TIME: Duration = Duration::from_millis(300);
 /// Time between two looks at a stream in doubt: reports are some hundred ms old.
 const LOOK_AGAIN: Duration = Duration::from_millis(200);
 /// The part of the caller's patience after which a silent stream goes on elsewhere
@@ -320,7 +323,9 @@
         let report = tokio::select! {
             biased;
             () = self.tx.closed() => return Some(End::CallerLeft),
-            report = self.gateway.reports.get(&self.gateway.http, first) => report,
+            report = timeout(LOOK_TIME, self.gateway.reports.get(&self.gateway.http, first)) => {
+                report.unwrap_or_else(|_| Err(Error::backend_unreachable(first.to_string())))
+            }
         };
         let silent = self.heard.elapsed();
         match report {
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -57,7 +57,10 @@
 /// lacks memory for a moment; one that is dead or leaves is found by other signs.
 const REFUSED_TIME: Duration = Duration::from_millis(100);
 /// When to come back after all tries were refused.
-const REFUSED_RETRY: Duration = Duration::from_millis(400);
+const REFUSED_RETRY: Duration = Duration::from_millis(1_000);
+/// The part by which a time to come back may be longer, by chance: callers that were refused
+/// together must not return together.
+const RETRY_SPREAD: f64 = 0.6;
 /// Bytes of a failure's body that is passed on.
 const FAILURE_LIMIT: usize = 1 << 20;
 /// Time for the rest of a failure's body.
@@ -127,7 +130,11 @@
             *response.headers_mut() = headers::passed_on(&parts.headers);
             response
         }
-        Err((e, retry)) => answers::failure(&e, Some(&accepted.attempt), retry),
+        Err((e, retry)) => {
+            let spread = 1.0 + RETRY_SPREAD * rand::random::<f64>();
+            let retry = retry.map(|after| after.mul_f64(spread));
+            answers::failure(&e, Some(&accepted.attempt), retry)
+        }
     };
     if let Some(left_out) = gateway.lines.take(gateway.now(), "stream_refused") {
         let (running, waiting) = gateway.homes.load();
--- a/crates/state/paths/src/home.rs
+++ b/crates/state/paths/src/home.rs
@@ -31,13 +31,14 @@
 /// The part of the time to its latest start that a ticket may be expected to wait. The
 /// estimate errs by about a third, and a request that waited in vain is the worst case.
 const WAIT_MARGIN: f64 = 0.6;
-/// The time after which a caller may come back when there is no whole path: a crashed
-/// engine is replaced or returns within seconds.
-const NO_PATH_RETRY: Duration = Duration::from_millis(700);
+/// The time after which a caller may come back when there is no whole path: engines take
+/// over what a lost one held within a second or two. Callers come back only once or twice
+/// and are late by then, so a little longer costs them less than a second refusal.
+const NO_PATH_RETRY: Duration = Duration::from_millis(2_000);
 /// Time that an engine may be passed over without its path counting as lost.
-const PASSING: Duration = Duration::from_millis(150);
-/// The shortest time after which a refused caller should come back.
-const SHORTEST_RETRY: Duration = Duration::from_millis(300);
+const PASSING: Duration = Duration::from_millis(400);
+/// The shortest time after which a refused caller should come back, for the same reason.
+const SHORTEST_RETRY: Duration = Duration::from_millis(1_000);
 /// Time without a report after which an instance's running requests are forgotten.
 const SILENCE: Duration = Duration::from_secs(4);
 /// Time after a start in which its instance may not have reported it yet.
