Read-through: an accused engine has a log line; all ends of a run are matched; one line more under the budget

Cause: the verdict on an engine that is said to hold a stream up changes what an instance believes and had no line where the stream then went on; 'engine without report' was not bounded; a match of a closed set had a catch-all.

--- a/crates/gateway/src/relay/recover.rs
+++ b/crates/gateway/src/relay/recover.rs
@@ -59,8 +59,12 @@
         let silent = self.heard.elapsed();
         match report {
             Err(e) => {
-                info!(self.gateway.log, "engine without report"; "id" => &self.accepted.attempt,
-                    "engine" => %first, "error" => %e, "silent_ms" => silent.as_millis() as u64);
+                let gateway = &self.gateway;
+                if let Some(left_out) = gateway.lines.take(gateway.now(), "engine_without_report") {
+                    info!(gateway.log, "engine without report"; "id" => &self.accepted.attempt,
+                        "engine" => %first, "error" => %e,
+                        "silent_ms" => silent.as_millis() as u64, "left_out" => left_out);
+                }
                 Some(End::Dead(first))
             }
             Ok(report) => {
@@ -108,14 +112,20 @@
     /// Has the first engine go on with the stream where a later one has died. Returns
     /// whether it does; if not, the stream has to be sent again.
     pub(super) async fn replace(&mut self, end: &End) -> bool {
-        let (by, addr) = match *end {
-            End::Dead(addr) if self.first() != Some(addr) => (Crossing::Free, addr),
-            End::Unlinked(addr) => (Crossing::None, addr),
-            _ => return false,
+        let by = match end {
+            End::Dead(addr) if self.first() == Some(*addr) => return false,
+            End::Dead(addr) => {
+                streams::dead(&self.gateway, *addr);
+                Crossing::Free
+            }
+            End::Unlinked(_) => Crossing::None,
+            End::Complete
+            | End::CallerLeft
+            | End::Deadline
+            | End::Broken(_)
+            | End::Silent
+            | End::Leaving(_) => return false,
         };
-        if by == Crossing::Free {
-            streams::dead(&self.gateway, addr);
-        }
         for _ in 0..REPATH_TRIES {
             if self.repath(false, by).await {
                 self.heard = Instant::now();
@@ -137,13 +147,19 @@
             let first = places.next();
             places.any(|d| Some(d) != first)
         };
-        if !crosses {
-            return End::Dead(addr);
+        // Inside a data centre nothing but the engine itself can be at fault.
+        let answers = crosses && {
+            let asked = gateway.reports.get(&gateway.http, addr);
+            matches!(timeout(ACCUSED_TIME, asked).await, Ok(Ok(_)))
+        };
+        if let Some(left_out) = gateway.lines.take(gateway.now(), "engine_accused") {
+            info!(gateway.log, "engine holds a stream up"; "id" => &self.accepted.attempt,
+                "engine" => %addr, "path_crosses" => crosses, "answers" => answers,
+                "silent_ms" => self.heard.elapsed().as_millis() as u64, "left_out" => left_out);
         }
-        let asked = gateway.reports.get(&gateway.http, addr);
-        match timeout(ACCUSED_TIME, asked).await {
-            Ok(Ok(_)) => End::Unlinked(addr),
-            Ok(Err(_)) | Err(_) => End::Dead(addr),
+        match answers {
+            true => End::Unlinked(addr),
+            false => End::Dead(addr),
         }
     }
 
