Placement: copies grow with the engines, paths don't; a path has a bound of parts

Cause: each data centre held one copy of the model over all its engines, however many there were.

Ruled out: groups of ten engines dealt anew after each loss (the trial in the design notes): each loss would move layers of engines that have nothing to do with it.

Change: a data centre holds as many copies as leave half of its memory to requests, at least one. Only the first layout deals the engines to copies; afterwards the data centre is one group with one measure of what each layer lacks, now for several copies, so a loss moves nobody else, and an engine of one copy stands in for a lost one of another. What is enough over all data centres is what is left when one of them is lost: for three data centres of one copy each the same figure as before. Paths: the search looks at each engine's own boundaries only (it scanned all engines at each boundary and data centre), keeps the first stage of a running stream as it is although its engine may hold more by now, and makes hops dearer until a path has 32 parts at most. The giver does not plan again for a view for which nothing was due.

--- a/crates/gateway/src/orders/giver.rs
+++ b/crates/gateway/src/orders/giver.rs
@@ -61,6 +61,9 @@
     seen: SeededHashMap<Arc<str>, Instant>,
     /// The engines at the last change, and when that was.
     last: (Vec<Engine>, Instant),
+    /// The last view for which the plan asked for nothing. Planning is a search over all
+    /// ranges of all engines, and mostly nothing has changed since the look before.
+    settled: Option<(Vec<Engine>, Urgency)>,
 }
 
 impl Giver {
@@ -94,7 +97,14 @@
             .collect();
         let may_even = may_even && self.is_calm(now, &engines);
         let urgency = self.urgency(now, model, &engines, may_even);
-        let orders = plan(model, &engines, urgency);
+        let view = (engines, urgency);
+        if self.settled.as_ref() == Some(&view) {
+            return Vec::new();
+        }
+        let orders = plan(model, &view.0, urgency);
+        if orders.is_empty() {
+            self.settled = Some(view);
+        }
         let mut due = Vec::with_capacity(orders.len());
         let loading = self.given.len() + orders.len();
         // More loads at a time than the weights' store serves take longer in proportion.
--- a/crates/state/paths/src/choice.rs
+++ b/crates/state/paths/src/choice.rs
@@ -35,6 +35,13 @@
 /// requests, which then are read again and again.
 const OVERBOOKED: f64 = 0.25;
 
+/// Stages of one path at most: the engines' protocol refuses longer ones as malformed.
+pub const PARTS_LIMIT: usize = 32;
+/// Searches for one path, each with dearer hops than the one before.
+const SHORTER_TRIES: u32 = 4;
+/// How much dearer a hop is in each further search.
+const SHORTER_FACTOR: f64 = 8.0;
+
 /// `Need` is what a request asks of a path.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Need<'a> {
@@ -75,131 +82,199 @@
 /// so the cheapest step to a boundary need not be part of the cheapest path.
 type Table = Vec<Vec<Option<Step>>>;
 
-/// An engine that may be part of the path, and the place of its data centre.
-type Usable<'a> = (BackendServerKey, &'a Engine, usize);
+/// An engine that may be part of the path, with what the search asks of it often.
+struct Usable<'a> {
+    key: BackendServerKey,
+    engine: &'a Engine,
+    /// The place of its data centre.
+    place: usize,
+    /// The expected time for each token in one layer, in milliseconds.
+    by_layer: f64,
+    /// Memory that the request may take, in tokens x layers.
+    room: f64,
+    /// Whether a new path may begin at it.
+    may_begin: bool,
+}
+
+/// One search for the cheapest path.
+struct Search<'a> {
+    engines: &'a Engines,
+    need: Need<'a>,
+    /// Time for each token to pass to the next stage, in milliseconds.
+    hop_ms: f64,
+    usable: Vec<Usable<'a>>,
+    data_centres: Vec<DataCentreKey>,
+    /// All layers at which a range begins or ends, with the first and the last one.
+    bounds: Vec<u16>,
+    /// The engines that hold the layer after each boundary, by their place in `usable`.
+    holders: Vec<Vec<usize>>,
+}
 
-/// The cheapest path for `need`, `None` when there is none.
+/// The cheapest path for `need`, `None` when there is none within [`PARTS_LIMIT`].
 pub fn choose(engines: &Engines, now: Instant, need: Need<'_>) -> Option<Vec<Stage>> {
-    let last = engines.model.layers;
-    let mut data_centres: Vec<DataCentreKey> = Vec::new();
-    let mut usable: Vec<Usable<'_>> = Vec::new();
-    for (key, engine) in engines.iter() {
-        let is_within = need.within.is_none_or(|d| engine.data_centre == d);
-        if !engines.is_usable(engine, now) || !is_within {
-            continue;
+    let mut search = Search::new(engines, now, need);
+    for _ in 0..SHORTER_TRIES {
+        let path = search.run()?;
+        if path.len() <= PARTS_LIMIT {
+            return Some(path);
         }
-        let known = data_centres.iter().position(|d| *d == engine.data_centre);
-        let place = known.unwrap_or_else(|| {
-            data_centres.push(engine.data_centre);
-            data_centres.len() - 1
-        });
-        usable.push((key, engine, place));
+        // Dearer hops make shorter paths.
+        search.hop_ms *= SHORTER_FACTOR;
     }
-    let mut bounds = boundaries(&usable, last);
-    if let Some(first) = need.first()
-        && let Err(at) = bounds.binary_search(&first.layers.end())
-    {
-        bounds.insert(at, first.layers.end());
+    None
+}
+
+impl<'a> Search<'a> {
+    fn new(engines: &'a Engines, now: Instant, need: Need<'a>) -> Self {
+        let mut search = Self {
+            engines,
+            need,
+            hop_ms: HOP_MS,
+            usable: Vec::new(),
+            data_centres: Vec::new(),
+            bounds: Vec::new(),
+            holders: Vec::new(),
+        };
+        for (key, engine) in engines.iter() {
+            let is_within = need.within.is_none_or(|d| engine.data_centre == d);
+            if engines.is_usable(engine, now) && is_within {
+                search.add(now, key, engine);
+            }
+        }
+        search.set_bounds();
+        search
     }
-    let mut table: Table = vec![vec![None; data_centres.len()]; bounds.len()];
-    if let Some(first) = need.first() {
-        let at = bounds.binary_search(&first.layers.end()).ok()?;
-        let (.., place) = usable.iter().find(|(key, ..)| *key == first.engine)?;
-        table[at][*place] = Some(Step {
-            cost: 0.0,
-            from: (0, *place),
-            engine: first.engine,
+
+    fn add(&mut self, now: Instant, key: BackendServerKey, engine: &'a Engine) {
+        let places = &mut self.data_centres;
+        let known = places.iter().position(|d| *d == engine.data_centre);
+        let place = known.unwrap_or_else(|| {
+            places.push(engine.data_centre);
+            places.len() - 1
+        });
+        let spare = match self.need.must_fit {
+            true => 0.0,
+            false => engine.room * OVERBOOKED,
+        };
+        self.usable.push(Usable {
+            key,
+            engine,
+            place,
+            by_layer: layer_cost(self.engines, now, engine),
+            room: engine.free(now) + spare,
+            may_begin: !self.need.must_fit || engine.first < engine.slots,
         });
     }
-    for at in 0..bounds.len() {
-        let mut reached: Vec<(usize, Option<Step>)> = Vec::new();
-        if at == 0 && need.held.is_none() {
-            reached.push((usize::MAX, None));
+
+    /// Finds the boundaries, and who holds the layer after each.
+    fn set_bounds(&mut self) {
+        let mut bounds = vec![0, self.engines.model.layers];
+        for usable in &self.usable {
+            bounds.push(usable.engine.layers.start());
+            bounds.push(usable.engine.layers.end());
         }
-        let steps = table[at].iter().enumerate();
-        reached.extend(steps.filter_map(|(place, step)| Some((place, Some((*step)?)))));
-        for (place, step) in reached {
-            for engine in &usable {
-                let hop = hop(engines, need, (place, step), engine, &data_centres);
-                let Some(hop) = hop else { continue };
-                let from = (at, place, step);
-                extend(engines, now, need, &bounds, &mut table, from, hop, engine);
+        bounds.extend(self.need.first().map(|first| first.layers.end()));
+        bounds.retain(|b| *b <= self.engines.model.layers);
+        bounds.sort_unstable();
+        bounds.dedup();
+        self.holders = vec![Vec::new(); bounds.len()];
+        for (i, usable) in self.usable.iter().enumerate() {
+            let layers = usable.engine.layers;
+            let first = bounds.partition_point(|b| *b < layers.start());
+            let after = bounds.partition_point(|b| *b < layers.end());
+            for holders in &mut self.holders[first..after] {
+                holders.push(i);
             }
         }
+        self.bounds = bounds;
     }
-    let path = trace(&bounds, &table)?;
-    Some(merge(path))
-}
 
-/// The time for each token to pass to an engine, `None` when the link is full.
-fn hop(
-    engines: &Engines,
-    need: Need<'_>,
-    (place, step): (usize, Option<Step>),
-    &(_, engine, its_place): &Usable<'_>,
-    data_centres: &[DataCentreKey],
-) -> Option<f64> {
-    match step {
-        None => {
-            let is_near = need.near.is_none_or(|d| engine.data_centre == d);
-            Some(if is_near { 0.0 } else { FAR_START_MS })
+    fn run(&self) -> Option<Vec<Stage>> {
+        let mut table: Table = vec![vec![None; self.data_centres.len()]; self.bounds.len()];
+        if let Some(first) = self.need.first() {
+            let at = self.bounds.binary_search(&first.layers.end()).ok()?;
+            let held = self.usable.iter().find(|u| u.key == first.engine)?;
+            table[at][held.place] = Some(Step {
+                cost: 0.0,
+                from: (0, held.place),
+                engine: first.engine,
+            });
         }
-        Some(_) if place == its_place => Some(HOP_MS),
-        Some(_) => {
-            let load = engines.link_load(data_centres[place], engine.data_centre);
-            let is_full = load >= 1.0 && need.must_fit;
-            (!is_full).then_some(FAR_HOP_MS * (1.0 + load))
+        for at in 0..self.bounds.len() {
+            for place in 0..self.data_centres.len() {
+                let Some((cost, from)) = self.entry(&table[at], at, place) else {
+                    continue;
+                };
+                for i in &self.holders[at] {
+                    let usable = &self.usable[*i];
+                    if usable.place == place {
+                        self.extend(&mut table, usable, at, cost, from);
+                    }
+                }
+            }
         }
+        trace(&self.bounds, &table).map(merge)
     }
-}
 
-/// Tries to go on with one engine from boundary `at`, reached in the data centre at `place`.
-#[expect(clippy::too_many_arguments, reason = "one step of the search")]
-fn extend(
-    engines: &Engines,
-    now: Instant,
-    need: Need<'_>,
-    bounds: &[u16],
-    table: &mut Table,
-    (at, place, step): (usize, usize, Option<Step>),
-    hop: f64,
-    &(key, engine, its_place): &Usable<'_>,
-) {
-    let start = bounds[at];
-    let holds = engine.layers.start() <= start && engine.layers.end() > start;
-    if !holds || step.is_some_and(|step| step.engine == key) {
-        return;
+    /// The least cost of a token that comes to boundary `at` in the data centre at `place`,
+    /// and the place that it comes from.
+    fn entry(&self, steps: &[Option<Step>], at: usize, place: usize) -> Option<(f64, usize)> {
+        if at == 0 && self.need.held.is_none() {
+            let is_near = self.need.near.is_none_or(|d| self.data_centres[place] == d);
+            return Some((if is_near { 0.0 } else { FAR_START_MS }, place));
+        }
+        let ways = steps.iter().enumerate().filter_map(|(from, step)| {
+            let hop = self.hop(from, place)?;
+            Some(((*step)?.cost + hop, from))
+        });
+        ways.min_by(|(a, _), (b, _)| a.total_cmp(b))
     }
-    if need.must_fit && step.is_none() && engine.first >= engine.slots {
-        return;
+
+    /// The time for each token to pass between two data centres, `None` when the link is
+    /// full.
+    fn hop(&self, from: usize, to: usize) -> Option<f64> {
+        if from == to {
+            return Some(self.hop_ms);
+        }
+        let ends = (self.data_centres[from], self.data_centres[to]);
+        let load = self.engines.link_load(ends.0, ends.1);
+        let is_full = load >= 1.0 && self.need.must_fit;
+        (!is_full).then_some(FAR_HOP_MS * (1.0 + load))
     }
-    let before = step.map_or(0.0, |step| step.cost);
-    let by_layer = layer_cost(engines, now, engine);
-    let free = engine.free(now);
-    let spare = if need.must_fit {
-        0.0
-    } else {
-        engine.room * OVERBOOKED
-    };
-    for (to, &end) in bounds.iter().enumerate().skip(at + 1) {
-        if end > engine.layers.end() {
-            break;
+
+    /// Tries to go on with one engine from boundary `at`, reached at `cost` from the data
+    /// centre at `from`.
+    fn extend(&self, table: &mut Table, usable: &Usable<'_>, at: usize, cost: f64, from: usize) {
+        let need = self.need;
+        if at == 0 && need.held.is_none() && !usable.may_begin {
+            return;
         }
-        let layers = f64::from(end - start);
-        let is_held = need.holds(key, start, end);
-        if !is_held && free + spare < f64::from(need.tokens) * layers {
-            break;
+        // The first stage of a running stream must stay as it is, even where its engine
+        // holds more by now.
+        if need.first().is_some_and(|first| first.engine == usable.key) {
+            return;
         }
-        let is_new = need.held.is_some() && !is_held;
-        let new = if is_new { NEW_ENGINE_MS } else { 0.0 };
-        let cost = before + hop + new + layers * by_layer;
-        let best = &mut table[to][its_place];
-        if best.is_none_or(|known| cost < known.cost) {
-            *best = Some(Step {
-                cost,
-                from: (at, place),
-                engine: key,
-            });
+        let start = self.bounds[at];
+        for (to, &end) in self.bounds.iter().enumerate().skip(at + 1) {
+            if end > usable.engine.layers.end() {
+                break;
+            }
+            let layers = f64::from(end - start);
+            let is_held = need.holds(usable.key, start, end);
+            if !is_held && usable.room < f64::from(need.tokens) * layers {
+                break;
+            }
+            let is_new = need.held.is_some() && !is_held;
+            let new = if is_new { NEW_ENGINE_MS } else { 0.0 };
+            let cost = cost + new + layers * usable.by_layer;
+            let best = &mut table[to][usable.place];
+            if best.is_none_or(|known| cost < known.cost) {
+                *best = Some(Step {
+                    cost,
+                    from: (at, from),
+                    engine: usable.key,
+                });
+            }
         }
     }
 }
@@ -216,19 +291,6 @@
     (time * engine.slowness(now) + fullness * FULLNESS_MS) / f64::from(model.layers.max(1))
 }
 
-/// All layers at which a range begins or ends, with the first and the last one.
-fn boundaries(usable: &[Usable<'_>], last: u16) -> Vec<u16> {
-    let mut bounds = vec![0, last];
-    for (_, engine, _) in usable {
-        bounds.push(engine.layers.start());
-        bounds.push(engine.layers.end());
-    }
-    bounds.retain(|b| *b <= last);
-    bounds.sort_unstable();
-    bounds.dedup();
-    bounds
-}
-
 /// The stages of the cheapest way to the last boundary.
 fn trace(bounds: &[u16], table: &Table) -> Option<Vec<Stage>> {
     let mut at = bounds.len().checked_sub(1)?;
--- a/crates/state/paths/tests/choice.rs
+++ b/crates/state/paths/tests/choice.rs
@@ -12,6 +12,7 @@
 use hemlockwind_core::time::Instant;
 use hemlockwind_paths::Engines;
 use hemlockwind_paths::choice::Need;
+use hemlockwind_paths::choice::PARTS_LIMIT;
 use hemlockwind_paths::choice::choose;
 use hemlockwind_paths::engines::Stage;
 
@@ -192,3 +193,56 @@
         }
     }
 }
+
+#[test]
+fn choose_first_stage_stays_as_it_is() {
+    // The first engine was extended meanwhile over a part of what the second one held.
+    let mut servers = copy("a", 0);
+    servers[0].layers = LayerRange::new(0, 12).ok();
+    servers[1].state = ServerState::Leaving;
+    servers.push(server(20, "a", (8, 16)));
+    let engines = engines(&servers);
+    let stage = |id: &str, start, end| Stage {
+        engine: engines.key(id).unwrap(),
+        layers: LayerRange::new(start, end).unwrap(),
+    };
+    let mut held = vec![stage("e000", 0, 8), stage("e001", 8, 16)];
+    held.extend((2..10).map(|i| stage(&format!("e{i:03}"), i * 8, i * 8 + 8)));
+    let need = Need {
+        held: Some(&held),
+        ..need(900)
+    };
+    let path = choose(&engines, NOW, need).unwrap();
+    assert_eq!(path[0], held[0]);
+    assert!(is_path(&engines, &path));
+}
+
+#[test]
+fn choose_no_more_parts_than_engines_take() {
+    // Forty engines of two layers each are idle; ten of eight layers are busy.
+    let mut servers: Vec<_> = (0..40)
+        .map(|i| server(i, "a", (i * 2, i * 2 + 2)))
+        .collect();
+    servers.extend(copy("a", 100));
+    let mut engines = engines(&servers);
+    let long: Vec<Stage> = (0..10)
+        .map(|i| Stage {
+            engine: engines.key(&format!("e{:03}", 100 + i)).unwrap(),
+            layers: LayerRange::new(i * 8, i * 8 + 8).unwrap(),
+        })
+        .collect();
+    for _ in 0..4 {
+        engines.take(&long, 900);
+    }
+    let path = choose(&engines, NOW, need(900)).unwrap();
+    assert!(path.len() <= PARTS_LIMIT, "{} parts", path.len());
+    assert!(is_path(&engines, &path));
+}
+
+#[test]
+fn choose_none_where_every_path_is_too_long() {
+    let servers: Vec<_> = (0..40)
+        .map(|i| server(i, "a", (i * 2, i * 2 + 2)))
+        .collect();
+    assert_eq!(choose(&engines(&servers), NOW, need(900)), None);
+}
--- /dev/null
+++ b/crates/state/placement/src/copies.rs
@@ -0,0 +1,64 @@
+//! Which engines share copies, and how many copies they hold.
+
+use hemlockwind_core::servers::EngineModel;
+
+use crate::Engine;
+use crate::layout;
+
+/// The part of a group's memory that weights take at most, where it holds several copies.
+/// The rest holds requests, of which a busy site keeps about a third of it filled.
+const WEIGHTS_PART: f64 = 0.5;
+
+/// `Group` is the engines that share copies: those of one data centre, or of several where
+/// one alone is too small for a copy.
+pub struct Group<'a> {
+    /// The engines, in the order of their ids.
+    pub engines: Vec<&'a Engine>,
+    /// Copies that the live ones hold together when nothing is lacking.
+    pub copies: u16,
+}
+
+impl<'a> Group<'a> {
+    fn new(model: &EngineModel, engines: Vec<&'a Engine>) -> Self {
+        let live: Vec<&Engine> = engines.iter().filter(|e| e.is_live).copied().collect();
+        let copies = count(model, &live);
+        Self { engines, copies }
+    }
+
+    /// The live engines.
+    pub fn live(&self) -> Vec<&'a Engine> {
+        let live = self.engines.iter().filter(|e| e.is_live);
+        live.copied().collect()
+    }
+}
+
+/// The copies that `engines` should hold: as many as leave enough memory to requests, at
+/// least one. Their memory decides, so a loss changes the number only at a boundary.
+fn count(model: &EngineModel, engines: &[&Engine]) -> u16 {
+    let memory: f64 = engines.iter().map(|e| e.card.memory_bytes).sum();
+    let copy = f64::from(model.layers) * model.layer_bytes;
+    // Truncation is intended: a part of a copy serves nobody.
+    ((memory * WEIGHTS_PART / copy) as u16).max(1)
+}
+
+/// All engines in groups.
+pub fn groups<'a>(model: &EngineModel, engines: &'a [Engine]) -> Vec<Group<'a>> {
+    let mut names: Vec<_> = engines.iter().map(|e| &e.data_centre).collect();
+    names.sort_unstable();
+    names.dedup();
+    let mut groups = Vec::new();
+    let mut small = Vec::new();
+    for name in names {
+        let of_name = engines.iter().filter(|e| e.data_centre == *name);
+        let mut group: Vec<&Engine> = of_name.collect();
+        group.sort_unstable_by(|a, b| a.id.cmp(&b.id));
+        match layout::can_hold(model, &group) {
+            true => groups.push(Group::new(model, group)),
+            false => small.extend(group),
+        }
+    }
+    if !small.is_empty() {
+        groups.push(Group::new(model, small));
+    }
+    groups
+}
--- a/crates/state/placement/src/cover.rs
+++ b/crates/state/placement/src/cover.rs
@@ -1,10 +1,11 @@
-//! The orders for the engines of one copy.
+//! The orders for the engines of one group.
 
 use hemlockwind_core::servers::EngineModel;
 
 use crate::Engine;
 use crate::Order;
 use crate::Urgency;
+use crate::copies::Group;
 use crate::layout;
 use crate::moves;
 use crate::moves::Change;
@@ -16,16 +17,16 @@
 /// The orders for one group of engines, beside the `others` that hold other copies.
 pub fn orders(
     model: &EngineModel,
-    engines: &[&Engine],
-    others: &[&Engine],
+    group: &Group<'_>,
+    others: &[&Group<'_>],
     urgency: Urgency,
 ) -> Vec<Order> {
-    let live = live(engines);
+    let live = group.live();
     if live.iter().all(|e| e.layers.is_none()) {
         let free: Vec<&Engine> = live.iter().filter(|e| e.is_free).copied().collect();
-        return layout::orders(model, &free);
+        return layout::orders(model, &free, group.copies);
     }
-    let need = Need::new(model, &live, &self::live(others));
+    let need = Need::new(model, group, others);
     let gaps = need::gaps(&need::rooms(model, &live));
     let mut round = Round::new(model, &need, &live);
     let empty = live.iter().filter(|e| e.is_free && e.layers.is_none());
@@ -68,8 +69,8 @@
 }
 
 /// Whether no live engine of the group holds some layer.
-pub fn has_gap(model: &EngineModel, engines: &[&Engine]) -> bool {
-    !need::gaps(&need::rooms(model, &live(engines))).is_empty()
+pub fn has_gap(model: &EngineModel, group: &Group<'_>) -> bool {
+    !need::gaps(&need::rooms(model, &group.live())).is_empty()
 }
 
 /// Whether an empty engine probably stands in for one that leaves soon: in a replacement
@@ -81,7 +82,3 @@
         |other: &Engine| other.card == engine.card && other.data_centre == engine.data_centre;
     engine.is_new && others.any(|other| is_like(other))
 }
-
-fn live<'a>(engines: &[&'a Engine]) -> Vec<&'a Engine> {
-    engines.iter().filter(|e| e.is_live).copied().collect()
-}
--- a/crates/state/placement/src/layout.rs
+++ b/crates/state/placement/src/layout.rs
@@ -1,4 +1,4 @@
-//! The layout of a copy over engines that all hold nothing.
+//! The layout of copies over engines that all hold nothing.
 
 use std::collections::VecDeque;
 
@@ -55,8 +55,31 @@
     shares
 }
 
+/// `copies` whole copies over `engines`, fewer where they don't fit.
+pub fn orders(model: &EngineModel, engines: &[&Engine], copies: u16) -> Vec<Order> {
+    let mut hands = deal(engines, usize::from(copies.max(1)));
+    while hands.len() > 1 && !hands.iter().all(|hand| can_hold(model, hand)) {
+        hands = deal(engines, hands.len() - 1);
+    }
+    hands.iter().flat_map(|hand| copy(model, hand)).collect()
+}
+
+/// The engines in `count` hands of about equal memory: dealt by size, to and fro.
+fn deal<'a>(engines: &[&'a Engine], count: usize) -> Vec<Vec<&'a Engine>> {
+    let mut hands = vec![Vec::new(); count];
+    for (i, engine) in by_size(engines).into_iter().enumerate() {
+        let (round, place) = (i / count, i % count);
+        let hand = match round % 2 {
+            0 => place,
+            _ => count - 1 - place,
+        };
+        hands[hand].push(engine);
+    }
+    hands
+}
+
 /// One whole copy over `engines`.
-pub fn orders(model: &EngineModel, engines: &[&Engine]) -> Vec<Order> {
+fn copy(model: &EngineModel, engines: &[&Engine]) -> Vec<Order> {
     let engines = &alternating(engines);
     let mut at = 0;
     let mut orders = Vec::new();
@@ -73,15 +96,21 @@
     orders
 }
 
-/// Large and small engines by turns, the largest in the middle: a small engine has little
-/// memory to take over from a neighbour that is lost, and what a large one leaves behind
-/// needs neighbours on both sides.
-fn alternating<'a>(engines: &[&'a Engine]) -> Vec<&'a Engine> {
+/// The engines, the largest first.
+fn by_size<'a>(engines: &[&'a Engine]) -> Vec<&'a Engine> {
     let mut by_size = engines.to_vec();
     by_size.sort_by(|a, b| {
         let size = b.card.memory_bytes.total_cmp(&a.card.memory_bytes);
         size.then_with(|| a.id.cmp(&b.id))
     });
+    by_size
+}
+
+/// Large and small engines by turns, the largest in the middle: a small engine has little
+/// memory to take over from a neighbour that is lost, and what a large one leaves behind
+/// needs neighbours on both sides.
+fn alternating<'a>(engines: &[&'a Engine]) -> Vec<&'a Engine> {
+    let mut by_size = by_size(engines);
     let small = by_size.split_off(by_size.len().div_ceil(2));
     let mut large = VecDeque::with_capacity(by_size.len());
     for (i, engine) in by_size.into_iter().enumerate() {
--- a/crates/state/placement/src/lib.rs
+++ b/crates/state/placement/src/lib.rs
@@ -1,11 +1,13 @@
 //! Which engine holds which layers of a joint model.
 //!
-//! Each data centre that can holds a whole copy of its own, since traffic between data
+//! Each data centre that can holds whole copies of its own, since traffic between data
 //! centres is slow and may be cut. Memory, not speed, bounds how many requests run at
-//! a time, so a data centre holds just one copy and leaves the rest of its memory to
-//! requests; see docs/design/placement.md. [`plan`] is a pure function of what is
-//! known, so any instance computes the same orders.
+//! a time, so the weights take half of a data centre's memory at most. More copies make
+//! shorter paths: their number grows with the engines, the length of a path does not; see
+//! docs/design/placement.md. [`plan`] is a pure function of what is known, so any
+//! instance computes the same orders.
 
+mod copies;
 mod cover;
 mod layout;
 mod moves;
@@ -18,6 +20,8 @@
 use hemlockwind_core::servers::Card;
 use hemlockwind_core::servers::EngineModel;
 
+use crate::copies::Group;
+
 /// `Engine` is one engine as the plan sees it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Engine {
@@ -61,43 +65,20 @@
     Even,
 }
 
-/// The orders that bring `engines` closer to a whole copy in each data centre.
+/// The orders that bring `engines` closer to whole copies in each data centre.
 pub fn plan(model: &EngineModel, engines: &[Engine], urgency: Urgency) -> Vec<Order> {
     let mut orders = Vec::new();
-    let groups = groups(model, engines);
+    let groups = copies::groups(model, engines);
     for (i, group) in groups.iter().enumerate() {
         let others = groups.iter().enumerate().filter(|(j, _)| *j != i);
-        let others: Vec<&Engine> = others.flat_map(|(_, g)| g.iter().copied()).collect();
+        let others: Vec<&Group<'_>> = others.map(|(_, g)| g).collect();
         orders.extend(cover::orders(model, group, &others, urgency));
     }
     orders
 }
 
-/// Whether a copy lacks layers that no live engine holds.
+/// Whether a data centre lacks layers that no live engine of it holds.
 pub fn has_gap(model: &EngineModel, engines: &[Engine]) -> bool {
-    let groups = groups(model, engines);
+    let groups = copies::groups(model, engines);
     groups.iter().any(|group| cover::has_gap(model, group))
 }
-
-/// Engines that share a copy: those of one data centre, or of several where one alone
-/// is too small.
-fn groups<'a>(model: &EngineModel, engines: &'a [Engine]) -> Vec<Vec<&'a Engine>> {
-    let mut names: Vec<&Arc<str>> = engines.iter().map(|e| &e.data_centre).collect();
-    names.sort_unstable();
-    names.dedup();
-    let mut groups = Vec::new();
-    let mut small = Vec::new();
-    for name in names {
-        let of_name = engines.iter().filter(|e| e.data_centre == *name);
-        let mut group: Vec<&Engine> = of_name.collect();
-        group.sort_unstable_by(|a, b| a.id.cmp(&b.id));
-        match layout::can_hold(model, &group) {
-            true => groups.push(group),
-            false => small.extend(group),
-        }
-    }
-    if !small.is_empty() {
-        groups.push(small);
-    }
-    groups
-}
--- a/crates/state/placement/src/need.rs
+++ b/crates/state/placement/src/need.rs
@@ -6,6 +6,7 @@
 use hemlockwind_core::servers::EngineModel;
 
 use crate::Engine;
+use crate::copies::Group;
 
 /// The weight of a layer that the copy does not hold, beside one that has no room: paths
 /// have to cross to another data centre.
@@ -15,32 +16,35 @@
 /// The weight of what all copies together lack, beside what one copy lacks. Paths may lead
 /// through several data centres, but links between them are slow.
 const ALL_COPIES: f64 = 2.0;
-/// The part of the even share of all copies that is enough for all callers: as much is
-/// left when a data centre is lost, and some engines beside.
-const ENOUGH: f64 = 0.5;
+/// The part of the even share of all groups that is enough for all callers, at least.
+const ENOUGH_LEAST: f64 = 0.5;
 
-/// `Need` measures what a copy lacks.
+/// `Need` measures what a group of engines lacks.
 pub struct Need {
-    /// The room of each layer when the copy is spread evenly, in tokens.
+    /// The room of each layer when the copies are spread evenly, in tokens.
     even: f64,
     /// The room of each layer in all copies that is enough, in tokens.
     enough: f64,
-    /// The room of each layer in the other copies, in tokens.
+    /// The room of each layer in the other groups, in tokens.
     elsewhere: Vec<f64>,
 }
 
 impl Need {
-    /// The need of the copy of `live`, beside the engines of `others`.
-    pub fn new(model: &EngineModel, live: &[&Engine], others: &[&Engine]) -> Self {
-        let even = even_room(model, live);
+    /// The need of `group`, beside the engines of `others`.
+    pub fn new(model: &EngineModel, group: &Group<'_>, others: &[&Group<'_>]) -> Self {
+        let even = even_room(model, &[group]);
+        let live: Vec<&Engine> = others.iter().flat_map(|g| g.live()).collect();
+        // As much as is left when one of the data centres is lost.
+        let left = others.len() as f64 / (others.len() + 1) as f64;
+        let all = even + even_room(model, others);
         Self {
             even: even.max(1.0),
-            enough: ((even + even_room(model, others)) * ENOUGH).max(1.0),
-            elsewhere: rooms(model, others),
+            enough: (all * left.max(ENOUGH_LEAST)).max(1.0),
+            elsewhere: rooms(model, &live),
         }
     }
 
-    /// What `layer` lacks with `room` tokens in this copy.
+    /// What `layer` lacks with `room` tokens in this group.
     pub fn lack(&self, layer: usize, room: f64) -> f64 {
         let all = room + self.elsewhere[layer];
         lack(room, self.even, GAP) + ALL_COPIES * lack(all, self.enough, LOST)
@@ -55,11 +59,13 @@
     missing * missing
 }
 
-/// The room of each layer if one copy were spread evenly over these engines, in tokens.
-fn even_room(model: &EngineModel, engines: &[&Engine]) -> f64 {
-    let memory: f64 = engines.iter().map(|e| e.card.memory_bytes).sum();
+/// The room of each layer if the copies of these groups were spread evenly, in tokens.
+fn even_room(model: &EngineModel, groups: &[&Group<'_>]) -> f64 {
+    let engines = groups.iter().flat_map(|g| g.live());
+    let memory: f64 = engines.map(|e| e.card.memory_bytes).sum();
+    let copies: u16 = groups.iter().map(|g| g.copies).sum();
     let layers = f64::from(model.layers);
-    let free = memory - layers * model.layer_bytes;
+    let free = memory - f64::from(copies.max(1)) * layers * model.layer_bytes;
     (free / (model.kv_layer_bytes() * layers)).max(0.0)
 }
 
--- a/crates/state/placement/tests/plan.rs
+++ b/crates/state/placement/tests/plan.rs
@@ -375,3 +375,85 @@
     assert_eq!(one, other);
     let _: Arc<str> = one[0].id.clone();
 }
+
+/// Engines of all kinds in `data_centres` data centres, small ones in the majority.
+fn fleet(count: usize, data_centres: usize) -> Vec<Engine> {
+    let kinds = [21.6, 14.4, 21.6, 14.4, 36.0, 21.6, 14.4, 43.0];
+    let engines = (0..count).map(|i| {
+        let data_centre = format!("d{}", i % data_centres);
+        engine(
+            &format!("e{i:04}"),
+            &data_centre,
+            kinds[(i / data_centres) % kinds.len()],
+            None,
+        )
+    });
+    engines.collect()
+}
+
+/// The engines of the longest chain that a path needs in one data centre: from the first
+/// layer on always the one that reaches furthest.
+fn parts(engines: &[Engine], data_centre: &str) -> Option<usize> {
+    let of = engines.iter().filter(|e| &*e.data_centre == data_centre);
+    let held: Vec<LayerRange> = of.filter_map(|e| e.layers).collect();
+    let (mut at, mut parts) = (0, 0);
+    while at < model().layers {
+        let reaches = held.iter().filter(|l| l.start() <= at && l.end() > at);
+        at = reaches.map(|l| l.end()).max()?;
+        parts += 1;
+    }
+    Some(parts)
+}
+
+#[test]
+fn plan_paths_do_not_grow_with_the_engines() {
+    for (count, data_centres) in [(39, 3), (86, 3), (98, 3), (216, 5), (1_000, 9)] {
+        let mut engines = fleet(count, data_centres);
+        settle(&mut engines, Urgency::Empty);
+        assert!(engines.iter().all(fits));
+        for i in 0..data_centres {
+            let parts = parts(&engines, &format!("d{i}")).expect("a whole copy");
+            assert!(parts <= 16, "{count} engines: {parts} parts");
+        }
+    }
+}
+
+#[test]
+fn plan_weights_leave_half_of_the_memory() {
+    for (count, data_centres) in [(86, 3), (98, 3), (216, 5), (1_000, 9)] {
+        let mut engines = fleet(count, data_centres);
+        settle(&mut engines, Urgency::Empty);
+        let memory: f64 = engines.iter().map(|e| e.card.memory_bytes).sum();
+        let held = engines.iter().filter_map(|e| e.layers);
+        let weights: f64 = held
+            .map(|l| f64::from(l.count()) * model().layer_bytes)
+            .sum();
+        assert!(
+            weights <= memory * 0.55,
+            "{count} engines: {weights} of {memory}"
+        );
+        assert!(
+            weights >= memory * 0.35,
+            "{count} engines: {weights} of {memory}"
+        );
+    }
+}
+
+#[test]
+fn plan_loss_of_one_engine_leaves_whole_paths() {
+    let mut engines = fleet(216, 5);
+    settle(&mut engines, Urgency::Empty);
+    for lost in 0..engines.len() {
+        let rest: Vec<Engine> = engines
+            .iter()
+            .enumerate()
+            .filter(|(i, _)| *i != lost)
+            .map(|(_, e)| e.clone())
+            .collect();
+        let data_centre = &engines[lost].data_centre;
+        assert!(
+            parts(&rest, data_centre).is_some(),
+            "{lost}: no copy stands in"
+        );
+    }
+}
