News of the store by few watchers; duties on strong instances

Cause of overloaded homes by chance: rendezvous over all instances, of which five in six have a quarter of the others' processor time.

Change: in each data centre two instances watch the routes and one the servers and the instances; they tell changes to the others there at once. Every instance asks one of those that watch about three times a second, and these ask each other over all data centres, whatever their own watch does. One that says that the store does not serve it is passed over, so that the duty goes to the next; a watcher of routes probes the store with a call of a tenth of the price, so that a watch that fell silent is noticed. A process that starts asks the seeds of its settings first. Whether removed entries may come back is told with the news, and is decided before the changes are taken, not after. Duties (home, giver, watch) fall to instances with at least half of the strongest one's processor time. Layers that a report shows are told to the home and those that may give orders, not to all.

known.rs, budget.rs: same checks on the new messages.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -44,6 +44,21 @@
         }
     }
 
+    /// The store answers again, and it was away from this instance alone.
+    pub fn found(&mut self) {
+        self.is_away = false;
+    }
+
+    /// Removed entries may come back until `until`, as another instance says.
+    pub fn settle(&mut self, until: Instant) {
+        self.settled_at = self.settled_at.max(until);
+    }
+
+    /// The time for which removed entries may still come back.
+    pub fn settling(&self, now: Instant) -> Duration {
+        self.settled_at.since(now)
+    }
+
     /// Takes an entry as it is now.
     pub fn put(&mut self, server: BackendServer) {
         // An address belongs to one server; an older entry for it is out of date.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,4 +1,5 @@
-//! Hears of routes and backend servers from the store.
+//! Watches the store for routes, backend servers and instances, where this instance has
+//! that duty. The others hear from those that have it; see [`crate::news`].
 //!
 //! One watch for each kind. After a failure the watch goes on where it was; only when
 //! the store has dropped that history is everything read again.
@@ -9,8 +10,10 @@
 
 use slog::info;
 use slog::warn;
+use tokio::time::Instant;
 use tokio::time::sleep;
 
+use hemlockwind_core::Error;
 use hemlockwind_core::Result;
 use hemlockwind_core::servers::BackendServer;
 use hemlockwind_core::servers::ServerState;
@@ -18,51 +21,83 @@
 use hemlockwind_platform::servers;
 use hemlockwind_platform::store::CONFIG;
 use hemlockwind_platform::store::Change;
+use hemlockwind_platform::store::Listing;
 use hemlockwind_platform::store::Object;
 use hemlockwind_platform::store::SERVERS;
 use hemlockwind_platform::store::Watched;
-use hemlockwind_protocol::peer::Reply;
-use hemlockwind_protocol::peer::Request;
-use hemlockwind_protocol::peer::store;
 use hemlockwind_protocol::peer::store::Kind;
 
 use crate::gateway::Fault;
 use crate::gateway::Gateway;
+use crate::instances;
+use crate::news;
 
 /// Time that a watch waits for a change. A waiting watch costs one call.
 /// A store that fell silent answers none, so this also bounds how late its return is seen.
 const WATCH_WAIT: Duration = Duration::from_secs(5);
+/// The same for the instances, of which no request depends on fresh news.
+const INSTANCES_WAIT: Duration = Duration::from_secs(20);
 /// Time after changes of the servers in which further ones are gathered: many come
 /// together, and each watch costs a call.
 const GATHER_TIME: Duration = Duration::from_millis(150);
 /// The first pause after a failure, and the longest; each is twice the one before.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+/// Time between two looks whether this instance has the duty to watch.
+const DUTY_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between two probes whether the store still answers, and the time that one may take:
+/// a slow store takes a quarter of a second. Together they leave half of the bound of a
+/// change to those that take the duty over.
+const PROBE_INTERVAL: Duration = Duration::from_millis(600);
+const PROBE_TIME: Duration = Duration::from_millis(400);
+/// Time after the start in which other instances are asked for a kind before the store is.
+const START_TIME: Duration = Duration::from_millis(1_000);
 
 /// The name of a kind in the store.
 const fn name(kind: Kind) -> &'static str {
     match kind {
         Kind::Routes => CONFIG,
         Kind::Servers => SERVERS,
+        Kind::Instances => instances::KIND,
     }
 }
 
+/// What a call to the store has brought.
+enum Step {
+    /// Everything of the kind.
+    All(Listing),
+    /// The changes after the version that was known, up to another.
+    Changes(Vec<Change>, u64),
+    /// The history is lost: everything has to be read.
+    Lost,
+}
+
 /// Follows one kind until the task is ended.
 pub async fn follow(gateway: Arc<Gateway>, kind: Kind) {
-    let mut version = None;
+    let started = Instant::now();
     let mut pause = FIRST_PAUSE;
+    let mut is_lost = false;
     let mut is_away = false;
     loop {
-        match step(&gateway, kind, version).await {
-            Ok(next) => {
+        let version = gateway.known.version(kind);
+        if !has_duty(&gateway, kind, version, started) {
+            gateway.known.set_served(kind, false);
+            is_away = false;
+            sleep(DUTY_INTERVAL).await;
+            continue;
+        }
+        let known = (version > 0 && !is_lost).then_some(version);
+        match step(&gateway, kind, known).await {
+            Ok(step) => {
                 gateway.known.set_served(kind, true);
                 if is_away {
                     is_away = false;
-                    info!(gateway.log, "store regained"; "kind" => name(kind), "version" => next);
-                    gateway.directory.write().regained(gateway.now());
+                    info!(gateway.log, "store regained"; "kind" => name(kind), "version" => version);
+                    regained(&gateway);
                 }
-                version = next;
+                is_lost = matches!(step, Step::Lost);
                 pause = FIRST_PAUSE;
+                take(&gateway, kind, version, step).await;
             }
             Err(e) => {
                 gateway.known.set_served(kind, false);
@@ -72,9 +107,6 @@
                         "code" => e.code().number(), "error" => %e, "version" => version);
                     gateway.directory.write().lost();
                 }
-                if let Some(next) = ask_peer(&gateway, kind, version).await {
-                    version = Some(next);
-                }
                 let jitter = 0.75 + rand::random::<f64>() / 2.0;
                 sleep(pause.mul_f64(jitter)).await;
                 pause = (pause * 2).min(LONGEST_PAUSE);
@@ -83,114 +115,153 @@
     }
 }
 
-/// Reads everything, or waits for the next changes after `version`. `None` as the
-/// result says that the history is lost.
-async fn step(gateway: &Arc<Gateway>, kind: Kind, version: Option<u64>) -> Result<Option<u64>> {
+/// Whether this instance reads a kind from the store now: as one of those that watch it,
+/// or since nobody has told it anything of the kind.
+fn has_duty(gateway: &Gateway, kind: Kind, version: u64, started: Instant) -> bool {
+    if version == 0 {
+        return kind == Kind::Instances || started.elapsed() >= START_TIME;
+    }
+    gateway.peers.watches(gateway.now(), kind)
+}
+
+/// The store answers again. Where it has served others all the while it was not away, so
+/// that entries which are missing now are gone.
+fn regained(gateway: &Gateway) {
+    let now = gateway.now();
+    let mut directory = gateway.directory.write();
+    match gateway.known.others_are_served(now) {
+        true => directory.found(),
+        false => directory.regained(now),
+    }
+}
+
+/// Reads everything, or waits for the next changes after `version`.
+async fn step(gateway: &Gateway, kind: Kind, version: Option<u64>) -> Result<Step> {
     let Some(version) = version else {
-        let listing = gateway.store.list(name(kind), false).await?;
-        take_all(gateway, kind, listing.version, &listing.objects);
-        return Ok(Some(listing.version));
+        return Ok(Step::All(gateway.store.list(name(kind), false).await?));
+    };
+    let wait = match kind {
+        Kind::Routes | Kind::Servers => WATCH_WAIT,
+        Kind::Instances => INSTANCES_WAIT,
+    };
+    let watch = gateway.store.watch(name(kind), version, wait);
+    let watched = match kind {
+        // What changes here has a bound in time, so a watch that fell silent must not keep
+        // this instance from giving the duty up.
+        Kind::Routes => tokio::select! {
+            watched = watch => watched?,
+            e = silence(gateway) => return Err(e),
+        },
+        Kind::Servers | Kind::Instances => watch.await?,
     };
-    match gateway.store.watch(name(kind), version, WATCH_WAIT).await? {
+    match watched {
         Watched::Lost => {
             info!(gateway.log, "history lost"; "kind" => name(kind), "version" => version);
-            Ok(None)
+            Ok(Step::Lost)
         }
-        Watched::Changes(changes, next) => {
-            if !changes.is_empty() {
-                for change in &changes {
-                    gateway
-                        .known
-                        .change(kind, &change.object, change.is_removed);
-                    match kind {
-                        Kind::Routes => take_routes(gateway, &change.object),
-                        Kind::Servers => take_server(gateway, change),
-                    }
-                }
-                changed(gateway);
+        Watched::Changes(changes, next) => Ok(Step::Changes(changes, next)),
+    }
+}
+
+/// Ends when the store has fallen silent to this instance.
+async fn silence(gateway: &Gateway) -> Error {
+    loop {
+        sleep(PROBE_INTERVAL).await;
+        if let Err(e) = gateway.store.probe(PROBE_TIME).await {
+            return e;
+        }
+    }
+}
+
+/// Takes what the store said, and tells the others.
+async fn take(gateway: &Arc<Gateway>, kind: Kind, after: u64, step: Step) {
+    match step {
+        Step::Lost => {}
+        Step::All(listing) => take_all(gateway, kind, listing.version, &listing.objects),
+        Step::Changes(changes, version) => {
+            let has_changes = !changes.is_empty();
+            take_changes(gateway, kind, version, &changes);
+            if has_changes {
+                news::tell(gateway, kind, after, version, &changes);
                 if kind == Kind::Servers {
                     sleep(GATHER_TIME).await;
                 }
             }
-            gateway.known.reached(kind, next, !changes.is_empty());
-            Ok(Some(next))
         }
     }
 }
 
-/// Takes all objects of a kind, as of a version of the store.
-fn take_all(gateway: &Arc<Gateway>, kind: Kind, version: u64, objects: &[Object]) {
-    let now = gateway.now();
+/// Takes all changes of a kind up to `version`; nothing when that is known already.
+pub fn take_changes(gateway: &Arc<Gateway>, kind: Kind, version: u64, changes: &[Change]) {
+    if version <= gateway.known.version(kind) {
+        return;
+    }
+    for change in changes {
+        gateway
+            .known
+            .change(kind, &change.object, change.is_removed);
+        match kind {
+            Kind::Routes => take_routes(gateway, &change.object),
+            Kind::Servers => take_server(gateway, change),
+            Kind::Instances => take_instance(gateway, change),
+        }
+    }
+    gateway.known.reached(kind, version, !changes.is_empty());
+    if !changes.is_empty() {
+        changed(gateway);
+    }
+}
+
+/// Takes all objects of a kind, as of a version of the store; nothing when a later one is
+/// known.
+pub fn take_all(gateway: &Arc<Gateway>, kind: Kind, version: u64, objects: &[Object]) {
+    if version < gateway.known.version(kind) {
+        return;
+    }
     match kind {
         Kind::Routes => {
             for object in objects {
                 take_routes(gateway, object);
             }
         }
-        Kind::Servers => {
-            let listed: Vec<BackendServer> = objects.iter().filter_map(servers::parse).collect();
-            let left: Vec<SocketAddr> = {
-                let directory = gateway.directory.read();
-                let leaves = |s: &BackendServer| {
-                    let now = listed.iter().find(|l| l.id == s.id);
-                    now.is_none_or(|l| l.state == ServerState::Leaving)
-                };
-                let ready = directory.iter().filter(|s| s.state == ServerState::Ready);
-                ready.filter(|s| leaves(s)).map(|s| s.addr).collect()
-            };
-            gateway.directory.write().replace(now, listed);
-            for addr in left {
-                // Nobody listens when no stream runs.
-                let _ = gateway.faults.send(Fault::Leaving(addr));
-            }
+        Kind::Servers => take_servers(gateway, objects),
+        Kind::Instances => {
+            let listed = objects.iter().filter_map(instances::parse);
+            gateway.peers.replace(listed.collect());
         }
     }
     gateway.known.replace(kind, version, objects);
     changed(gateway);
 }
 
-/// Asks another instance for what is newer than `version`, while the store does not
-/// serve this one. Returns the version as of which it answered.
-async fn ask_peer(gateway: &Arc<Gateway>, kind: Kind, version: Option<u64>) -> Option<u64> {
-    let peer = gateway.peers.any()?;
-    let message = store::Message {
-        kind,
-        version: version.unwrap_or_default(),
-    };
-    // The next round asks another one.
-    let reply = gateway
-        .peers
-        .call(&peer, Request::Store(message))
-        .await
-        .ok()?;
-    let Reply::Store(answer) = reply else {
-        return None;
-    };
-    let heard = |is_served: bool| {
-        if is_served {
-            gateway.known.other_is_served(gateway.now());
-        }
+/// Takes the whole list of servers.
+fn take_servers(gateway: &Gateway, objects: &[Object]) {
+    let now = gateway.now();
+    let listed: Vec<BackendServer> = objects.iter().filter_map(servers::parse).collect();
+    let left: Vec<SocketAddr> = {
+        let directory = gateway.directory.read();
+        let leaves = |s: &BackendServer| {
+            let now = listed.iter().find(|l| l.id == s.id);
+            now.is_none_or(|l| l.state == ServerState::Leaving)
+        };
+        let ready = directory.iter().filter(|s| s.state == ServerState::Ready);
+        ready.filter(|s| leaves(s)).map(|s| s.addr).collect()
     };
-    match answer {
-        store::Answer::Same { is_served } => {
-            heard(is_served);
-            None
-        }
-        store::Answer::Newer {
-            version,
-            is_served,
-            objects,
-        } => {
-            heard(is_served);
-            let objects = objects
-                .into_iter()
-                .filter_map(|(name, content)| Object::new(name, content));
-            let objects: Vec<Object> = objects.collect();
-            info!(gateway.log, "heard from another instance"; "kind" => name(kind),
-                "instance" => &*peer.name, "version" => version, "is_served" => is_served);
-            take_all(gateway, kind, version, &objects);
-            Some(version)
-        }
+    gateway.directory.write().replace(now, listed);
+    for addr in left {
+        // Nobody listens when no stream runs.
+        let _ = gateway.faults.send(Fault::Leaving(addr));
+    }
+}
+
+/// Takes one change of the list of instances.
+fn take_instance(gateway: &Gateway, change: &Change) {
+    info!(gateway.log, "instance"; "name" => &change.object.name,
+        "removed" => change.is_removed, "object_version" => change.object.version.0);
+    if change.is_removed {
+        gateway.peers.remove(&change.object.name);
+    } else if let Some(instance) = instances::parse(&change.object) {
+        gateway.peers.put(instance);
     }
 }
 
@@ -271,7 +342,7 @@
             changed(&gateway);
         }
         gateway.homes.poll(now);
-        for (service, has_path) in gateway.homes.turns(now) {
+        for (service, has_path) in gateway.homes.turns(&gateway, now) {
             info!(gateway.log, "whole path"; "service" => &*service, "there" => has_path);
         }
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -133,12 +133,17 @@
             name: settings.name.as_str().into(),
             data_centre: settings.data_centre.as_str().into(),
             addr: settings.peers,
+            processor_share: settings.processor_share,
         };
+        // All instances take messages on the same port.
+        let seeds = settings.seeds.iter();
+        let seeds = seeds.map(|seed| SocketAddr::new(seed.ip(), settings.peers.port()));
+        let seeds: Vec<SocketAddr> = seeds.collect();
         let key = SharedKey::new(settings.peer_key.as_bytes());
         Self {
             store: Store::new(settings.store),
             homes: Homes::new(clock),
-            peers: Peers::new(me, key),
+            peers: Peers::new(me, &seeds, key),
             known: Known::default(),
             lines: LineBudget::new(clock.now()),
             settings,
@@ -213,15 +218,25 @@
         }
     }
 
+    /// Bytes that one answer to a plain call may hold. Answers are kept whole until they are
+    /// complete, and many servers may send ones without end at a time.
+    pub fn answer_limit(&self) -> usize {
+        (self.settings.memory_bytes / ANSWER_PART).min(ANSWER_LIMIT)
+    }
+
     /// The name of a rank, for people.
     pub fn rank_name(rank: Rank) -> String {
         rank.0.to_string()
     }
 }
 
-/// Instances that the slack is divided by before the others are known: more than a small
-/// deployment has, since too small a part does less harm than too large a one.
-const INSTANCES_UNKNOWN: usize = 64;
+/// Instances that the slack is divided by before the others are known: more than most
+/// deployments have, since too small a part does less harm than too large a one.
+const INSTANCES_UNKNOWN: usize = 256;
+/// Bytes that one answer may hold at most.
+const ANSWER_LIMIT: usize = 8 << 20;
+/// One answer may hold one of so many parts of the memory that the process may use.
+const ANSWER_PART: usize = 64;
 /// The part of the ratio that is used: windows slide, and instances differ in load.
 const RATIO_USED: f64 = 0.8;
 /// The part of the slack that is used, for instances that are not counted yet.
--- a/crates/gateway/src/homes/keep.rs
+++ b/crates/gateway/src/homes/keep.rs
@@ -226,11 +226,15 @@
         }
     }
 
-    /// Notes whether each home has a whole path. Returns the services that have gained or
-    /// lost it.
-    pub fn turns(&self, now: Instant) -> Vec<(Arc<str>, bool)> {
+    /// Notes whether each home that is kept here has a whole path. Returns the services that
+    /// have gained or lost it.
+    pub fn turns(&self, gateway: &Gateway, now: Instant) -> Vec<(Arc<str>, bool)> {
         let homes = self.homes.lock();
-        let turned = homes.iter().filter_map(|(service, cell)| {
+        let me = &gateway.peers.me().name;
+        let kept = homes
+            .iter()
+            .filter(|(service, _)| gateway.peers.home(service).name == *me);
+        let turned = kept.filter_map(|(service, cell)| {
             let has_path = cell.lock().turn(now)?;
             Some((Arc::clone(service), has_path))
         });
--- a/crates/gateway/src/homes/tell.rs
+++ b/crates/gateway/src/homes/tell.rs
@@ -153,7 +153,8 @@
     }
 
     /// An engine's report says which layers it holds, newer than its entry: this instance
-    /// and all others hear of it.
+    /// hears of it, and so do the keeper of its home and those that may give orders. The
+    /// others hear it from the store.
     pub async fn holds(&self, gateway: &Gateway, id: &str, layers: Option<LayerRange>) {
         if !self.holds_local(gateway, id, layers) {
             return;
@@ -162,8 +163,19 @@
             id: id.to_string(),
             layers: layers.map(|l| (l.start(), l.end())),
         };
-        let all = gateway.peers.all();
-        let calls = all.iter().map(|instance| {
+        let mut concerned = gateway.peers.candidates(DUTY, CANDIDATES);
+        let service = gateway
+            .directory
+            .read()
+            .get(id)
+            .map(|s| Arc::clone(&s.service));
+        if let Some(service) = service {
+            concerned.push(gateway.peers.home(&service));
+        }
+        concerned.retain(|i| i.name != gateway.peers.me().name);
+        concerned.sort_unstable_by(|a, b| a.name.cmp(&b.name));
+        concerned.dedup();
+        let calls = concerned.iter().map(|instance| {
             gateway
                 .peers
                 .call(instance, Request::Paths(message.clone()))
--- a/crates/gateway/src/instances.rs
+++ b/crates/gateway/src/instances.rs
@@ -1,47 +1,38 @@
-//! Registers this instance in the store, and hears of the others.
+//! The entry of this instance in the store, and what the others' entries say.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde_json::Value;
 use serde_json::json;
-use slog::info;
 use slog::warn;
 use tokio::time::sleep;
 
 use hemlockwind_core::edges::Precondition;
 use hemlockwind_core::edges::Put;
 use hemlockwind_platform::store::Object;
-use hemlockwind_platform::store::Watched;
 
 use crate::gateway::Gateway;
 use crate::peers::Instance;
 
 /// The kind of the instances' entries.
-const KIND: &str = "hemlockwind-instances";
-/// Time that a watch waits for a change.
-const WATCH_WAIT: Duration = Duration::from_secs(20);
+pub const KIND: &str = "hemlockwind-instances";
 /// Pause after a failure; nothing that a caller waits for depends on it.
 const PAUSE: Duration = Duration::from_millis(800);
 
-/// Registers this instance and follows the others, until the task is ended.
-pub async fn run(gateway: Arc<Gateway>) {
-    while !register(&gateway).await {
+/// Registers this instance, however often it takes.
+pub async fn register(gateway: Arc<Gateway>) {
+    while !is_registered(&gateway).await {
         sleep(PAUSE).await;
     }
-    let mut version = None;
-    loop {
-        match step(&gateway, version).await {
-            Ok(next) => version = next,
-            Err(_) => sleep(PAUSE).await,
-        }
-    }
 }
 
 /// Writes this instance's entry. Returns whether the store has it.
-async fn register(gateway: &Gateway) -> bool {
+async fn is_registered(gateway: &Gateway) -> bool {
     let me = gateway.peers.me();
-    let content = json!({ "address": me.addr, "data_centre": &*me.data_centre });
+    let content = json!({ "address": me.addr, "data_centre": &*me.data_centre,
+        "processor_share": me.processor_share });
     let first = gateway
         .store
         .put(KIND, &me.name, &content, Precondition::Absent);
@@ -72,44 +63,17 @@
     }
 }
 
-async fn step(gateway: &Gateway, version: Option<u64>) -> hemlockwind_core::Result<Option<u64>> {
-    let Some(version) = version else {
-        let listing = gateway.store.list(KIND, false).await?;
-        for object in &listing.objects {
-            take(gateway, object, false);
-        }
-        gateway.peers.set_known();
-        return Ok(Some(listing.version));
-    };
-    match gateway.store.watch(KIND, version, WATCH_WAIT).await? {
-        Watched::Lost => Ok(None),
-        Watched::Changes(changes, next) => {
-            for change in &changes {
-                take(gateway, &change.object, change.is_removed);
-            }
-            Ok(Some(next))
-        }
-    }
-}
-
-fn take(gateway: &Gateway, object: &Object, is_removed: bool) {
-    info!(gateway.log, "instance"; "name" => &object.name, "removed" => is_removed,
-        "object_version" => object.version.0);
-    if is_removed {
-        gateway.peers.remove(&object.name);
-    } else if let Some(instance) = parse(object) {
-        gateway.peers.put(instance);
-    }
-}
-
 /// The instance of an entry; one that can't be read names none.
-fn parse(object: &Object) -> Option<Instance> {
-    let content: serde_json::Value = serde_json::from_str(object.content.get()).ok()?;
+pub fn parse(object: &Object) -> Option<Instance> {
+    let content: Value = serde_json::from_str(object.content.get()).ok()?;
     let addr: SocketAddr = content.get("address")?.as_str()?.parse().ok()?;
     let data_centre = content.get("data_centre")?.as_str()?;
+    let share = content.get("processor_share").and_then(Value::as_f64);
     Some(Instance {
         name: object.name.as_str().into(),
         data_centre: data_centre.into(),
         addr,
+        // A version that did not tell its share is not preferred for any duty.
+        processor_share: share.unwrap_or_default(),
     })
 }
--- a/crates/gateway/src/known.rs
+++ b/crates/gateway/src/known.rs
@@ -1,4 +1,4 @@
-//! What this instance has read from the store, for others that it does not serve.
+//! What this instance knows of the store, for others that don't watch it.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -9,7 +9,7 @@
 use hemlockwind_platform::store::Object;
 use hemlockwind_protocol::peer::store::Answer;
 use hemlockwind_protocol::peer::store::Kind;
-use hemlockwind_protocol::peer::store::Message;
+use hemlockwind_protocol::peer::store::Newer;
 
 #[derive(Debug, Default)]
 struct Read {
@@ -22,11 +22,12 @@
     objects: BTreeMap<String, String>,
 }
 
-/// `Known` holds the objects of two kinds, as of a version of the store.
+/// `Known` holds the objects of all kinds, as of a version of the store.
 #[derive(Debug, Default)]
 pub struct Known {
     routes: Mutex<Read>,
     servers: Mutex<Read>,
+    instances: Mutex<Read>,
     /// When another instance last said that the store serves it.
     others: Mutex<Instant>,
 }
@@ -35,13 +36,20 @@
 const FRESH: Duration = Duration::from_millis(1_500);
 
 impl Known {
-    fn of(&self, kind: Kind) -> &Mutex<Read> {
+    const fn of(&self, kind: Kind) -> &Mutex<Read> {
         match kind {
             Kind::Routes => &self.routes,
             Kind::Servers => &self.servers,
+            Kind::Instances => &self.instances,
         }
     }
 
+    /// The versions as of which all kinds are known, for a question to another instance.
+    pub fn versions(&self) -> Vec<(Kind, u64)> {
+        let kinds = Kind::ALL.iter();
+        kinds.map(|kind| (*kind, self.version(*kind))).collect()
+    }
+
     /// The version as of which a kind is known, 0 for never.
     pub fn version(&self, kind: Kind) -> u64 {
         self.of(kind).lock().version
@@ -102,17 +110,22 @@
         heard != Instant::ZERO && now.since(heard) < FRESH
     }
 
-    /// The answer to an instance that asks.
-    pub fn answer(&self, message: Message) -> Answer {
-        let read = self.of(message.kind).lock();
-        let is_served = read.is_served;
-        if read.changed <= message.version {
-            return Answer::Same { is_served };
+    /// The answer to an instance that knows kinds as of these versions. Removed entries
+    /// may come back for `settling`.
+    pub fn answer(&self, asked: &[(Kind, u64)], settling: Duration) -> Answer {
+        Answer {
+            is_served: self.is_served(Kind::Routes),
+            settling_ms: u32::try_from(settling.as_millis()).unwrap_or(u32::MAX),
+            newer: asked.iter().filter_map(|a| self.newer(a.0, a.1)).collect(),
         }
-        Answer::Newer {
+    }
+
+    fn newer(&self, kind: Kind, version: u64) -> Option<Newer> {
+        let read = self.of(kind).lock();
+        (read.changed > version).then(|| Newer {
+            kind,
             version: read.version,
-            is_served,
             objects: read.objects.clone().into_iter().collect(),
-        }
+        })
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,7 +3,7 @@
 //! It passes opaque requests to backend servers: plain calls to one server, streams
 //! over a path of engines. [`requests`] reads a caller's request, [`calls`] and
 //! [`streams`] dispatch it, [`homes`] decides where and when it may start, [`follow`]
-//! hears of routes and servers, [`orders`] places layers on engines.
+//! and [`news`] hear of routes, servers and instances, [`orders`] places layers on engines.
 
 pub mod answers;
 pub mod calls;
@@ -17,6 +17,7 @@
 pub mod instances;
 pub mod known;
 pub mod listener;
+pub mod news;
 pub mod orders;
 pub mod peers;
 pub mod readiness;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -22,6 +22,7 @@
 use hemlockwind_core::Error;
 use hemlockwind_core::attempt::Attempt;
 use hemlockwind_core::collections::SeededHashMap;
+use hemlockwind_core::time::Instant;
 use hemlockwind_peer::H2Peer;
 use hemlockwind_peer::SharedKey;
 use hemlockwind_protocol::peer::Handler;
@@ -32,14 +33,21 @@
 use hemlockwind_protocol::peer::store;
 
 use crate::gateway::Gateway;
+use crate::news;
 
+/// The duty to watch the store.
+const WATCH_DUTY: &str = "watch";
+/// Instances of a data centre that watch the routes, whose changes have a bound in time.
+const ROUTES_WATCHERS: usize = 2;
+/// The part of the strongest instance's processor time from which on one counts as strong.
+const STRONG: f64 = 0.5;
 /// Time between two probes of an instance that did not answer.
 const PROBE_INTERVAL: Duration = Duration::from_millis(400);
 /// Time beyond a ticket's own wait in which a home must have answered.
 const ASK_TIME: Duration = Duration::from_millis(250);
 
 /// `Instance` is one other instance.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Instance {
     /// Its name.
     pub name: Arc<str>,
@@ -47,22 +55,37 @@
     pub data_centre: Arc<str>,
     /// Where it takes messages.
     pub addr: SocketAddr,
+    /// The processor time that it may use, in cores.
+    pub processor_share: f64,
 }
 
 /// `Peers` holds the other instances.
 pub struct Peers {
     me: Instance,
+    /// Where others may be, as long as none is known.
+    seeds: Vec<Instance>,
     others: RwLock<SeededHashMap<Arc<str>, Instance>>,
     suspects: Mutex<SeededHashMap<Arc<str>, Instance>>,
+    /// Instances that the store does not serve, until when that is believed.
+    unserved: Mutex<SeededHashMap<Arc<str>, Instant>>,
     client: H2Peer,
     is_known: AtomicBool,
 }
 
 impl Peers {
-    /// No others yet.
-    pub fn new(me: Instance, key: SharedKey) -> Self {
+    /// No others yet. Before any is known, those at `seeds` may be asked.
+    pub fn new(me: Instance, seeds: &[SocketAddr], key: SharedKey) -> Self {
+        let seeds = seeds.iter().filter(|addr| **addr != me.addr);
+        let seeds = seeds.map(|addr| Instance {
+            name: addr.to_string().into(),
+            addr: *addr,
+            data_centre: Arc::clone(&me.data_centre),
+            processor_share: 0.0,
+        });
         Self {
             client: H2Peer::new(&*me.name, key),
+            seeds: seeds.collect(),
+            unserved: Mutex::default(),
             me,
             others: RwLock::default(),
             suspects: Mutex::default(),
@@ -83,6 +106,20 @@
         }
     }
 
+    /// Takes all instances as the store has them.
+    pub fn replace(&self, listed: Vec<Instance>) {
+        let names: Vec<Arc<str>> = self.others.read().keys().cloned().collect();
+        for name in names {
+            if !listed.iter().any(|i| i.name == name) {
+                self.remove(&name);
+            }
+        }
+        for instance in listed {
+            self.put(instance);
+        }
+        self.is_known.store(true, Ordering::Relaxed);
+    }
+
     /// An instance has left.
     pub fn remove(&self, name: &str) {
         self.others.write().remove(name);
@@ -95,20 +132,92 @@
         is_known.then(|| self.others.read().len() + 1)
     }
 
-    /// All instances of the store were taken.
-    pub fn set_known(&self) {
-        self.is_known.store(true, Ordering::Relaxed);
+    /// The instance that keeps the home of a service: by rendezvous hashing over the strong
+    /// ones that answer; this one where none does.
+    pub fn home(&self, service: &str) -> Instance {
+        let first = self.ranked(service, |_| true).into_iter().next();
+        first.unwrap_or_else(|| self.me.clone())
     }
 
-    /// The instance that keeps the home of a service: by rendezvous hashing over all that
-    /// answer; this one where none does.
-    pub fn home(&self, service: &str) -> Instance {
+    /// The instances that answer, this one included, for a duty among those that `may_have`
+    /// it: the strong ones by rendezvous hashing. Duties cost the same on each instance,
+    /// so a weak one has them only where there is no other.
+    fn ranked(&self, duty: &str, may_have: impl Fn(&Instance) -> bool) -> Vec<Instance> {
         let suspects = self.suspects.lock();
         let others = self.others.read();
-        let all = others.values().chain([&self.me]);
-        let live = all.filter(|i| !suspects.contains_key(&i.name));
-        let best = live.max_by_key(|i| weight(i, service));
-        best.unwrap_or(&self.me).clone()
+        let live = others
+            .values()
+            .filter(|i| !suspects.contains_key(&i.name))
+            .chain([&self.me])
+            .filter(|i| may_have(i));
+        let mut live: Vec<&Instance> = live.collect();
+        let strongest = live.iter().map(|i| i.processor_share).fold(0.0, f64::max);
+        live.retain(|i| i.processor_share >= strongest * STRONG);
+        live.sort_by_cached_key(|i| std::cmp::Reverse(weight(i, duty)));
+        live.into_iter().cloned().collect()
+    }
+
+    /// The instances of a data centre that watch a kind in the store.
+    fn watchers(&self, now: Instant, kind: store::Kind, data_centre: &str) -> Vec<Instance> {
+        let unserved = {
+            let mut unserved = self.unserved.lock();
+            unserved.retain(|_, until| *until > now);
+            unserved.clone()
+        };
+        let may_watch =
+            |i: &Instance| *i.data_centre == *data_centre && !unserved.contains_key(&i.name);
+        let mut watchers = self.ranked(WATCH_DUTY, may_watch);
+        watchers.truncate(match kind {
+            store::Kind::Routes => ROUTES_WATCHERS,
+            store::Kind::Servers | store::Kind::Instances => 1,
+        });
+        watchers
+    }
+
+    /// Whether this instance is one of those that watch a kind in the store.
+    pub fn watches(&self, now: Instant, kind: store::Kind) -> bool {
+        let watchers = self.watchers(now, kind, &self.me.data_centre);
+        watchers.iter().any(|i| i.name == self.me.name)
+    }
+
+    /// Another instance that knows what is new in the store: one that watches it. Those
+    /// that watch it themselves ask in all data centres.
+    pub fn informed(&self, now: Instant) -> Option<Instance> {
+        if self.others.read().is_empty() {
+            return self.seeds.choose(&mut rand::rng()).cloned();
+        }
+        let mut known = self.watchers(now, store::Kind::Routes, &self.me.data_centre);
+        if known.iter().any(|i| i.name == self.me.name) {
+            for data_centre in self.data_centres() {
+                known.extend(self.watchers(now, store::Kind::Routes, &data_centre));
+            }
+            known.retain(|i| i.name != self.me.name);
+        }
+        let informed = known.choose(&mut rand::rng()).cloned();
+        informed.or_else(|| self.any())
+    }
+
+    /// The other data centres.
+    fn data_centres(&self) -> Vec<Arc<str>> {
+        let others = self.others.read();
+        let names = others.values().map(|i| &i.data_centre);
+        let names = names.filter(|d| **d != self.me.data_centre);
+        let mut names: Vec<Arc<str>> = names.cloned().collect();
+        names.sort_unstable();
+        names.dedup();
+        names
+    }
+
+    /// The store does not serve an instance; that is believed until `until`.
+    pub fn set_unserved(&self, name: &Arc<str>, until: Instant) {
+        self.unserved.lock().insert(Arc::clone(name), until);
+    }
+
+    /// The other instances of this data centre that answer.
+    pub fn near(&self) -> Vec<Instance> {
+        let mut near = self.all();
+        near.retain(|i| i.data_centre == self.me.data_centre);
+        near
     }
 
     /// The data centres of which no instance answers, although some are listed.
@@ -129,26 +238,24 @@
 
     /// Whether this instance is among the first `count` of all for a duty.
     pub fn is_candidate(&self, duty: &str, count: usize) -> bool {
-        let others = self.candidates(duty, count);
-        let mine = weight(&self.me, duty);
-        let before = others.iter().filter(|i| weight(i, duty) > mine);
-        before.count() < count
+        let first = self.ranked(duty, |_| true);
+        first.iter().take(count).any(|i| i.name == self.me.name)
     }
 
-    /// The first `count` other instances for a duty.
+    /// The other ones of the first `count` instances for a duty.
     pub fn candidates(&self, duty: &str, count: usize) -> Vec<Instance> {
-        let suspects = self.suspects.lock();
-        let others = self.others.read();
-        let live = others.values().filter(|i| !suspects.contains_key(&i.name));
-        let mut live: Vec<Instance> = live.cloned().collect();
-        live.sort_unstable_by_key(|i| std::cmp::Reverse(weight(i, duty)));
-        live.truncate(count);
-        live
+        let mut first = self.ranked(duty, |_| true);
+        first.truncate(count);
+        first.retain(|i| i.name != self.me.name);
+        first
     }
 
     /// All other instances that answer, in any order.
     pub fn all(&self) -> Vec<Instance> {
-        let mut all = self.candidates("", usize::MAX);
+        let suspects = self.suspects.lock();
+        let others = self.others.read();
+        let live = others.values().filter(|i| !suspects.contains_key(&i.name));
+        let mut all: Vec<Instance> = live.cloned().collect();
         all.shuffle(&mut rand::rng());
         all
     }
@@ -235,12 +342,9 @@
     }
 }
 
-/// A probe. Nothing is newer than the newest version, so the reply is short.
-const fn nothing() -> Request {
-    Request::Store(store::Message {
-        kind: store::Kind::Routes,
-        version: u64::MAX,
-    })
+/// A probe, which asks for nothing.
+fn nothing() -> Request {
+    Request::Store(store::Message::Ask(Vec::new()))
 }
 
 /// The weight of an instance for a duty, by rendezvous hashing.
@@ -266,7 +370,7 @@
                     .await;
                 Reply::Paths(answer)
             }
-            Request::Store(message) => Reply::Store(self.gateway.known.answer(message)),
+            Request::Store(message) => Reply::Store(news::answer(&self.gateway, from, message)),
             Request::Membership(_)
             | Request::Tickets(_)
             | Request::Grants(_)
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -27,6 +27,7 @@
 use crate::gateway::Gateway;
 use crate::instances;
 use crate::listener;
+use crate::news;
 use crate::orders;
 use crate::peers::Answers;
 use crate::readiness;
@@ -70,7 +71,9 @@
         tokio::spawn(readiness::serve_metrics(Arc::clone(&gateway), metrics)),
         tokio::spawn(follow::follow(Arc::clone(&gateway), Kind::Routes)),
         tokio::spawn(follow::follow(Arc::clone(&gateway), Kind::Servers)),
-        tokio::spawn(instances::run(Arc::clone(&gateway))),
+        tokio::spawn(follow::follow(Arc::clone(&gateway), Kind::Instances)),
+        tokio::spawn(instances::register(Arc::clone(&gateway))),
+        tokio::spawn(news::ask(Arc::clone(&gateway))),
         tokio::spawn(server::serve(peers, key, answers, gateway.log.clone())),
         tokio::spawn(probe(Arc::clone(&gateway))),
         tokio::spawn(cuts::run(Arc::clone(&gateway))),
@@ -112,6 +115,14 @@
 }
 
 impl Running {
+    /// Ends at once without a word to anybody, as a process that is killed.
+    pub fn abort(self) {
+        self.callers.abort();
+        for task in &self.others {
+            task.abort();
+        }
+    }
+
     /// Stops as planned: not ready at once, still serving while the balancer hears of
     /// it, then no new connection, and an end when nothing is in progress any more.
     /// Returns the requests that were cut.
--- a/crates/gateway/tests/budget.rs
+++ b/crates/gateway/tests/budget.rs
@@ -31,14 +31,13 @@
 #[test]
 fn retry_policy_shared_by_those_known() {
     let gateway = gateway();
-    for i in 0..7 {
-        gateway.peers.put(Instance {
-            name: format!("front-{i}").into(),
-            data_centre: Arc::from("a"),
-            addr: "127.0.0.1:9".parse().unwrap(),
-        });
-    }
-    gateway.peers.set_known();
+    let others = (0..7).map(|i| Instance {
+        name: format!("front-{i}").into(),
+        data_centre: Arc::from("a"),
+        addr: "127.0.0.1:9".parse().unwrap(),
+        processor_share: 0.25,
+    });
+    gateway.peers.replace(others.collect());
     let all = 8.0 * slack(&gateway);
     assert!(all < 200.0 && all > 80.0, "{all}");
 }
--- a/crates/gateway/tests/known.rs
+++ b/crates/gateway/tests/known.rs
@@ -1,21 +1,29 @@
 //! What an instance passes on of the store to one that the store does not serve.
 
+use std::time::Duration;
+
 use hemlockwind_core::time::Instant;
 use hemlockwind_gateway::known::Known;
 use hemlockwind_platform::store::Object;
 use hemlockwind_protocol::peer::store::Answer;
 use hemlockwind_protocol::peer::store::Kind;
-use hemlockwind_protocol::peer::store::Message;
+use hemlockwind_protocol::peer::store::Newer;
 
 fn object(name: &str, content: &str) -> Object {
     Object::new(name.into(), content.into()).unwrap()
 }
 
 fn ask(known: &Known, version: u64) -> Answer {
-    known.answer(Message {
-        kind: Kind::Routes,
-        version,
-    })
+    known.answer(&[(Kind::Routes, version)], Duration::ZERO)
+}
+
+/// The one kind of which something is newer.
+fn newer(known: &Known, version: u64) -> Newer {
+    let answer = ask(known, version);
+    let [newer] = &answer.newer[..] else {
+        panic!("not one kind: {answer:?}");
+    };
+    newer.clone()
 }
 
 #[test]
@@ -25,14 +33,13 @@
     known.replace(Kind::Routes, 10, &[object("main", "{\"version\":1}")]);
     // Nothing of this kind has changed since, so nothing is sent again.
     known.reached(Kind::Routes, 15, false);
-    assert_eq!(ask(&known, 10), Answer::Same { is_served: true });
-    let Answer::Newer {
-        version, objects, ..
-    } = ask(&known, 9)
-    else {
-        panic!("nothing newer");
+    let same = Answer {
+        is_served: true,
+        ..Answer::default()
     };
-    assert_eq!((version, objects.len()), (15, 1));
+    assert_eq!(ask(&known, 10), same);
+    let newer = newer(&known, 9);
+    assert_eq!((newer.version, newer.objects.len()), (15, 1));
 }
 
 #[test]
@@ -41,10 +48,7 @@
     known.replace(Kind::Routes, 10, &[object("main", "{\"version\":1}")]);
     known.change(Kind::Routes, &object("main", "{\"version\":2}"), false);
     known.reached(Kind::Routes, 12, true);
-    let Answer::Newer { objects, .. } = ask(&known, 10) else {
-        panic!("nothing newer");
-    };
-    assert_eq!(objects[0].1, "{\"version\":2}");
+    assert_eq!(newer(&known, 10).objects[0].1, "{\"version\":2}");
 }
 
 #[test]
@@ -52,10 +56,7 @@
     let known = Known::default();
     known.replace(Kind::Routes, 10, &[object("main", "{\"version\":2}")]);
     known.replace(Kind::Routes, 8, &[object("main", "{\"version\":1}")]);
-    let Answer::Newer { objects, .. } = ask(&known, 0) else {
-        panic!("nothing newer");
-    };
-    assert_eq!(objects[0].1, "{\"version\":2}");
+    assert_eq!(newer(&known, 0).objects[0].1, "{\"version\":2}");
 }
 
 #[test]
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -1,10 +1,12 @@
-//! Which data centres count as silent.
+//! Which data centres count as silent, and which instances have a duty.
 
 use std::net::SocketAddr;
 
+use hemlockwind_core::time::Instant;
 use hemlockwind_gateway::peers::Instance;
 use hemlockwind_gateway::peers::Peers;
 use hemlockwind_peer::SharedKey;
+use hemlockwind_protocol::peer::store::Kind;
 
 fn instance(name: &str, data_centre: &str) -> Instance {
     // Nothing listens there.
@@ -13,12 +15,21 @@
         name: name.into(),
         data_centre: data_centre.into(),
         addr,
+        processor_share: 0.25,
+    }
+}
+
+fn weak(name: &str, data_centre: &str) -> Instance {
+    Instance {
+        processor_share: 0.1,
+        ..instance(name, data_centre)
     }
 }
 
 fn peers() -> Peers {
     let peers = Peers::new(
         instance("front-1", "east"),
+        &[],
         SharedKey::new(b"a key of tests"),
     );
     peers.put(instance("front-2", "west"));
@@ -40,3 +51,78 @@
     assert_eq!(peers.silent_data_centres(), ["west".into()]);
     assert_eq!(&*peers.home("drafts").data_centre, "east");
 }
+
+#[test]
+fn home_on_a_strong_instance() {
+    let peers = peers();
+    for i in 0..40 {
+        peers.put(weak(&format!("weak-{i}"), "east"));
+    }
+    for service in ["drafts", "notes", "loans", "stock"] {
+        let home = peers.home(service);
+        assert!(home.processor_share > 0.2, "{home:?}");
+    }
+}
+
+#[test]
+fn home_on_a_weak_instance_without_a_strong_one() {
+    let peers = Peers::new(
+        weak("front-1", "east"),
+        &[],
+        SharedKey::new(b"a key of tests"),
+    );
+    assert_eq!(&*peers.home("drafts").name, "front-1");
+}
+
+#[test]
+fn watches_few_in_each_data_centre() {
+    let now = Instant::from_millis(1_000);
+    let names: Vec<String> = (0..20).map(|i| format!("front-{i:02}")).collect();
+    let seen_by = |me: &str| {
+        let peers = Peers::new(instance(me, "east"), &[], SharedKey::new(b"a key of tests"));
+        for name in &names {
+            peers.put(instance(name, "east"));
+        }
+        peers.put(instance("front-far", "west"));
+        peers
+    };
+    let watch = |kind: Kind| {
+        let of_kind = names.iter().filter(|me| seen_by(me).watches(now, kind));
+        of_kind.count()
+    };
+    assert_eq!(watch(Kind::Routes), 2);
+    assert_eq!(watch(Kind::Servers), 1);
+    assert_eq!(watch(Kind::Instances), 1);
+}
+
+#[test]
+fn watches_next_while_the_store_does_not_serve_the_first() {
+    let now = Instant::from_millis(1_000);
+    let peers = peers();
+    peers.put(instance("front-5", "east"));
+    // All others of the data centre say that the store does not serve them.
+    for name in ["front-4", "front-5"] {
+        peers.set_unserved(&name.into(), Instant::from_millis(2_000));
+    }
+    assert!(peers.watches(now, Kind::Servers));
+    let later = Instant::from_millis(3_000);
+    let watchers = ["front-1", "front-4", "front-5"].iter().filter(|me| {
+        let peers = Peers::new(instance(me, "east"), &[], SharedKey::new(b"a key of tests"));
+        for other in ["front-1", "front-4", "front-5"] {
+            peers.put(instance(other, "east"));
+        }
+        peers.watches(later, Kind::Servers)
+    });
+    assert_eq!(watchers.count(), 1);
+}
+
+#[test]
+fn informed_never_one_that_the_store_does_not_serve() {
+    let now = Instant::from_millis(1_000);
+    let peers = peers();
+    peers.set_unserved(&"front-2".into(), Instant::from_millis(2_000));
+    for _ in 0..50 {
+        let informed = peers.informed(now).unwrap();
+        assert_ne!(&*informed.name, "front-2");
+    }
+}
