Hostile servers: second copies, stalled streams, bytes without end, sends after the caller's time

The id kept the copy from the caller, but the connection was used again, so each answer on it came one request late. Now a connection with another request's answer is closed. - second_copy_of_a_refusal_is_no_promise: the copy of an earlier refusal was taken as one of a request that ran, and its caller was told 503. Progress is now counted in events with data, not in bytes. - slow_stream_that_is_sound_is_not_cut: a run that no other may follow was given up after three quarters of the caller's patience. - stream_not_sent_after_its_caller_would_have_left: sent at 2.6 s, callers leave at 2 s.

Also: instants count suspended time (CLOCK_BOOTTIME), so that a lease runs out while the machine sleeps; the giver looks at its permission again right before each order; connections that wait to be accepted are taken before a stop ends; a path that an engine calls malformed has error 3008 and a log line, and is not tried again.

--- a/crates/core/src/errors.rs
+++ b/crates/core/src/errors.rs
@@ -67,6 +67,8 @@
     OutcomeUnknown(String),
     /// The range of layers can't be used: {0}.
     Layers(String),
+    /// The engine takes no path of this form: {0}.
+    PathMalformed(String),
 
     /// The configuration has faults: {0}.
     Config(String),
@@ -133,6 +135,7 @@
             Self::BackendAnswer => 3005,
             Self::OutcomeUnknown => 3006,
             Self::Layers => 3007,
+            Self::PathMalformed => 3008,
             Self::Config => 4001,
             Self::ConfigConflict => 4002,
             Self::Sheet => 4003,
@@ -177,6 +180,7 @@
             | Self::Stopping
             | Self::ClaimUnavailable
             | Self::NoPath
+            | Self::PathMalformed
             | Self::NoConfig
             | Self::PeerUnreachable
             | Self::PlatformUnavailable
@@ -228,6 +232,8 @@
     outcome_unknown => OutcomeUnknown;
     /// The range of layers can't be used.
     layers => Layers;
+    /// The engine takes no path of this form.
+    path_malformed => PathMalformed;
     /// The configuration has faults.
     config => Config;
     /// The configuration changed meanwhile.
--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -28,8 +28,6 @@
 use crate::requests::Accepted;
 use crate::servers::Outcome;
 
-/// Bytes that one answer may hold; answers are kept whole until they are complete.
-const ANSWER_LIMIT: usize = 8 << 20;
 /// Time beyond the deadline for the server's own word that it passed.
 const DEADLINE_GRACE: Duration = Duration::from_millis(60);
 /// When to come back after a server refused: its queue is short.
@@ -209,7 +207,11 @@
             false => accepted.deadline + DEADLINE_GRACE,
         };
         let http = &self.gateway.http;
-        let answer = http.call(server.addr, req, deadline, ANSWER_LIMIT).await;
+        let limit = self.gateway.answer_limit();
+        let is_answer = |h: &HeaderMap| headers::may_answer(h, Some(&accepted.attempt));
+        let answer = http
+            .call(server.addr, req, deadline, limit, is_answer)
+            .await;
         let tried = match answer {
             Ok(answer) => check(server.addr, &accepted.attempt, answer),
             Err((attempt, e)) => Tried::Failed(attempt, e),
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -3,8 +3,8 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
-/// Bytes of one event at most.
-const EVENT_LIMIT: usize = 1 << 20;
+/// Bytes of one event at most: a few tokens as text. Each stream may hold as much.
+const EVENT_LIMIT: usize = 64 << 10;
 
 /// `Event` is one whole event, with the blank line that ends it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -13,6 +13,8 @@
     pub bytes: Bytes,
     /// Its id, when it has one that is a number.
     pub id: Option<u64>,
+    /// Whether it carries data; comments don't.
+    pub has_data: bool,
 }
 
 /// `Splitter` gathers bytes until events are whole.
@@ -36,7 +38,12 @@
         self.searched = 0;
         let bytes = self.buf.split_to(end).freeze();
         let id = id(&bytes);
-        Some(Event { bytes, id })
+        let has_data = bytes.split(|b| *b == b'\n').any(|l| l.starts_with(b"data"));
+        Some(Event {
+            bytes,
+            id,
+            has_data,
+        })
     }
 
     /// What remains after the last whole event.
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -31,6 +31,8 @@
     let graceful = GracefulShutdown::new();
     loop {
         let accepted = tokio::select! {
+            // What waits to be accepted has been promised to its callers.
+            biased;
             accepted = listener.accept() => accepted,
             () = ending.cancelled() => break,
         };
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -97,7 +97,11 @@
         if let Some(fencing) = fencing {
             // What an engine gives up must be heard of by all, through the store.
             let may_even = holder.holds(now).is_some();
-            give(&gateway, &mut givers, fencing, may_even).await;
+            let may_give = || match holder.holds(gateway.now()) {
+                Some(held) => held.0 == fencing,
+                None => alone(&gateway),
+            };
+            give(&gateway, &mut givers, fencing, may_even, &may_give).await;
         }
         sleep(LOOK_INTERVAL).await;
         let now = gateway.now();
@@ -169,6 +173,7 @@
     givers: &mut SeededHashMap<Arc<str>, Giver>,
     fencing: u64,
     may_even: bool,
+    may_give: &(impl Fn() -> bool + Sync),
 ) {
     let routes = gateway.routes.load_full();
     for service in routes.services() {
@@ -188,7 +193,7 @@
         };
         let due = giver.due(now, model, &servers, is_dead, may_even);
         let calls = due.into_iter().map(|(server, order)| async move {
-            let ordered = place(gateway, &server, &order, fencing).await;
+            let ordered = place(gateway, &server, &order, fencing, may_give).await;
             (ordered, server, order)
         });
         for (ordered, server, order) in futures::future::join_all(calls).await {
@@ -240,7 +245,13 @@
 }
 
 /// Gives one order, unless the engine's report says that its entry is out of date.
-async fn place(gateway: &Gateway, server: &BackendServer, order: &Order, fencing: u64) -> Ordered {
+async fn place(
+    gateway: &Gateway,
+    server: &BackendServer,
+    order: &Order,
+    fencing: u64,
+    may_give: &(impl Fn() -> bool + Sync),
+) -> Ordered {
     let report = match engine::report(&gateway.http, server.addr).await {
         Ok(report) => report,
         Err(e) => return Ordered::Unknown(e),
@@ -255,6 +266,10 @@
             .await;
         return Ordered::Outdated;
     }
+    // The report may have taken long, and this process may have been paused.
+    if !may_give() {
+        return Ordered::Outdated;
+    }
     let target = (server.addr, &*server.id);
     engine::place(&gateway.http, target, order.layers, fencing, report.orders).await
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -178,10 +178,14 @@
                 frame = body.frame() => match frame {
                     Some(Ok(frame)) => {
                         let Ok(data) = frame.into_data() else { continue };
+                        let before = self.heard;
                         if let Some(end) = self.on_data(&mut splitter, &data).await {
                             return end;
                         }
-                        look_at = Instant::now() + self.doubt_after();
+                        // Bytes without an event are no progress.
+                        if self.heard != before {
+                            look_at = Instant::now() + self.doubt_after();
+                        }
                     }
                     Some(Err(e)) => return End::Broken(Error::backend_failed(e.to_string())),
                     None => return self.on_end(splitter, first, sender, &head).await,
@@ -243,8 +247,11 @@
                 let path = self.grant.iter().flat_map(|g| &g.path);
                 slow::suspect(&self.gateway, path.map(|s| s.addr));
             }
+            // Comments may come for ever from an engine that makes no token.
+            if event.id.is_some() || (self.last.is_none() && event.has_data) {
+                self.heard = now;
+            }
             self.passed = now;
-            self.heard = now;
             self.events += 1;
             self.last = event.id.or(self.last);
             if self.tx.send(Ok(Frame::data(event.bytes))).await.is_err() {
--- a/crates/gateway/src/relay/recover.rs
+++ b/crates/gateway/src/relay/recover.rs
@@ -77,7 +77,9 @@
                 }
                 self.log_doubt(first, silent, &report);
                 let patience = streams::patience(&self.accepted);
-                (silent >= patience.mul_f64(GIVE_UP_PART)).then_some(End::Silent)
+                let is_late = silent >= patience.mul_f64(GIVE_UP_PART);
+                // A slow run goes on where no other one may follow it.
+                (is_late && self.may_resume()).then_some(End::Silent)
             }
         }
     }
@@ -214,8 +216,7 @@
             End::Silent | End::Leaving(_) | End::Unlinked(_) => {}
             End::Complete | End::CallerLeft | End::Deadline => return None,
         }
-        let resumable = Repeat::Stream { resumable: true };
-        if self.accepted.route.repeat != resumable {
+        if !self.may_resume() {
             return None;
         }
         self.leave_at = None;
@@ -235,6 +236,11 @@
         None
     }
 
+    /// Whether another run may go on where this one ends.
+    fn may_resume(&self) -> bool {
+        self.accepted.route.repeat == Repeat::Stream { resumable: true }
+    }
+
     /// Takes another path, from the home that granted the first one or from a later one.
     async fn find_path(&mut self, must_fit: bool) -> bool {
         let by = Detour {
@@ -282,7 +288,7 @@
             // Another path may begin at an engine that the stream was sent to before.
             return None;
         }
-        if !self.gateway.may_retry(&self.accepted.service) {
+        if self.tx.is_closed() || !self.gateway.may_retry(&self.accepted.service) {
             return None;
         }
         let start = Start::again(&self.gateway, &self.accepted, self.sent);
@@ -304,7 +310,7 @@
                 None
             }
 
-            Err(Refused::Own(_) | Refused::Failed(..)) => None,
+            Err(Refused::Own(_) | Refused::Failed(..) | Refused::Malformed(_)) => None,
         }
     }
 }
--- a/crates/gateway/src/requests.rs
+++ b/crates/gateway/src/requests.rs
@@ -17,8 +17,10 @@
 use slog::info;
 use tokio::time::Instant;
 
+use hemlockwind_backend::clock::SystemClock;
 use hemlockwind_core::Error;
 use hemlockwind_core::Result;
+use hemlockwind_core::edges::Clock;
 use hemlockwind_core::names::Rank;
 use hemlockwind_core::routes::Repeat;
 use hemlockwind_core::routes::Route;
@@ -66,6 +68,10 @@
     pub arrived: Instant,
     /// When the caller's or the route's time is over, whichever is first.
     pub deadline: Instant,
+    /// The same by the clock that goes on while the machine is suspended.
+    pub expires_at: hemlockwind_core::time::Instant,
+    /// That clock.
+    pub clock: SystemClock,
 }
 
 impl Accepted {
@@ -76,7 +82,8 @@
 
     /// The time that is left.
     pub fn left(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        left.min(self.expires_at.since(self.clock.now()))
     }
 }
 
@@ -151,6 +158,8 @@
         rank,
         arrived,
         deadline: arrived + wait,
+        expires_at: gateway.now() + wait.saturating_sub(arrived.elapsed()),
+        clock: gateway.clock,
         route: Arc::clone(route),
         asked,
     })
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -12,6 +12,7 @@
 use http_body_util::StreamBody;
 use hyper::body::Frame;
 use slog::info;
+use slog::warn;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio_stream::wrappers::ReceiverStream;
@@ -210,6 +211,11 @@
                     drop(grant);
                     self.after_refusal(e)?;
                 }
+                Err(Refused::Malformed(e)) => {
+                    self.attempts.record(index, Attempt::Sent);
+                    self.attempts.record(index, Attempt::Refused);
+                    return Err(self.not_started(e, REFUSED_RETRY));
+                }
                 Err(Refused::Failed(Attempt::Unsent, e)) => self.after_refusal(e)?,
                 Err(Refused::Failed(attempt, e)) => {
                     self.attempts.record(index, attempt);
@@ -241,7 +247,10 @@
     /// The error of a request that did not start: "not run" only when that is known.
     fn not_started(&self, e: Error, retry: Duration) -> (Error, Option<Duration>) {
         match self.attempts.not_run() {
-            Some(_) => (Error::no_path(e.to_string()), Some(retry)),
+            Some(_) => match e {
+                Error::PathMalformed(_) => (e, Some(retry)),
+                _ => (Error::no_path(e.to_string()), Some(retry)),
+            },
             None => (Error::outcome_unknown(e.to_string()), None),
         }
     }
@@ -251,6 +260,10 @@
         let accepted = self.accepted;
         let now = self.gateway.now();
         let waited = accepted.arrived.elapsed();
+        if waited >= patience(accepted) || accepted.left().is_zero() {
+            // The caller has left or is about to.
+            return Err(self.not_started(Error::DeadlinePassed, REFUSED_RETRY));
+        }
         let until = |time: Duration| now + time.saturating_sub(waited + FIRST_EVENT);
         let ask = Ask {
             service: Arc::clone(&accepted.service),
@@ -289,6 +302,9 @@
             return Err(Refused::Failed(Attempt::Unsent, e));
         };
         let accepted = self.accepted;
+        if accepted.left().is_zero() {
+            return Err(Refused::Failed(Attempt::Unsent, Error::DeadlinePassed));
+        }
         let dispatch = Dispatch {
             server: &first.id,
             organisation: accepted.organisation.as_deref(),
@@ -309,13 +325,38 @@
             self.gateway.homes.shun(self.gateway.now(), first.addr);
             Refused::Failed(attempt, e)
         })?;
-        self.check(first.addr, exchange).await
+        self.check(first.addr, path, exchange).await
     }
 
     /// Whether the head is one of a running stream.
-    async fn check(&self, first: SocketAddr, exchange: Exchange) -> Result<Exchange, Refused> {
+    async fn check(
+        &self,
+        first: SocketAddr,
+        path: &[Stage],
+        exchange: Exchange,
+    ) -> Result<Exchange, Refused> {
         let answered = Answered::read(exchange.head.headers());
         let status = exchange.head.status();
+        // Also a refusal may be another request's, of which nothing follows for this one.
+        if !headers::may_answer(exchange.head.headers(), Some(&self.accepted.attempt)) {
+            let e = Error::backend_answer(format!("{first} answered another request"));
+            return Err(Refused::Failed(Attempt::Sent, e));
+        }
+        if answered.is_not_run && status == http::StatusCode::BAD_REQUEST {
+            let path = headers::path(path);
+            let e = Error::path_malformed(format!("{first}: {path}"));
+            self.gateway.counters.add("paths_malformed");
+            if let Some(left_out) = self
+                .gateway
+                .lines
+                .take(self.gateway.now(), "path_malformed")
+            {
+                warn!(self.gateway.log, "path malformed"; "id" => &self.accepted.attempt,
+                    "code" => e.code().number(), "engine" => %first, "path" => path,
+                    "left_out" => left_out);
+            }
+            return Err(Refused::Malformed(e));
+        }
         if answered.is_not_run || status == http::StatusCode::MISDIRECTED_REQUEST {
             let at_fault = answered.at_fault.unwrap_or(first);
             let e = Error::backend_refused(format!("{at_fault}: {status}"));
@@ -356,6 +397,9 @@
 pub enum Refused {
     /// It says that it did not run the request, because of this engine of the path.
     NotRun(SocketAddr, Error),
+    /// It says that the path has a form that it takes from nobody. The same path is not
+    /// tried again.
+    Malformed(Error),
     /// It gave a failure of its own.
     Own(Response<Bytes>),
     /// No answer that can be used.
--- a/crates/transport/backend/src/clock.rs
+++ b/crates/transport/backend/src/clock.rs
@@ -4,27 +4,38 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use nix::time::ClockId;
+use nix::time::clock_gettime;
+
 use hemlockwind_core::edges::Clock;
 use hemlockwind_core::time::Instant;
 use hemlockwind_core::time::WallTime;
 
-/// `SystemClock` tells the machine's time; its instants count from its creation.
+/// `SystemClock` tells the machine's time; its instants count from its creation, and also
+/// while the machine is suspended: what others have granted runs out meanwhile.
 #[derive(Clone, Copy, Debug)]
 pub struct SystemClock {
-    start: std::time::Instant,
+    start: Duration,
 }
 
 impl Default for SystemClock {
     fn default() -> Self {
-        let start = std::time::Instant::now();
-        Self { start }
+        Self {
+            start: since_boot(),
+        }
     }
 }
 
+/// The time since the machine was started, suspended time included.
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::CLOCK_BOOTTIME);
+    Duration::from(time.expect("Linux has this clock since version 2.6.39"))
+}
+
 impl Clock for SystemClock {
     fn now(&self) -> Instant {
         // One second of lead, so that "a little before now" is never before the start.
-        Instant::from_millis(1_000) + self.start.elapsed()
+        Instant::from_millis(1_000) + since_boot().saturating_sub(self.start)
     }
 
     fn wall(&self) -> WallTime {
--- a/crates/transport/backend/src/http1.rs
+++ b/crates/transport/backend/src/http1.rs
@@ -52,6 +52,9 @@
 const IDLE_LIMIT: usize = 64;
 /// Header fields of one answer at most.
 const HEADER_FIELDS: usize = 100;
+/// Bytes that one answer's head may take at most, and that are read ahead of its reader. Each
+/// connection to a server that sends a head without end holds as much.
+const READ_AHEAD: usize = 64 << 10;
 
 type Body = Full<Bytes>;
 
@@ -134,7 +137,9 @@
         }
     }
 
-    /// Sends `req` and reads the whole answer of at most `limit` bytes.
+    /// Sends `req` and reads the whole answer of at most `limit` bytes. An answer that is
+    /// not to this request by its headers is none, and its connection is not used again:
+    /// the real answer may follow on it.
     ///
     /// # Errors
     ///
@@ -145,8 +150,13 @@
         req: Request<Body>,
         deadline: Instant,
         limit: usize,
+        is_answer: impl Fn(&HeaderMap) -> bool,
     ) -> Result<Response<Bytes>, Failure> {
         let exchange = self.send(addr, req, deadline).await?;
+        if !is_answer(exchange.head.headers()) {
+            let error = Error::backend_answer(format!("{addr} answered another request"));
+            return Err((Attempt::Sent, error));
+        }
         self.read(exchange, deadline, limit).await
     }
 
@@ -274,6 +284,7 @@
     opened.fetch_add(1, Ordering::Relaxed);
     let handshake = http1::Builder::new()
         .max_headers(HEADER_FIELDS)
+        .max_buf_size(READ_AHEAD)
         .handshake(TokioIo::new(tcp))
         .await;
     let (send, connection) = handshake.map_err(|e| unsent(unreachable(addr, &e)))?;
