--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -43,15 +43,18 @@
 /// The first pause after a failure, and the longest; each is twice the one before.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
-/// Time between two looks whether this instance has the duty to watch.
+/// Time between two looks whether this instance has the duty to watch, and before anything
+/// is known.
 const DUTY_INTERVAL: Duration = Duration::from_millis(100);
+const FIRST_DUTY_INTERVAL: Duration = Duration::from_millis(20);
 /// Time between two probes whether the store still answers, and the time that one may take:
 /// a slow store takes a quarter of a second. Together they leave half of the bound of a
 /// change to those that take the duty over.
 const PROBE_INTERVAL: Duration = Duration::from_millis(600);
 const PROBE_TIME: Duration = Duration::from_millis(400);
-/// Time after the start in which other instances are asked for a kind before the store is.
-const START_TIME: Duration = Duration::from_millis(1_000);
+/// Time after the start in which other instances are asked for a kind before the store is:
+/// a few round trips. All instances may have been restarted at once, and callers wait.
+const START_TIME: Duration = Duration::from_millis(120);
 
 /// The name of a kind in the store.
 const fn name(kind: Kind) -> &'static str {
@@ -83,7 +86,11 @@
         if !has_duty(&gateway, kind, version, started) {
             gateway.known.set_served(kind, false);
             is_away = false;
-            sleep(DUTY_INTERVAL).await;
+            sleep(match version {
+                0 => FIRST_DUTY_INTERVAL,
+                _ => DUTY_INTERVAL,
+            })
+            .await;
             continue;
         }
         let known = (version > 0 && !is_lost).then_some(version);
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -30,17 +30,24 @@
 /// message on it well within half of the platform's bound, and each question is a message
 /// of some ten bytes.
 const ASK_INTERVAL: Duration = Duration::from_millis(350);
+/// Time between two questions before anything is known.
+const FIRST_INTERVAL: Duration = Duration::from_millis(50);
 /// Time for which an instance that says the store does not serve it is not asked.
 const UNSERVED_TIME: Duration = Duration::from_millis(1_500);
 
 /// Asks others for what is newer, until the task is ended.
 pub async fn ask(gateway: Arc<Gateway>) {
     loop {
-        let jitter = 0.75 + rand::random::<f64>() / 2.0;
-        sleep(ASK_INTERVAL.mul_f64(jitter)).await;
         if let Some(other) = gateway.peers.informed(gateway.now()) {
             ask_one(&gateway, &other).await;
         }
+        // Nobody can be served before the first routes are known.
+        let interval = match gateway.known.version(Kind::Routes) {
+            0 => FIRST_INTERVAL,
+            _ => ASK_INTERVAL,
+        };
+        let jitter = 0.75 + rand::random::<f64>() / 2.0;
+        sleep(interval.mul_f64(jitter)).await;
     }
 }
 
--- a/crates/state/placement/src/copies.rs
+++ b/crates/state/placement/src/copies.rs
@@ -5,9 +5,10 @@
 use crate::Engine;
 use crate::layout;
 
-/// The part of a group's memory that weights take at most, where it holds several copies.
-/// The rest holds requests, of which a busy site keeps about a third of it filled.
-const WEIGHTS_PART: f64 = 0.5;
+/// The part of a group's memory that weights take at most, where it holds several copies:
+/// docs/design/placement.md compares it with others. The loss of an engine concerns the
+/// requests of its copy alone, so more copies are better as long as memory is not short.
+const WEIGHTS_PART: f64 = 0.6;
 
 /// `Group` is the engines that share copies: those of one data centre, or of several where
 /// one alone is too small for a copy.
--- a/crates/state/placement/src/lib.rs
+++ b/crates/state/placement/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Each data centre that can holds whole copies of its own, since traffic between data
 //! centres is slow and may be cut. Memory, not speed, bounds how many requests run at
-//! a time, so the weights take half of a data centre's memory at most. More copies make
+//! a time, so the weights take a part of a data centre's memory at most. More copies make
 //! shorter paths: their number grows with the engines, the length of a path does not; see
 //! docs/design/placement.md. [`plan`] is a pure function of what is known, so any
 //! instance computes the same orders.
--- a/crates/state/placement/src/need.rs
+++ b/crates/state/placement/src/need.rs
@@ -16,8 +16,9 @@
 /// The weight of what all copies together lack, beside what one copy lacks. Paths may lead
 /// through several data centres, but links between them are slow.
 const ALL_COPIES: f64 = 2.0;
-/// The part of the even share of all groups that is enough for all callers, at least.
-const ENOUGH_LEAST: f64 = 0.5;
+/// The part of the even share of all groups that is enough for all callers: as much is
+/// left when a data centre is lost, and some engines beside.
+const ENOUGH: f64 = 0.5;
 
 /// `Need` measures what a group of engines lacks.
 pub struct Need {
@@ -32,14 +33,14 @@
 impl Need {
     /// The need of `group`, beside the engines of `others`.
     pub fn new(model: &EngineModel, group: &Group<'_>, others: &[&Group<'_>]) -> Self {
-        let even = even_room(model, &[group]);
+        let even = even_room(model, &group.live(), group.copies);
         let live: Vec<&Engine> = others.iter().flat_map(|g| g.live()).collect();
-        // As much as is left when one of the data centres is lost.
-        let left = others.len() as f64 / (others.len() + 1) as f64;
-        let all = even + even_room(model, others);
+        // The others may take each other's place, so they count as one group.
+        let copies = others.iter().map(|g| g.copies).max();
+        let all = even + even_room(model, &live, copies.unwrap_or(1));
         Self {
             even: even.max(1.0),
-            enough: (all * left.max(ENOUGH_LEAST)).max(1.0),
+            enough: (all * ENOUGH).max(1.0),
             elsewhere: rooms(model, &live),
         }
     }
@@ -59,13 +60,11 @@
     missing * missing
 }
 
-/// The room of each layer if the copies of these groups were spread evenly, in tokens.
-fn even_room(model: &EngineModel, groups: &[&Group<'_>]) -> f64 {
-    let engines = groups.iter().flat_map(|g| g.live());
-    let memory: f64 = engines.map(|e| e.card.memory_bytes).sum();
-    let copies: u16 = groups.iter().map(|g| g.copies).sum();
+/// The room of each layer if `copies` were spread evenly over these engines, in tokens.
+fn even_room(model: &EngineModel, engines: &[&Engine], copies: u16) -> f64 {
+    let memory: f64 = engines.iter().map(|e| e.card.memory_bytes).sum();
     let layers = f64::from(model.layers);
-    let free = memory - f64::from(copies.max(1)) * layers * model.layer_bytes;
+    let free = memory - f64::from(copies) * layers * model.layer_bytes;
     (free / (model.kv_layer_bytes() * layers)).max(0.0)
 }
 
