Placement: weights take up to 0.75 of a group's memory

Load: losses of engines (srv_crash, scale_in, release). The loss of one concerns the requests of its copy alone, and a path through fewer engines meets fewer of them.

--- a/crates/state/placement/src/copies.rs
+++ b/crates/state/placement/src/copies.rs
@@ -8,7 +8,7 @@
 /// The part of a group's memory that weights take at most, where it holds several copies:
 /// docs/design/placement.md compares it with others. The loss of an engine concerns the
 /// requests of its copy alone, so more copies are better as long as memory is not short.
-const WEIGHTS_PART: f64 = 0.6;
+const WEIGHTS_PART: f64 = 0.75;
 
 /// `Group` is the engines that share copies: those of one data centre, or of several where
 /// one alone is too small for a copy.
