--- /dev/null
+++ b/crates/hemlockwind/benches/decisions/joint.rs
@@ -0,0 +1,176 @@
+//! Paths over engines that join to hold a model, their homes and their placement.
+
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::Duration;
+
+use criterion::Criterion;
+
+use hemlockwind::core::collections::SeededHashMap;
+use hemlockwind::core::names::InstanceKey;
+use hemlockwind::core::names::Names;
+use hemlockwind::core::names::OrganisationKey;
+use hemlockwind::core::names::Rank;
+use hemlockwind::core::servers::BackendServer;
+use hemlockwind::core::servers::Card;
+use hemlockwind::core::servers::EngineModel;
+use hemlockwind::core::servers::ServerState;
+use hemlockwind::core::time::Instant;
+use hemlockwind_paths::Engines;
+use hemlockwind_paths::Home;
+use hemlockwind_paths::Ticket;
+use hemlockwind_paths::TicketId;
+use hemlockwind_paths::choice::Need;
+use hemlockwind_paths::choice::choose;
+use hemlockwind_placement::Engine;
+use hemlockwind_placement::Urgency;
+use hemlockwind_placement::plan;
+
+use crate::table::Table;
+
+/// The numbers of engines: today's deployments, and what one data centre has at the target.
+const ENGINES: [usize; 3] = [40, 216, 1_000];
+/// The numbers of waiting tickets.
+const TICKETS: [usize; 3] = [100, 1_000, 10_000];
+/// Engines of one data centre.
+const OF_DATA_CENTRE: usize = 43;
+const NOW: Instant = Instant::from_millis(5_000);
+/// Memory of the kinds of accelerators, in gigabytes.
+const KINDS: [f64; 4] = [21.6, 14.4, 21.6, 36.0];
+
+/// A model of 80 layers of 1.75 GB.
+fn model() -> EngineModel {
+    let mut cards: SeededHashMap<Arc<str>, Card> = SeededHashMap::default();
+    for (i, _) in KINDS.iter().enumerate() {
+        cards.insert(i.to_string().into(), card(i));
+    }
+    EngineModel {
+        layers: 80,
+        layer_bytes: 1.75e9,
+        kv_token_bytes: 492_000.0,
+        activation_bytes: 24_600.0,
+        pipe_bits_per_s: 5e9,
+        step_ms: 0.85,
+        step_request_ms: 0.003_19,
+        step_context_ms: 0.004_27,
+        read_per_s: 236_000.0,
+        load: Duration::from_secs(14),
+        loads_at_once: 6,
+        usual_prompt: 772.0,
+        usual_answer: 172.0,
+        cards,
+    }
+}
+
+fn card(kind: usize) -> Card {
+    Card {
+        memory_bytes: KINDS[kind] * 1e9,
+        step_factor: 15.0,
+        read_factor: 8.2,
+    }
+}
+
+/// Engines in data centres of about the same size, empty.
+fn fleet(size: usize) -> Vec<Engine> {
+    let data_centres = size.div_ceil(OF_DATA_CENTRE);
+    let engines = (0..size).map(|i| Engine {
+        id: format!("e{i:04}").into(),
+        data_centre: format!("d{}", i % data_centres).into(),
+        card: card((i / data_centres) % KINDS.len()),
+        version: "v1".into(),
+        layers: None,
+        is_free: true,
+        is_live: true,
+        is_new: false,
+    });
+    engines.collect()
+}
+
+/// The same with the layers of their first plan.
+fn placed(size: usize) -> Vec<Engine> {
+    let mut engines = fleet(size);
+    for order in plan(&model(), &engines, Urgency::Empty) {
+        let engine = engines.iter_mut().find(|e| e.id == order.id);
+        engine.expect("the plan names known engines").layers = Some(order.layers);
+    }
+    engines
+}
+
+/// What a home knows of these engines.
+fn engines(size: usize) -> Engines {
+    let kind = |card: Card| KINDS.iter().position(|gb| gb * 1e9 == card.memory_bytes);
+    let entries = placed(size).into_iter().enumerate().map(|(i, e)| {
+        let [high, low] = (i as u16).to_be_bytes();
+        BackendServer {
+            id: e.id,
+            service: "drafts".into(),
+            addr: ([10, 0, high, low], 80).into(),
+            data_centre: e.data_centre,
+            version: e.version,
+            state: ServerState::Ready,
+            slots: 192,
+            card: kind(e.card).map(|kind| kind.to_string().into()),
+            layers: e.layers,
+            born_ms: 1,
+        }
+    });
+    let entries: Vec<BackendServer> = entries.collect();
+    let mut engines = Engines::new(Arc::new(model()));
+    engines.update(entries.iter());
+    engines
+}
+
+/// A path, and a plan after the loss of one engine.
+pub fn by_engines(c: &mut Criterion, table: &mut Table) {
+    let need = Need {
+        tokens: 944,
+        near: None,
+        must_fit: true,
+        held: None,
+        within: None,
+    };
+    for size in ENGINES {
+        let engines = engines(size);
+        table.measure(c, "joint path: choose", size, || {
+            black_box(choose(&engines, NOW, need));
+        });
+        let mut engines = placed(size);
+        engines[size / 2].is_live = false;
+        let model = model();
+        table.measure(c, "placement: plan after a loss", size, || {
+            black_box(plan(&model, &engines, Urgency::Even));
+        });
+    }
+}
+
+/// A decision while many tickets wait for room that is not there.
+pub fn by_tickets(c: &mut Criterion, table: &mut Table) {
+    let mut instances: Names<InstanceKey> = Names::default();
+    let mut organisations: Names<OrganisationKey> = Names::default();
+    for size in TICKETS {
+        let mut home = Home::new(engines(ENGINES[0]));
+        let mut number = 0;
+        let mut ticket = || {
+            number += 1;
+            Ticket {
+                id: TicketId {
+                    instance: instances.intern("front"),
+                    number,
+                },
+                near: None,
+                organisation: organisations.intern(&format!("o{}", number % 24)),
+                rank: Rank((number % 3) as u8),
+                tokens: 944,
+                on_time_by: NOW + Duration::from_secs(600),
+                latest: NOW + Duration::from_secs(6_000),
+                may_wait: true,
+            }
+        };
+        while home.waiting() < size {
+            home.ask(NOW, ticket());
+        }
+        table.measure(c, "home: poll without room", size, || {
+            black_box(home.poll(NOW));
+        });
+    }
+}
--- a/crates/hemlockwind/benches/decisions/main.rs
+++ b/crates/hemlockwind/benches/decisions/main.rs
@@ -5,6 +5,7 @@
 //! cost for a request that grows with the number of all of them.
 
 mod fleet;
+mod joint;
 mod limits;
 mod paths;
 mod queueing;
@@ -49,7 +50,13 @@
     routing::bound_flow(&mut c, &mut servers);
     let mut organisations = Table::new("organisations");
     queueing::grant_tickets(&mut c, &mut organisations);
+    let mut engines = Table::new("joint engines");
+    joint::by_engines(&mut c, &mut engines);
+    let mut tickets = Table::new("waiting tickets");
+    joint::by_tickets(&mut c, &mut tickets);
     servers.print();
+    engines.print();
+    tickets.print();
     organisations.print();
     paths::print();
     c.final_summary();
