--- a/crates/gateway/src/homes.rs
+++ b/crates/gateway/src/homes.rs
@@ -249,7 +249,7 @@
             Err((_, e)) => {
                 gateway.counters.add("homes_unreachable");
                 if let Some(left_out) = gateway.lines.take(gateway.now(), "home_lost") {
-                    info!(gateway.log, "home without answer"; "instance" => &*keeper.name,
+                    info!(gateway.log, "home without answer"; "keeper" => &*keeper.name,
                         "service" => &**key, "error" => %e, "left_out" => left_out);
                 }
                 None
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -73,7 +73,7 @@
         let objects = objects.filter_map(|(name, content)| Object::new(name, content));
         let objects: Vec<Object> = objects.collect();
         info!(gateway.log, "heard from another instance"; "kind" => ?newer.kind,
-            "instance" => &*other.name, "version" => newer.version,
+            "other" => &*other.name, "version" => newer.version,
             "before" => gateway.known.version(newer.kind), "is_served" => answer.is_served);
         let is_news = newer.version > gateway.known.version(newer.kind);
         follow::take_all(gateway, newer.kind, newer.version, &objects);
