Planned stop: requests on the last new connections are read before idle ones are closed

Cause: the library's graceful shutdown closes connections on which it has read no request, also where one has arrived; a busy instance is some hundred milliseconds behind.

Change: 0.5 s between the last connection taken and the shutdown; every answer closes its connection meanwhile.

--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -22,6 +22,9 @@
 /// Idle time beyond the limit before a connection is closed: callers may use one up to
 /// the limit, and a request may be on its way.
 const IDLE_MARGIN: Duration = Duration::from_secs(2);
+/// Time after the last connection was taken in which its request is read: an instance under
+/// load may be some hundred milliseconds behind.
+const LINGER: Duration = Duration::from_millis(500);
 /// Pause when the process is out of sockets.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -73,5 +76,8 @@
         });
     }
     drop(listener);
+    // A connection on which no request was read yet counts as idle and would be closed, also
+    // where a request has arrived. Each answer closes its connection from now on.
+    tokio::time::sleep(LINGER).await;
     graceful.shutdown().await;
 }
