Planned stop: what would outlast the process is refused at once

Ruled out: reading no longer (the requests that had arrived would be closed again).

Change: after the listener is closed, a request whose time goes beyond the end of the process gets 503, code 2005, nothing run, and may go to another instance; short calls are served.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
@@ -92,6 +93,8 @@
     pub counters: Counters,
     /// Set when a planned stop begins.
     pub stopping: CancellationToken,
+    /// When this process ends at the latest, once a planned stop takes no new connection.
+    pub ends_at: OnceLock<tokio::time::Instant>,
     /// Requests in progress.
     pub requests: TaskTracker,
 }
@@ -161,6 +164,7 @@
             histograms: Histograms::default(),
             counters: Counters::default(),
             stopping: CancellationToken::new(),
+            ends_at: OnceLock::new(),
             requests: TaskTracker::new(),
         }
     }
--- a/crates/gateway/src/requests.rs
+++ b/crates/gateway/src/requests.rs
@@ -146,6 +146,14 @@
     let service = service.ok_or_else(|| Error::no_path(&*route.name))?;
     let rank = organisation.and_then(|o| o.rank).unwrap_or(route.rank);
     let wait = asked.wait.unwrap_or(WAIT_DEFAULT).min(route.timeout);
+    // What may outlast this process would be cut; another instance can take it now.
+    if gateway
+        .ends_at
+        .get()
+        .is_some_and(|end| arrived + wait > *end)
+    {
+        return Err(Error::Stopping);
+    }
     Ok(Accepted {
         attempt,
         headers: parts.headers,
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -132,6 +132,8 @@
         info!(gateway.log, "stopping"; "requests" => gateway.requests.len());
         gateway.stopping.cancel();
         tokio::time::sleep(NOTICE_TIME).await;
+        // A process is stopped once, so it is not set yet.
+        let _ = gateway.ends_at.set(by);
         self.ending.cancel();
         gateway.requests.close();
         let drain = async {
