--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -1,9 +1,10 @@
 //! Gives the engines their layers, one instance at a time.
 //!
 //! The giver holds a lease in the store; its version is the fencing token of each
-//! order. While the store is away from all, one instance goes on without it. Not all engines check it, so each order also names the number of orders that
-//! its engine has accepted by its own report: one that comes late, after another, is
-//! refused.
+//! order. While the store is away from all, one instance goes on without it. Not all
+//! engines check it, so each order also names the number of orders that its engine has
+//! accepted by its own report: one that comes late, after another, is refused. The right
+//! to give is looked at again right before each order.
 
 pub mod giver;
 
