--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -193,6 +193,7 @@
                 || gateway.slow.is_useless(now, s.addr)
         };
         let due = giver.due(now, model, &servers, is_dead, may_even);
+        log_holdings(gateway, &service.name, giver);
         let calls = due.into_iter().map(|(server, order)| async move {
             let ordered = place(gateway, &server, &order, fencing, may_give).await;
             (ordered, server, order)
@@ -217,6 +218,16 @@
     }
 }
 
+/// Logs how many copies each group of engines is to hold, when that has changed.
+fn log_holdings(gateway: &Gateway, service: &str, giver: &mut Giver) {
+    for holding in giver.changed_holdings().into_iter().flatten() {
+        info!(gateway.log, "placement"; "service" => service,
+            "data_centres" => holding.data_centres.join(","),
+            "copies" => holding.copies, "engines" => holding.engines,
+            "memory_gb" => (holding.memory_bytes / 1e9).round());
+    }
+}
+
 /// Follows an order until the engine holds `layers`, and tells all instances: the
 /// engine's own entry says it a heartbeat later, or not while the store is away.
 async fn watch(gateway: &Arc<Gateway>, server: &BackendServer, layers: LayerRange) {
--- a/crates/gateway/src/orders/giver.rs
+++ b/crates/gateway/src/orders/giver.rs
@@ -10,9 +10,11 @@
 use hemlockwind_core::servers::ServerState;
 use hemlockwind_core::time::Instant;
 use hemlockwind_placement::Engine;
+use hemlockwind_placement::Holding;
 use hemlockwind_placement::Order;
 use hemlockwind_placement::Urgency;
 use hemlockwind_placement::has_gap;
+use hemlockwind_placement::holdings;
 use hemlockwind_placement::plan;
 
 use crate::orders::LOOK_INTERVAL;
@@ -64,6 +66,8 @@
     /// The last view for which the plan asked for nothing. Planning is a search over all
     /// ranges of all engines, and mostly nothing has changed since the look before.
     settled: Option<(Vec<Engine>, Urgency)>,
+    /// What the groups are to hold by the last plan, and whether that is news.
+    holdings: (Vec<Holding>, bool),
 }
 
 impl Giver {
@@ -101,6 +105,7 @@
         if self.settled.as_ref() == Some(&view) {
             return Vec::new();
         }
+        self.hold(holdings(model, &view.0));
         let orders = plan(model, &view.0, urgency);
         if orders.is_empty() {
             self.settled = Some(view);
@@ -129,6 +134,21 @@
         due
     }
 
+    /// Notes what the groups are to hold. Their copies are news, each lost engine is not.
+    fn hold(&mut self, now: Vec<Holding>) {
+        let copies = |of: &[Holding]| -> Vec<_> {
+            let pairs = of.iter().map(|h| (h.data_centres.clone(), h.copies));
+            pairs.collect()
+        };
+        self.holdings.1 |= copies(&self.holdings.0) != copies(&now);
+        self.holdings.0 = now;
+    }
+
+    /// What the groups are to hold, if their copies have changed since the last call.
+    pub fn changed_holdings(&mut self) -> Option<&[Holding]> {
+        std::mem::take(&mut self.holdings.1).then_some(&self.holdings.0)
+    }
+
     /// Whether all engines that are to be expected have appeared. Where some hold layers
     /// already there is nothing to gather for.
     fn has_gathered(&mut self, now: Instant, servers: &[Arc<BackendServer>]) -> bool {
--- a/crates/state/placement/src/copies.rs
+++ b/crates/state/placement/src/copies.rs
@@ -3,6 +3,7 @@
 use hemlockwind_core::servers::EngineModel;
 
 use crate::Engine;
+use crate::Holding;
 use crate::layout;
 
 /// The part of a group's memory that weights take at most, where it holds several copies:
@@ -31,6 +32,20 @@
         let live = self.engines.iter().filter(|e| e.is_live);
         live.copied().collect()
     }
+
+    /// What the group is to hold.
+    pub fn holding(&self) -> Holding {
+        let live = self.live();
+        let mut data_centres: Vec<_> = live.iter().map(|e| e.data_centre.clone()).collect();
+        data_centres.sort_unstable();
+        data_centres.dedup();
+        Holding {
+            data_centres,
+            engines: live.len(),
+            memory_bytes: live.iter().map(|e| e.card.memory_bytes).sum(),
+            copies: self.copies,
+        }
+    }
 }
 
 /// The copies that `engines` should hold: as many as leave enough memory to requests, at
--- a/crates/state/placement/src/lib.rs
+++ b/crates/state/placement/src/lib.rs
@@ -77,6 +77,25 @@
     orders
 }
 
+/// `Holding` is what one group of engines is to hold.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Holding {
+    /// The data centres of the group, in their order.
+    pub data_centres: Vec<Arc<str>>,
+    /// Its live engines.
+    pub engines: usize,
+    /// Their memory, in bytes.
+    pub memory_bytes: f64,
+    /// The copies that they are to hold together.
+    pub copies: u16,
+}
+
+/// What each group of engines is to hold.
+pub fn holdings(model: &EngineModel, engines: &[Engine]) -> Vec<Holding> {
+    let groups = copies::groups(model, engines);
+    groups.iter().map(Group::holding).collect()
+}
+
 /// Whether a data centre lacks layers that no live engine of it holds.
 pub fn has_gap(model: &EngineModel, engines: &[Engine]) -> bool {
     let groups = copies::groups(model, engines);
