Placement: long copies give way to one more copy, up to 0.8 of the memory

Cause: the number of copies is rounded down. Class of fault: a whole failure domain behind one chain without a replica.

Red before: plan_paths_stay_short_just_below_a_whole_copy (20 parts), holdings_follow_the_live_engines (1 copy). Open: engines so small that a second copy takes more than 0.8 of the memory. No known deployment changes its number of copies.

--- a/crates/state/placement/src/copies.rs
+++ b/crates/state/placement/src/copies.rs
@@ -11,6 +11,13 @@
 /// requests of its copy alone, so more copies are better as long as memory is not short.
 const WEIGHTS_PART: f64 = 0.75;
 
+/// The same where copies are long: the loss of one engine then concerns the requests of so
+/// many that a further copy is worth more than the memory that it takes.
+const LONG_WEIGHTS_PART: f64 = 0.8;
+/// Engines of one copy from which on it counts as long: the design's bound on the stages of
+/// a path, docs/design/placement.md.
+const LONG_COPY: usize = 16;
+
 /// `Group` is the engines that share copies: those of one data centre, or of several where
 /// one alone is too small for a copy.
 pub struct Group<'a> {
@@ -54,7 +61,12 @@
     let memory: f64 = engines.iter().map(|e| e.card.memory_bytes).sum();
     let copy = f64::from(model.layers) * model.layer_bytes;
     // Truncation is intended: a part of a copy serves nobody.
-    ((memory * WEIGHTS_PART / copy) as u16).max(1)
+    let whole = |part: f64| ((memory * part / copy) as u16).max(1);
+    let usual = whole(WEIGHTS_PART);
+    match engines.len() > LONG_COPY * usize::from(usual) {
+        true => whole(LONG_WEIGHTS_PART),
+        false => usual,
+    }
 }
 
 /// All engines in groups.
--- a/crates/state/placement/tests/plan.rs
+++ b/crates/state/placement/tests/plan.rs
@@ -14,6 +14,7 @@
 use hemlockwind_placement::Order;
 use hemlockwind_placement::Urgency;
 use hemlockwind_placement::has_gap;
+use hemlockwind_placement::holdings;
 use hemlockwind_placement::plan;
 
 const GIGABYTE: f64 = 1e9;
@@ -418,6 +419,58 @@
     }
 }
 
+/// Engines of one data centre, `count` of each kind.
+fn data_centre(kinds: &[(usize, f64)]) -> Vec<Engine> {
+    let sizes = kinds
+        .iter()
+        .flat_map(|(n, gb)| std::iter::repeat_n(*gb, *n));
+    let engines = sizes.enumerate();
+    engines
+        .map(|(i, gb)| engine(&format!("e{i:02}"), "a", gb, None))
+        .collect()
+}
+
+/// Stages of a path at most: the design's bound.
+const LONGEST: usize = 16;
+
+// SHORT on inra-grown: 1.7 to 1.9 copies in each data centre were rounded down to one, over
+// which the loss of each engine stopped all streams.
+#[test]
+fn plan_paths_stay_short_just_below_a_whole_copy() {
+    for kinds in [
+        &[(11, 21.6), (9, 14.4)][..],
+        &[(1, 36.0), (9, 21.6), (9, 14.4)],
+        &[(17, 21.6)],
+    ] {
+        let mut engines = data_centre(kinds);
+        settle(&mut engines, Urgency::Empty);
+        let parts = parts(&engines, "a").expect("a whole copy");
+        assert!(parts <= LONGEST, "{kinds:?}: {parts} parts");
+    }
+}
+
+#[test]
+fn plan_paths_stay_short_over_small_engines() {
+    for count in 12..=40 {
+        let mut engines = data_centre(&[(count, 14.4)]);
+        settle(&mut engines, Urgency::Empty);
+        let parts = parts(&engines, "a").expect("a whole copy");
+        assert!(parts <= LONGEST, "{count} engines: {parts} parts");
+    }
+}
+
+#[test]
+fn holdings_follow_the_live_engines() {
+    let mut engines = data_centre(&[(11, 21.6), (9, 14.4)]);
+    let before = holdings(&model(), &engines);
+    assert_eq!((before[0].engines, before[0].copies), (20, 2));
+    for lost in &mut engines[..8] {
+        lost.is_live = false;
+    }
+    let after = holdings(&model(), &engines);
+    assert_eq!((after[0].engines, after[0].copies), (12, 1));
+}
+
 #[test]
 fn plan_weights_leave_memory_to_requests() {
     for (count, data_centres) in [(86, 3), (98, 3), (216, 5), (1_000, 9)] {
