Planned stop: a silent store does not hold the process up beyond its grace time

Cause: after the drain, 0.3 s before the kill, the process removes its entry from the store, and that call may take 1.5 s when the store does not answer. Ruled out: requests that hold it up (the drain has its own bound, and the line tells that it was reached).

Change: the removal has until 0.15 s after the drain's end; an entry that stays is one of an instance that does not answer, which others pass over.

--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -37,8 +37,11 @@
 /// Time after the signal in which the balancer still sends connections: it asks once a
 /// second and takes an instance out after two refusals.
 const NOTICE_TIME: Duration = Duration::from_millis(2_600);
-/// Time before the platform kills the process by which it has ended by itself.
+/// Time before the platform kills the process by which the last request has ended.
 const END_MARGIN: Duration = Duration::from_millis(300);
+/// The part of it in which the process still waits for the store to remove its entry: what
+/// is left is for the end of the process itself.
+const LEAVE_MARGIN: Duration = Duration::from_millis(150);
 
 /// `Running` is an instance with open sockets.
 pub struct Running {
@@ -148,7 +151,13 @@
         if cut > 0 {
             warn!(gateway.log, "requests were cut"; "cut" => cut);
         }
-        instances::leave(&gateway).await;
+        if timeout_at(by + LEAVE_MARGIN, instances::leave(&gateway))
+            .await
+            .is_err()
+        {
+            // The others pass over an instance that does not answer, whatever its entry says.
+            warn!(gateway.log, "entry not removed"; "error" => "no answer before the end");
+        }
         for task in &self.others {
             task.abort();
         }
