Tests: a giver paused over its lease, and a planned hand-over, by real processes

The first stops the giver after it has asked an engine for its report, lets another take the lease, and wakes it; the second ends the giver as planned and loses an engine before and after. Orders never go back to an older token, and no engine takes the same order twice.

--- a/programs/tests/process/main.rs
+++ b/programs/tests/process/main.rs
@@ -4,6 +4,7 @@
 mod failures;
 mod leaving;
 mod loans;
+mod orders;
 mod process;
 mod services;
 mod site;
