Soak: instances as processes under load, seeded faults, promises checked from outside

programs/tests/process/soak.rs: four instances of hemlockwind-gateway, the emulator's store, engines and servers, callers on kept connections, and a seeded series of strikes: pause, kill and restart, planned stop and restart, store down, its answers lost or its history forgotten, an engine dead, a plain server that loses or crosses answers. Checked: a non-idempotent request runs once at most; 408, 421, 429 and 503 are said only of what has not run; an answer is whole and the caller's own, with every event once; a planned stop ends in time and cuts nothing; everything is served again within 12 s. The logs of a seed that fails are kept.

The processes' fleet is shared with the tests of orders.

--- a/programs/tests/process/main.rs
+++ b/programs/tests/process/main.rs
@@ -2,11 +2,13 @@
 
 mod completions;
 mod failures;
+mod fleet;
 mod leaving;
 mod loans;
 mod orders;
 mod process;
 mod services;
 mod site;
+mod soak;
 mod spread;
 mod stop;
--- a/programs/tests/process/process.rs
+++ b/programs/tests/process/process.rs
@@ -25,6 +25,12 @@
         Self::spawn(program, args, log, Stdio::null())
     }
 
+    /// Starts `program`; what it writes goes to `log`.
+    pub fn logged(program: &str, args: &[&str], log: &Path) -> Self {
+        let out = File::create(log.with_extension("out")).unwrap();
+        Self::spawn(program, args, log, Stdio::from(out))
+    }
+
     /// Starts a fake, and gives the address that it prints.
     pub fn fake(args: &[&str], log: &Path) -> (Self, SocketAddr) {
         let program = env!("CARGO_BIN_EXE_hemlockwind-standin");
