--- a/programs/tests/process/soak.rs
+++ b/programs/tests/process/soak.rs
@@ -12,12 +12,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hemlockwind_emulator::caller;
 use hemlockwind_emulator::engine::Engine;
 use hemlockwind_emulator::engine::Fault;
-use hemlockwind_emulator::site::HOST;
-use hemlockwind_emulator::site::KEY;
 use hemlockwind_emulator::store::Mode;
-use http::Request;
 use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -44,9 +42,11 @@
 const SECONDS: u64 = 10;
 /// Events of a stream's answer.
 const EVENTS: u64 = 20;
-/// Milliseconds that callers wait, as the platform's callers do.
-const STREAM_MS: u64 = 5_000;
-const CALL_MS: u64 = 1_500;
+/// Time that callers wait, as the platform's callers do.
+const STREAM_TIME: Duration = Duration::from_secs(5);
+const CALL_TIME: Duration = Duration::from_millis(1_500);
+/// Time after that in which a caller still reads an answer that comes late.
+const LEAVES_AFTER: Duration = Duration::from_secs(1);
 /// Time in which the platform lets a process end, and some for a busy machine.
 const GRACE: Duration = Duration::from_secs(9);
 /// Time after the last fault in which everything is served again: the bound of the rules.
@@ -86,25 +86,17 @@
 /// Sends one request and reads its answer.
 async fn send(client: &HttpClient, addr: SocketAddr, kind: Kind, attempt: &str) -> Outcome {
     let (path, wait) = match kind {
-        Kind::Stream => ("/notes/a", STREAM_MS),
-        Kind::Unsafe => ("/writes/a", CALL_MS),
-        Kind::Safe => ("/reads/a", CALL_MS),
+        Kind::Stream => ("/notes/a", STREAM_TIME),
+        Kind::Unsafe => ("/writes/a", CALL_TIME),
+        Kind::Safe => ("/reads/a", CALL_TIME),
     };
-    let req = Request::post(format!("http://{addr}{path}"))
-        .header("host", HOST)
-        .header("authorization", format!("Bearer {KEY}"))
-        .header("hemlockwind-attempt-id", attempt)
-        .header("hemlockwind-token-counts", format!("100,{}", EVENTS * 2))
-        .header("hemlockwind-deadline-ms", wait.to_string())
-        .body(Full::from(attempt.to_string()))
-        .unwrap();
+    let req = caller::request(addr, path, attempt, wait, EVENTS).unwrap();
     let answer = async {
-        let (parts, body) = client.request(req).await.ok()?.into_parts();
+        let (parts, body) = client.request(req.map(Full::new)).await.ok()?.into_parts();
         let body = body.collect().await.ok().map(|b| b.to_bytes());
         Some((parts, body))
     };
-    // A caller leaves a second after its time.
-    let answer = timeout(Duration::from_millis(wait + 1_000), answer).await;
+    let answer = timeout(wait + LEAVES_AFTER, answer).await;
     let Ok(Some((parts, body))) = answer else {
         return Outcome::Cut;
     };
@@ -114,12 +106,9 @@
     let Some(body) = body else {
         return Outcome::Cut;
     };
-    let is_own = parts
-        .headers
-        .get("hemlockwind-attempt-id")
-        .map(|v| v.as_bytes());
-    if is_own != Some(attempt.as_bytes()) {
-        return Outcome::Wrong(format!("the answer of {is_own:?}"));
+    let named = caller::attempt(&parts.headers);
+    if named != Some(attempt) {
+        return Outcome::Wrong(format!("the answer of {named:?}"));
     }
     let text = String::from_utf8_lossy(&body);
     let is_whole = match kind {
