--- a/programs/tests/process/soak.rs
+++ b/programs/tests/process/soak.rs
@@ -47,11 +47,46 @@
 const CALL_TIME: Duration = Duration::from_millis(1_500);
 /// Time after that in which a caller still reads an answer that comes late.
 const LEAVES_AFTER: Duration = Duration::from_secs(1);
-/// Time in which the platform lets a process end, and some for a busy machine.
-const GRACE: Duration = Duration::from_secs(9);
+/// Time in which the platform lets a process end.
+const GRACE: Duration = Duration::from_secs(8);
 /// Time after the last fault in which everything is served again: the bound of the rules.
 const RECOVERY: Duration = Duration::from_secs(12);
 
+/// `Strike` is one fault from outside.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Strike {
+    /// An instance is paused for a time.
+    Pause,
+    /// An instance is killed and started again.
+    Kill,
+    /// An instance is stopped as planned and started again.
+    Stop,
+    /// The store refuses all calls for a time.
+    StoreDown,
+    /// The store carries writes out and answers none of them for a time.
+    StoreAnswersLost,
+    /// An engine is dead for a time.
+    EngineDead,
+    /// A plain server loses its answers for a time.
+    ServerLosesAnswers,
+    /// A plain server answers with the name of another attempt for a time.
+    ServerCrossesAnswers,
+    /// The store forgets its history.
+    StoreForgets,
+}
+
+const STRIKES: [Strike; 9] = [
+    Strike::Pause,
+    Strike::Kill,
+    Strike::Stop,
+    Strike::StoreDown,
+    Strike::StoreAnswersLost,
+    Strike::EngineDead,
+    Strike::ServerLosesAnswers,
+    Strike::ServerCrossesAnswers,
+    Strike::StoreForgets,
+];
+
 /// `Kind` is a kind of request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Kind {
@@ -147,46 +182,42 @@
 }
 
 /// Strikes once, and waits until what it did is over.
-async fn strike(fleet: &mut Fleet, rng: &mut SmallRng, log: &mut Vec<String>) {
+async fn strike_once(fleet: &mut Fleet, rng: &mut SmallRng, log: &mut Vec<String>) {
     let at = rng.random_range(0..fleet.instances.len());
     let engine = rng.random_range(0..fleet.site.engines.len());
     let time = Duration::from_millis(rng.random_range(200..2_500));
-    let which = rng.random_range(0..9);
+    let strike = STRIKES[rng.random_range(0..STRIKES.len())];
     let name = &fleet.instances[at].name;
-    log.push(format!(
-        "{which} instance {name} engine {engine} for {time:?}"
-    ));
-    let servers = &fleet.site.servers;
-    match which {
-        0 => {
+    log.push(format!("{strike:?} {name} engine {engine} {time:?}"));
+    let server = &fleet.site.servers[engine % fleet.site.servers.len()];
+    match strike {
+        Strike::Pause => {
             fleet.instances[at].process.signal("STOP");
             sleep(time).await;
             fleet.instances[at].process.signal("CONT");
         }
-        1 => {
+        Strike::Kill => {
             fleet.instances[at].process.kill();
             sleep(time / 4).await;
             fleet.instances[at].restart();
         }
-        2 => stop(fleet, at).await,
-        3 | 4 => {
-            let mode = if which == 3 {
-                Mode::Down
-            } else {
-                Mode::AnswersLost
-            };
-            fleet.site.store.set_mode(mode);
-            sleep(time).await;
-            fleet.site.store.set_mode(Mode::Up);
-        }
-        5 => fault(&fleet.site.engines[engine], Fault::Dead, time).await,
-        6 => fault(&servers[engine % servers.len()], Fault::LosesAnswers, time).await,
-        7 => fault(&servers[engine % servers.len()], Fault::Crosses, time).await,
-        _ => fleet.site.store.compact(),
+        Strike::Stop => stop(fleet, at).await,
+        Strike::StoreDown => store(fleet, Mode::Down, time).await,
+        Strike::StoreAnswersLost => store(fleet, Mode::AnswersLost, time).await,
+        Strike::EngineDead => fault(&fleet.site.engines[engine], Fault::Dead, time).await,
+        Strike::ServerLosesAnswers => fault(server, Fault::LosesAnswers, time).await,
+        Strike::ServerCrossesAnswers => fault(server, Fault::Crosses, time).await,
+        Strike::StoreForgets => fleet.site.store.compact(),
     }
     sleep(Duration::from_millis(rng.random_range(0..600))).await;
 }
 
+async fn store(fleet: &Fleet, mode: Mode, time: Duration) {
+    fleet.site.store.set_mode(mode);
+    sleep(time).await;
+    fleet.site.store.set_mode(Mode::Up);
+}
+
 async fn fault(server: &Engine, fault: Fault, time: Duration) {
     server.set_fault(fault);
     sleep(time).await;
@@ -248,7 +279,7 @@
     let until = Instant::now() + Duration::from_secs(seconds);
     let mut strikes = Vec::new();
     while Instant::now() < until {
-        strike(&mut fleet, &mut rng, &mut strikes).await;
+        strike_once(&mut fleet, &mut rng, &mut strikes).await;
     }
     let client: HttpClient = Client::builder(TokioExecutor::new()).build_http();
     let number = std::sync::atomic::AtomicU32::new(0);
