Test of a stop with open connections: requests are sent within the notice period on a busy machine too

Trace (log of that run): the stop began at 00.175, its notice period of 1.0 s ended at 01.175, and the seventh of ten requests, sent one after the other, ended at 01.234; the eighth found its idle connection closed. That is allowed: an idle connection may be closed once the notice period is over, and nothing had been sent on it. 'stopped' says cut: 0. Ruled out: a request that was read and cut (the instance counts none).

The test meant to send within the notice period. It now sends on all ten connections at once, 100 ms after the signal, so that it does; each must still be answered in words. Equally strict: the same connections, bound and exit code.

--- a/programs/tests/process/stop.rs
+++ b/programs/tests/process/stop.rs
@@ -94,10 +94,13 @@
     }
     site.instances[0].process.signal("TERM");
     tokio::time::sleep(NOTICE).await;
-    // The balancer has not heard of the stop yet, so it sends what it has.
-    for open in open {
+    // The balancer has not heard of the stop yet, so it sends what it has: all at once, as an
+    // idle connection may be closed when the notice period is over.
+    let answers = open.into_iter().map(|open| async move {
         let body = request("mlango", 3, false);
-        let answer = open.call("POST", "/v1/completions", &[], body).await;
+        open.call("POST", "/v1/completions", &[], body).await
+    });
+    for answer in futures::future::join_all(answers).await {
         let (status, body) = answer.expect("an answer in words");
         if !status.is_success() {
             assert_not_run(&body);
