Gateway: log why an engine's connections broke, and the parts of prompts

When an engine ended, the log said "error reading a body from connection" for each stream, the same for a crash, a planned end and a lost link, and nothing about what the streams had in common. Adds the shared parts of the prompt to "stream broken" and "stream not started", and examines the engine's port and report once for all streams. No decision uses it yet.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -31,6 +31,7 @@
 use hemlockwind_telemetry::budget::LineBudget;
 
 use crate::directory::Directory;
+use crate::engine_ends::EngineEnds;
 use crate::peers::Instance;
 use crate::peers::Peers;
 use crate::queue_owners::QueueOwners;
@@ -80,6 +81,8 @@
     pub http: Http1,
     /// The reports of engines.
     pub reports: Reports,
+    /// The causes of lost connections to engines.
+    pub engine_ends: EngineEnds,
     /// The engines that are slow.
     pub slow: SlowEngines,
     /// The retry budgets, by service.
@@ -158,6 +161,7 @@
             servers: Servers::default(),
             http: Http1::default(),
             reports: Reports::default(),
+            engine_ends: EngineEnds::default(),
             slow: SlowEngines::default(),
             retry_budgets: Mutex::default(),
             faults,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod calls;
 pub mod diagnosis;
 pub mod directory;
+pub mod engine_ends;
 pub mod events;
 pub mod follow;
 pub mod gateway;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -157,6 +157,12 @@
                 }
                 end => {
                     self.log_broken(&end);
+                    if let (End::Broken(_), Some(first)) = (&end, self.first_engine()) {
+                        let gateway = Arc::clone(&self.gateway);
+                        tokio::spawn(
+                            async move { gateway.engine_ends.examine(&gateway, first).await },
+                        );
+                    }
                     match self.resume(&end).await {
                         Some(next) => exchange = next,
                         None => {
@@ -338,6 +344,7 @@
         if let Some(left_out) = gateway.lines.take(gateway.now(), "stream_broken") {
             info!(gateway.log, "stream broken"; "id" => &self.accepted.attempt,
                 "why" => end.reason(), "after" => self.last_event,
+                "begun" => self.events > 0, "parts" => self.accepted.client.shared_parts.join(","),
                 "silent_ms" => self.progress_at.elapsed().as_millis() as u64,
                 "path" => self.path_text(), "left_out" => left_out);
         }
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -146,6 +146,7 @@
             "status" => response.status().as_u16(), "error" => error,
             "sent" => sent, "refused" => refused,
             "running" => running, "waiting" => waiting, "tokens" => expected_tokens(&accepted),
+            "parts" => accepted.client.shared_parts.join(","),
             "ms" => accepted.arrived.elapsed().as_millis() as u64, "left_out" => left_out);
     }
     response
--- a/crates/transport/backend/src/lib.rs
+++ b/crates/transport/backend/src/lib.rs
@@ -2,11 +2,12 @@
 //!
 //! [`platform`], [`engine`] and [`service`] send their requests over [`connection`]. [`http1`] is a
 //! separate client, which reuses a connection only as long as its server announced and rejects
-//! responses to other requests.
+//! responses to other requests. [`port`] probes whether a process listens on an address.
 
 pub mod clock;
 pub mod connection;
 pub mod engine;
 pub mod http1;
 pub mod platform;
+pub mod port;
 pub mod service;
