Quarantine parts of prompts that crash engines

Cause: the outcome of a request was recorded for the engine alone, and never for the request. Class: a request that causes a failure, retried without a limit on what it takes down.

An instance now finds out by the engine's port and report whether it crashed, left, or lost a link. A crash is recorded for the shared parts of the requests that had not begun there; the first event of any answer clears its parts. From two crashes one request at a time is dispatched, three quarantine the part: such requests get 503 with the number 3009 at once, for a minute, then one instance at a time may try one. Records are merged by all instances: pushed when they change, and pulled once a second. A stream that ends before its first event is answered with an error in place of a broken connection, and one that lost two engines before it is not sent again. Engines that ended no longer count as attempts of a stream that had begun.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -15,9 +15,13 @@
 /// Number of lines before a request's first line that are searched for state messages: a
 /// change in an instance's local view precedes its effect on a request.
 const LINES_BEFORE: usize = 200;
+/// The message about a part of prompts that crashed engines.
+const QUARANTINED: &str = "part quarantined";
 /// Messages about an instance's local view, which explain why a request was refused or its
 /// stream broke.
-const STATE_MESSAGES: [&str; 10] = [
+const STATE_MESSAGES: [&str; 12] = [
+    "engine connections broke",
+    QUARANTINED,
     "engine makes no progress",
     "engine is leaving",
     "engine examined",
@@ -79,14 +83,21 @@
     };
     let last = lines.iter().rposition(&is_own).unwrap_or(first);
     let own = lines[first..=last].iter().filter(|l| is_own(l));
-    let engines: BTreeSet<String> = own.flat_map(addresses).collect();
+    let engines: BTreeSet<String> = own.clone().flat_map(addresses).collect();
+    let parts: BTreeSet<&str> = own.filter_map(part).collect();
     let from = first.saturating_sub(LINES_BEFORE);
     let is_relevant = |line: &Line| {
         let is_state_message = STATE_MESSAGES.contains(&line.message.as_str());
         let engine = line.fields.get("engine").and_then(Value::as_str);
-        is_state_message && engine.is_none_or(|engine| engines.contains(engine))
+        is_state_message
+            && engine.is_none_or(|engine| engines.contains(engine))
+            && part(line).is_none_or(|part| parts.contains(part))
     };
-    let mut history: Vec<&Line> = Vec::new();
+    // A part stays quarantined for minutes, so its line may be far before the request's.
+    let quarantines = lines[..from].iter().filter(|line| {
+        line.message == QUARANTINED && part(line).is_some_and(|part| parts.contains(part))
+    });
+    let mut history: Vec<&Line> = quarantines.collect();
     for line in lines[from..=last]
         .iter()
         .filter(|l| is_own(l) || is_relevant(l))
@@ -103,6 +114,11 @@
     history
 }
 
+/// Returns the key of the prompt's part that a line is about.
+fn part(line: &Line) -> Option<&str> {
+    line.fields.get("part").and_then(Value::as_str)
+}
+
 /// Returns the addresses in the fields of a line.
 fn addresses(line: &Line) -> Vec<String> {
     let texts = ["path", "why", "first", "at_fault", "servers", "engine"];
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -72,3 +72,37 @@
     assert_eq!(exit, Exit::Refused);
     assert!(text.starts_with("error 7004"), "{text}");
 }
+
+/// The log of an instance on which a part of prompts was quarantined long before.
+fn quarantine_log() -> String {
+    let mut log = String::from(
+        r#"{"msg":"engine connections broke","level":"INFO","ts":"2026-01-01T00:00:01.0Z","instance":"one","engine":"10.0.0.1:80","cause":"Crashed","port":"Closed"}
+{"msg":"part quarantined","level":"WARN","ts":"2026-01-01T00:00:01.1Z","instance":"one","id":"dd","part":"00ab","name":"a8188cc0163a","server":"i-1"}
+{"msg":"part quarantined","level":"WARN","ts":"2026-01-01T00:00:01.2Z","instance":"one","id":"ee","part":"00ac","name":"b8188cc0163a","server":"i-2"}
+"#,
+    );
+    for i in 0..400 {
+        log += &format!(
+            r#"{{"msg":"stream","level":"INFO","ts":"2026-01-01T00:00:02.{i:03}Z","instance":"one","id":"s{i}"}}"#
+        );
+        log.push('\n');
+    }
+    log + r#"{"msg":"request withheld","level":"INFO","ts":"2026-01-01T00:00:09.0Z","instance":"two","id":"ff","code":3009,"part":"00ab"}
+{"msg":"stream not started","level":"INFO","ts":"2026-01-01T00:00:09.1Z","instance":"two","id":"ff","status":503,"error":"Prompts with the part a8188cc0163a crash engines"}
+"#
+}
+
+#[test]
+fn run_refused_for_a_quarantined_part() {
+    let path = std::env::temp_dir().join(format!("hemlockwind-part-{}", std::process::id()));
+    std::fs::write(&path, quarantine_log()).unwrap();
+    let outcome = explain::run(&Explain {
+        id: "ff".into(),
+        files: vec![path.to_str().unwrap().to_string()],
+    });
+    std::fs::remove_file(&path).unwrap();
+    let lines: Vec<&str> = outcome.text.lines().collect();
+    assert!(lines[0].contains("part quarantined") && lines[0].contains("a8188cc0163a"));
+    assert!(lines[1].contains("request withheld"), "{}", outcome.text);
+    assert!(!outcome.text.contains("b8188cc0163a"), "another part");
+}
--- a/crates/core/src/errors.rs
+++ b/crates/core/src/errors.rs
@@ -69,6 +69,8 @@
     Layers(String),
     /// The engine doesn't accept a path of this form: {0}.
     PathMalformed(String),
+    /// Prompts with the part {0} crash engines, so it is quarantined; retry in {1:?}.
+    Quarantined(String, Duration),
 
     /// The configuration is invalid: {0}.
     Config(String),
@@ -136,6 +138,7 @@
             Self::OutcomeUnknown => 3006,
             Self::Layers => 3007,
             Self::PathMalformed => 3008,
+            Self::Quarantined => 3009,
             Self::Config => 4001,
             Self::ConfigConflict => 4002,
             Self::Sheet => 4003,
@@ -181,6 +184,7 @@
             | Self::ClaimUnavailable
             | Self::NoPath
             | Self::PathMalformed
+            | Self::Quarantined
             | Self::NoConfig
             | Self::PeerUnreachable
             | Self::PlatformUnavailable
@@ -274,7 +278,9 @@
     /// state it.
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
-            Self::QueueFull(after) | Self::DeadlineUnmeetable(after) => Some(*after),
+            Self::QueueFull(after)
+            | Self::DeadlineUnmeetable(after)
+            | Self::Quarantined(_, after) => Some(*after),
             _ => None,
         }
     }
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -33,6 +33,12 @@
     pub const fn since(self, earlier: Self) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
+
+    /// Returns the instant `by` before this one, at the earliest the start of the clock.
+    pub fn before(self, by: Duration) -> Self {
+        let us = u64::try_from(by.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(us))
+    }
 }
 
 impl Add<Duration> for Instant {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -40,7 +40,7 @@
                 let reply = members::on_message(&self.instance, from, message);
                 reply.unwrap_or_else(|e| refused(&e))
             }
-            Request::Paths(_) | Request::Store(_) => {
+            Request::Paths(_) | Request::Store(_) | Request::Quarantine(_) => {
                 refused(&Error::peer_frame("it is a message for the gateway"))
             }
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -34,6 +34,7 @@
 use crate::engine_ends::EngineEnds;
 use crate::peers::Instance;
 use crate::peers::Peers;
+use crate::quarantine::SharedQuarantine;
 use crate::queue_owners::QueueOwners;
 use crate::reports::Reports;
 use crate::servers::Servers;
@@ -83,6 +84,8 @@
     pub reports: Reports,
     /// The causes of lost connections to engines.
     pub engine_ends: EngineEnds,
+    /// The parts of prompts that crash engines.
+    pub quarantine: SharedQuarantine,
     /// The engines that are slow.
     pub slow: SlowEngines,
     /// The retry budgets, by service.
@@ -162,6 +165,7 @@
             http: Http1::default(),
             reports: Reports::default(),
             engine_ends: EngineEnds::default(),
+            quarantine: SharedQuarantine::default(),
             slow: SlowEngines::default(),
             retry_budgets: Mutex::default(),
             faults,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod orders;
 mod partitions;
 pub mod peers;
+pub mod quarantine;
 pub mod queue_owners;
 pub mod readiness;
 pub mod relay;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -33,6 +33,7 @@
 use hemlockwind_protocol::peer::store;
 
 use crate::gateway::Gateway;
+use crate::quarantine;
 use crate::updates;
 
 /// The assignment of watching the store.
@@ -265,6 +266,46 @@
         all
     }
 
+    /// Returns whether it is this instance's turn for an assignment that passes from one of the
+    /// instances that answer to the next with each turn.
+    pub fn is_on_turn(&self, assignment: &str, turn: u64) -> bool {
+        let mut live = self.all();
+        live.push(self.me.clone());
+        live.sort_by_cached_key(|i| weight(i, assignment));
+        let index = turn % live.len() as u64;
+        live.get(index as usize)
+            .is_some_and(|i| i.name == self.me.name)
+    }
+
+    /// Returns all other instances of this data centre that answer, and `count` of each other
+    /// one.
+    pub fn one_hop(&self, count: usize) -> Vec<Instance> {
+        let mut instances = self.all();
+        let mut taken: SeededHashMap<Arc<str>, usize> = SeededHashMap::default();
+        instances.retain(|i| {
+            if i.data_centre == self.me.data_centre {
+                return true;
+            }
+            let taken = taken.entry(Arc::clone(&i.data_centre)).or_default();
+            *taken += 1;
+            *taken <= count
+        });
+        instances
+    }
+
+    /// Returns a random other instance that answers, of this data centre or of another one; a
+    /// seed as long as none is listed.
+    pub fn any_of(&self, is_near: bool) -> Option<Instance> {
+        if self.others.read().is_empty() {
+            return self.seeds.choose(&mut rand::rng()).cloned();
+        }
+        let all = self.all();
+        let mut sided = all
+            .iter()
+            .filter(|i| (i.data_centre == self.me.data_centre) == is_near);
+        sided.next().or(all.first()).cloned()
+    }
+
     /// Returns a random other instance that answers.
     pub fn any(&self) -> Option<Instance> {
         let suspects = self.suspects.lock();
@@ -378,6 +419,9 @@
                 Reply::Paths(answer)
             }
             Request::Store(message) => Reply::Store(updates::answer(&self.gateway, from, message)),
+            Request::Quarantine(message) => {
+                Reply::Quarantine(quarantine::answer(&self.gateway, from, message))
+            }
             Request::Membership(_)
             | Request::QueueReport(_)
             | Request::Grants(_)
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -92,6 +92,8 @@
     faults: broadcast::Receiver<EngineFault>,
     /// The engines that this stream was sent to as the first of a path.
     first_engines: Vec<SocketAddr>,
+    /// The number of engines that crashed before the first event.
+    crashes: u32,
     /// How many times the request was sent without a refusal; failed resumes don't count.
     sent: u32,
     /// The id of the last event that was passed on.
@@ -133,6 +135,7 @@
             tx,
             faults,
             first_engines: first.into_iter().collect(),
+            crashes: 0,
             sent,
             events: 0,
             progress_at: Instant::now(),
@@ -152,21 +155,16 @@
                 End::Complete => break "complete",
                 End::CallerLeft => break "caller left",
                 End::Deadline => {
-                    self.fail("the deadline passed").await;
+                    self.fail(Error::outcome_unknown("the deadline passed"))
+                        .await;
                     break "deadline";
                 }
                 end => {
                     self.log_broken(&end);
-                    if let (End::Broken(_), Some(first)) = (&end, self.first_engine()) {
-                        let gateway = Arc::clone(&self.gateway);
-                        tokio::spawn(
-                            async move { gateway.engine_ends.examine(&gateway, first).await },
-                        );
-                    }
                     match self.resume(&end).await {
-                        Some(next) => exchange = next,
-                        None => {
-                            self.fail("the stream broke off").await;
+                        Ok(next) => exchange = next,
+                        Err(e) => {
+                            self.fail(e).await;
                             break "broken off";
                         }
                     }
@@ -332,10 +330,11 @@
         route.gap_target.unwrap_or(DEFAULT_GAP_TARGET)
     }
 
-    /// Breaks the caller's connection, so that the answer does not look complete.
-    async fn fail(&self, reason: &str) {
+    /// Ends the answer with an error. If events were passed on, this breaks the caller's
+    /// connection, so that the answer does not look complete.
+    async fn fail(&self, e: Error) {
         // Sending fails when the caller has left.
-        let _ = self.tx.send(Err(std::io::Error::other(reason))).await;
+        let _ = self.tx.send(Err(e)).await;
     }
 
     fn log_broken(&self, end: &End) {
--- a/crates/gateway/src/relay/recover.rs
+++ b/crates/gateway/src/relay/recover.rs
@@ -12,6 +12,7 @@
 
 use hemlockwind_backend::http1::Exchange;
 use hemlockwind_core::Error;
+use hemlockwind_core::Result;
 use hemlockwind_core::routes::Repeat;
 use hemlockwind_paths::queue_owner::Crossing;
 use hemlockwind_paths::queue_owner::Reroute;
@@ -19,6 +20,8 @@
 use hemlockwind_platform::engine::OrderOutcome;
 use hemlockwind_platform::headers;
 
+use crate::engine_ends::EndCause;
+use crate::quarantine;
 use crate::queue_owners::PathRequest;
 use crate::relay::End;
 use crate::relay::Relay;
@@ -41,6 +44,8 @@
 const REPATH_ATTEMPTS: u32 = 2;
 /// The first pause between two attempts to resume; it doubles up to the longest one.
 const RESUME_PAUSE: Duration = Duration::from_millis(60);
+/// Number of engines that may crash before a stream's first event: it may be the cause.
+const MAX_CRASHES: u32 = 2;
 /// The longest pause between two attempts to resume.
 const MAX_RESUME_PAUSE: Duration = Duration::from_millis(240);
 
@@ -203,7 +208,12 @@
     }
 
     /// Continues on another path after the last event that was passed on.
-    pub(super) async fn resume(&mut self, end: &End) -> Option<Exchange> {
+    ///
+    /// # Errors
+    ///
+    /// Returns why the stream can't go on. It may have run, so no error says that it did not.
+    pub(super) async fn resume(&mut self, end: &End) -> Result<Exchange> {
+        let unknown = |why: &str| Error::outcome_unknown(why);
         match end {
             End::Dead(addr) => streams::report_dead(&self.gateway, *addr),
             End::Broken(_) => {
@@ -213,13 +223,16 @@
                         first,
                         Duration::from_millis(500),
                     );
+                    self.after_lost_engine(first).await?;
                 }
             }
             End::Silent | End::Leaving(_) | End::Unreachable(_) => {}
-            End::Complete | End::CallerLeft | End::Deadline => return None,
+            End::Complete | End::CallerLeft | End::Deadline => {
+                return Err(unknown("the stream ended"));
+            }
         }
         if !self.may_resume() {
-            return None;
+            return Err(unknown("the stream broke off"));
         }
         self.move_at = None;
         // The answer is not ended as long as the caller waits.
@@ -228,14 +241,44 @@
         while Instant::now() < self.accepted.deadline && !self.tx.is_closed() {
             if has_path || self.find_path(false).await {
                 has_path = false;
+                if self.events == 0 {
+                    quarantine::recheck(&self.gateway, &self.accepted)
+                        .map_err(|e| unknown(&e.to_string()))?;
+                }
                 if let Some(exchange) = self.try_resume().await {
-                    return Some(exchange);
+                    return Ok(exchange);
                 }
             }
             sleep(pause).await;
             pause = (pause * 2).min(MAX_RESUME_PAUSE);
         }
-        None
+        Err(unknown("the stream broke off"))
+    }
+
+    /// Handles the loss of the connection to the first engine.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the stream must not be sent again.
+    async fn after_lost_engine(&mut self, first: SocketAddr) -> Result<()> {
+        let has_begun = self.events > 0;
+        let cause =
+            streams::after_lost_engine(&self.gateway, &self.accepted, first, has_begun).await;
+        let cause = cause.map_err(|e| Error::outcome_unknown(e.to_string()))?;
+        if cause != EndCause::Crashed {
+            return Ok(());
+        }
+        if has_begun {
+            // An engine that has ended no longer runs the request.
+            self.first_engines.retain(|addr| *addr != first);
+            return Ok(());
+        }
+        self.crashes += 1;
+        if self.crashes >= MAX_CRASHES {
+            let why = format!("{} engines crashed before the first event", self.crashes);
+            return Err(Error::outcome_unknown(why));
+        }
+        Ok(())
     }
 
     /// Whether another run may continue where this one ends.
--- a/crates/gateway/src/requests.rs
+++ b/crates/gateway/src/requests.rs
@@ -30,6 +30,7 @@
 use crate::answers::Body;
 use crate::calls;
 use crate::gateway::Gateway;
+use crate::quarantine::PromptParts;
 use crate::streams;
 
 /// How long a request whose caller gives no time limit may take.
@@ -62,6 +63,8 @@
     pub service: Arc<str>,
     /// The caller's organisation, `None` on a public route.
     pub organisation: Option<Arc<str>>,
+    /// The parts of its prompt that other requests may share.
+    pub parts: PromptParts,
     /// The rank of its urgency.
     pub rank: Rank,
     /// When it arrived.
@@ -167,6 +170,7 @@
         uri: parts.uri,
         body,
         version: routes.version,
+        parts: PromptParts::new(service, &client.shared_parts),
         service: Arc::clone(service),
         organisation: organisation.map(|o| Arc::clone(&o.name)),
         rank,
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -29,6 +29,7 @@
 use crate::orders;
 use crate::partitions;
 use crate::peers::PeerHandler;
+use crate::quarantine;
 use crate::readiness;
 use crate::updates;
 
@@ -84,6 +85,7 @@
         tokio::spawn(report_running_streams(Arc::clone(&gateway))),
         tokio::spawn(follow::maintain(Arc::clone(&gateway))),
         tokio::spawn(orders::run(Arc::clone(&gateway))),
+        tokio::spawn(quarantine::exchange(Arc::clone(&gateway))),
     ];
     info!(gateway.log, "started"; "callers" => %gateway.settings.callers,
         "data_centre" => &gateway.settings.data_centre, "store" => %gateway.settings.store);
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::StreamExt;
 use http::Request;
 use http::Response;
 use http_body_util::BodyExt;
@@ -32,8 +33,10 @@
 use crate::answers;
 use crate::answers::Body;
 use crate::calls;
+use crate::engine_ends::EndCause;
 use crate::gateway::EngineFault;
 use crate::gateway::Gateway;
+use crate::quarantine;
 use crate::queue_owners::Grant;
 use crate::queue_owners::PathRequest;
 use crate::queue_owners::Refusal;
@@ -115,7 +118,10 @@
         sent: 0,
         refused: 0,
     };
-    let started = start.run().await;
+    let started = match quarantine::admit(gateway, &accepted) {
+        Ok(()) => start.run().await,
+        Err(e) => Err((e, None)),
+    };
     let (sent, refused) = (start.sent, start.refused);
     let outcome = match started {
         Ok(Started::Running(grant, exchange)) => {
@@ -160,7 +166,8 @@
     exchange: Exchange,
     sent: u32,
 ) -> Response<Body> {
-    let (tx, rx) = mpsc::channel(EVENT_BACKLOG);
+    let (tx, mut rx) = mpsc::channel(EVENT_BACKLOG);
+    let attempt = accepted.attempt.clone();
     let mut response = Response::new(());
     *response.status_mut() = exchange.head.status();
     *response.headers_mut() = headers::end_to_end(exchange.head.headers());
@@ -172,12 +179,19 @@
         relay.run(exchange).await;
         drop(token);
     });
-    let body = StreamBody::new(ReceiverStream::new(rx));
+    // The head is sent with the first event, so that a stream that ends before it can still be
+    // answered with an error.
+    let first = rx.recv().await;
+    if let Some(Err(e)) = &first {
+        return answers::failure(e, Some(&attempt), None);
+    }
+    let frames = futures::stream::iter(first).chain(ReceiverStream::new(rx));
+    let body = StreamBody::new(frames.map(|frame| frame.map_err(std::io::Error::other)));
     response.map(|()| BodyExt::boxed_unsync(body))
 }
 
 /// `BodyFrame` is a frame of the answer to the caller; an error breaks the connection.
-pub type BodyFrame = std::io::Result<Frame<Bytes>>;
+pub type BodyFrame = Result<Frame<Bytes>>;
 
 impl<'a> Start<'a> {
     /// Returns a start that continues a stream which was sent `sent` times before.
@@ -194,6 +208,8 @@
     async fn run(&mut self) -> Result<Started, (Error, Option<Duration>)> {
         loop {
             let grant = self.request_path().await?;
+            quarantine::recheck(self.gateway, self.accepted)
+                .map_err(|e| self.not_started(e, REFUSED_RETRY))?;
             let index = self.attempts.open();
             match self
                 .open(&grant.path, self.accepted.client.resume_after)
@@ -223,6 +239,11 @@
                 Err(OpenError::Failed(attempt, e)) => {
                     self.attempts.record(index, attempt);
                     self.sent += 1;
+                    if let Some(first) = grant.path.first() {
+                        after_lost_engine(self.gateway, self.accepted, first.addr, false)
+                            .await
+                            .map_err(|e| self.not_started(e, REFUSED_RETRY))?;
+                    }
                     let route = &self.accepted.route;
                     let may_run_again = route.repeat.is_idempotent()
                         && self.sent < route.attempts
@@ -257,6 +278,7 @@
         match self.attempts.not_run() {
             Some(_) => match e {
                 Error::PathMalformed(_) => (e, Some(retry)),
+                Error::Quarantined(_, after) => (e, Some(after)),
                 _ => (Error::no_path(e.to_string()), Some(retry)),
             },
             None => (Error::outcome_unknown(e.to_string()), None),
@@ -426,6 +448,29 @@
     Failed(Attempt, Error),
 }
 
+/// Handles the loss of the connection to the first engine of a stream: records a crash for the
+/// parts of its prompt, unless its answer had begun. Returns why the connection was lost.
+///
+/// # Errors
+///
+/// Returns `Error::Quarantined` if the stream must not be sent again.
+pub async fn after_lost_engine(
+    gateway: &Arc<Gateway>,
+    accepted: &Accepted,
+    first: SocketAddr,
+    has_begun: bool,
+) -> Result<EndCause> {
+    let end = gateway.engine_ends.examine(gateway, first).await;
+    if end.cause == EndCause::Crashed {
+        report_dead(gateway, first);
+        if !has_begun {
+            gateway.quarantine.on_crash(gateway, accepted, &end);
+            quarantine::admit(gateway, accepted)?;
+        }
+    }
+    Ok(end.cause)
+}
+
 /// Excludes an engine that makes no progress, and notifies the streams of this instance
 /// and the other instances.
 pub fn report_dead(gateway: &Arc<Gateway>, addr: SocketAddr) {
@@ -463,8 +508,9 @@
     });
 }
 
-/// Records the time to the first event.
+/// Records the first event: its time, and that the parts of the prompt crash no engine.
 pub fn record_first_event(gateway: &Gateway, accepted: &Accepted) {
+    gateway.quarantine.on_begin(gateway, &accepted.parts);
     let time = accepted.arrived.elapsed();
     let organisation = accepted.organisation_name();
     gateway
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -18,6 +18,7 @@
 pub mod configuration;
 pub mod membership;
 pub mod paths;
+pub mod quarantine;
 pub mod queueing;
 pub mod store;
 
@@ -46,6 +47,8 @@
     Paths(paths::Message),
     /// Objects of the platform's store, for instances that don't watch it or that it refuses.
     Store(store::Message),
+    /// Parts of prompts that crash engines.
+    Quarantine(quarantine::Message),
 }
 
 /// `Reply` is the answer to a [`Request`].
@@ -66,6 +69,8 @@
     Store(store::Answer),
     /// The message was refused, with the error code and the error message.
     Refused(u16, String),
+    /// The answer to a message about parts of prompts.
+    Quarantine(quarantine::Answer),
 }
 
 /// `Peer` sends requests to other instances.
--- /dev/null
+++ b/crates/state/quarantine/src/quarantine.rs
@@ -0,0 +1,299 @@
+//! All records of an instance, and which requests it may dispatch.
+
+use std::time::Duration;
+
+use hemlockwind_core::collections::SeededHashMap;
+use hemlockwind_core::time::Instant;
+
+use crate::key::EngineRun;
+use crate::key::PartKey;
+use crate::key::ServiceKey;
+use crate::record::Confirmation;
+use crate::record::Crash;
+use crate::record::Record;
+
+/// Maximum number of records.
+pub const MAX_RECORDS: usize = 256;
+/// Maximum number of parts whose last begin is kept.
+const MAX_RECENT: usize = 4_096;
+/// Maximum number of services.
+const MAX_SERVICES: usize = 256;
+/// Number of crashes since the last begin from which one request at a time is dispatched.
+const CRASHES_TO_LIMIT: usize = 2;
+/// Number of crashes since the last begin that quarantine a part.
+const CRASHES_TO_CONFIRM: usize = 3;
+/// A part that began within this time before a crash did not cause it.
+const RECENT_BEGIN: Duration = Duration::from_millis(1_000);
+/// Time after which a request that alone was dispatched no longer keeps the others back.
+const TRIAL_TIMEOUT: Duration = Duration::from_secs(2);
+/// When to retry while another request with the part is being tried.
+const TRIAL_RETRY: Duration = Duration::from_millis(500);
+/// After the hold, one instance at a time may try a request, each for this long: longer than a
+/// result takes to reach all instances.
+const TURN: Duration = Duration::from_secs(6);
+
+/// `Admission` says whether a request may be dispatched.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It may be dispatched.
+    Admitted,
+    /// The part at this index of the request's parts is withheld.
+    Withheld {
+        /// The index of the part.
+        index: usize,
+        /// When a retry may succeed.
+        retry_at: Instant,
+    },
+}
+
+/// `Quarantine` holds the records of one instance.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    records: SeededHashMap<PartKey, Record>,
+    /// Until when a request with the part keeps the others back at this instance.
+    trials: SeededHashMap<PartKey, Instant>,
+    /// When answers on the parts last began at this instance.
+    recent: SeededHashMap<PartKey, Instant>,
+    /// When any answer of the service last began at this instance.
+    services: SeededHashMap<ServiceKey, Instant>,
+    /// The parts whose records other instances don't have yet.
+    changed: Vec<PartKey>,
+}
+
+impl Quarantine {
+    /// Decides on a new request, or on one that is to be sent again after it lost its engine.
+    /// After the hold of a quarantined part, `is_on_turn` decides whether this instance may try a
+    /// request in the turn with this number.
+    pub fn admit(
+        &mut self,
+        now: Instant,
+        parts: &[PartKey],
+        is_on_turn: impl Fn(PartKey, u64) -> bool,
+    ) -> Admission {
+        if self.records.is_empty() {
+            return Admission::Admitted;
+        }
+        let mut tried = Vec::new();
+        for (index, part) in parts.iter().enumerate() {
+            self.confirm(now, *part);
+            let Some(record) = self.records.get(part) else {
+                continue;
+            };
+            let trial_until = self.trials.get(part).copied();
+            let is_tried = trial_until.is_some_and(|until| until > now);
+            let retry_at = match record.confirmation {
+                Some(confirmation) => {
+                    let hold_until = confirmation.hold_until();
+                    let turn = now.since(hold_until).as_micros() / TURN.as_micros();
+                    if now < hold_until {
+                        Some(hold_until)
+                    } else if is_tried || !is_on_turn(*part, turn as u64) {
+                        Some(now + TURN)
+                    } else {
+                        tried.push((*part, now + TURN));
+                        None
+                    }
+                }
+                None if record.count() >= CRASHES_TO_LIMIT && self.others_begin(record) => {
+                    tried.push((*part, now + TRIAL_TIMEOUT));
+                    is_tried.then_some(now + TRIAL_RETRY)
+                }
+                None => None,
+            };
+            if let Some(retry_at) = retry_at {
+                return Admission::Withheld { index, retry_at };
+            }
+        }
+        self.trials.extend(tried);
+        Admission::Admitted
+    }
+
+    /// Checks a request that was admitted once more, as a part may have been quarantined while it
+    /// waited. Unlike [`Quarantine::admit`] it may be called any number of times.
+    pub fn recheck(&self, now: Instant, parts: &[PartKey]) -> Admission {
+        let withheld = parts.iter().enumerate().find_map(|(index, part)| {
+            let retry_at = self.records.get(part)?.confirmation?.hold_until();
+            (now < retry_at).then_some(Admission::Withheld { index, retry_at })
+        });
+        withheld.unwrap_or(Admission::Admitted)
+    }
+
+    /// Records that the answer to a request with these parts began.
+    pub fn on_begin(&mut self, now: Instant, service: ServiceKey, parts: &[PartKey]) {
+        insert_bounded(&mut self.services, MAX_SERVICES, service, now);
+        for part in parts {
+            insert_bounded(&mut self.recent, MAX_RECENT, *part, now);
+            self.trials.remove(part);
+            let Some(record) = self.records.get_mut(part) else {
+                continue;
+            };
+            // Other instances clear a single crash by their own answers.
+            let was_limited = record.confirmation.is_some() || record.count() >= CRASHES_TO_LIMIT;
+            record.set_begun(now);
+            if was_limited {
+                mark(&mut self.changed, *part);
+            }
+        }
+    }
+
+    /// Records that an engine crashed on which a request with these parts had not begun. Returns
+    /// the parts that are quarantined by that.
+    pub fn on_crash(
+        &mut self,
+        now: Instant,
+        service: ServiceKey,
+        run: EngineRun,
+        parts: &[PartKey],
+    ) -> Vec<PartKey> {
+        let mut confirmed = Vec::new();
+        for part in parts {
+            self.trials.remove(part);
+            let begun_at = self.recent.get(part).copied();
+            if begun_at.is_some_and(|at| now.since(at) < RECENT_BEGIN) {
+                continue;
+            }
+            self.make_room(now, *part);
+            let record = self
+                .records
+                .entry(*part)
+                .or_insert_with(|| Record::new(*part, service));
+            let is_new = record.add_crash(Crash { run, at: now });
+            if let Some(confirmation) = &mut record.confirmation
+                && now >= confirmation.hold_until()
+            {
+                *confirmation = Confirmation {
+                    at: now,
+                    failed_trials: confirmation.failed_trials + 1,
+                };
+                mark(&mut self.changed, *part);
+            } else if is_new {
+                mark(&mut self.changed, *part);
+            }
+            if self.confirm(now, *part) {
+                confirmed.push(*part);
+            }
+        }
+        confirmed
+    }
+
+    /// Adds the records of another instance. Returns whether anything was new.
+    pub fn merge(&mut self, now: Instant, records: &[Record]) -> bool {
+        let mut is_changed = false;
+        for theirs in records.iter().take(MAX_RECORDS) {
+            if theirs.expires_at() <= now {
+                continue;
+            }
+            self.make_room(now, theirs.part);
+            let record = self
+                .records
+                .entry(theirs.part)
+                .or_insert_with(|| Record::new(theirs.part, theirs.service));
+            if record.merge(theirs) {
+                is_changed = true;
+                self.confirm(now, theirs.part);
+            }
+        }
+        is_changed
+    }
+
+    /// Quarantines a part if its crashes suffice. Returns whether it was not quarantined before.
+    fn confirm(&mut self, now: Instant, part: PartKey) -> bool {
+        let Some(record) = self.records.get(&part) else {
+            return false;
+        };
+        let is_confirmed = record.confirmation.is_none()
+            && record.count() >= CRASHES_TO_CONFIRM
+            && self.others_begin(record);
+        if is_confirmed && let Some(record) = self.records.get_mut(&part) {
+            record.confirmation = Some(Confirmation {
+                at: now,
+                failed_trials: 0,
+            });
+            mark(&mut self.changed, part);
+        }
+        is_confirmed
+    }
+
+    /// Whether answers of other requests have begun since the first crash of a record. When no
+    /// answer begins at all, the part is not the cause.
+    fn others_begin(&self, record: &Record) -> bool {
+        let begun_at = self.services.get(&record.service);
+        let first = record.crashes.first();
+        first.is_some_and(|first| begun_at.is_some_and(|at| *at > first.at))
+    }
+
+    /// Removes expired records, and the least useful one if there is no room for another.
+    fn make_room(&mut self, now: Instant, part: PartKey) {
+        if self.records.len() < MAX_RECORDS || self.records.contains_key(&part) {
+            return;
+        }
+        self.expire(now);
+        while self.records.len() >= MAX_RECORDS {
+            let order = |r: &Record| (r.confirmation.is_some(), r.count(), r.expires_at());
+            let least = self.records.values().min_by_key(|r| order(r));
+            let Some(least) = least.map(|r| r.part) else {
+                return;
+            };
+            self.records.remove(&least);
+        }
+    }
+
+    /// Removes what is over.
+    pub fn expire(&mut self, now: Instant) {
+        self.records.retain(|_, r| r.expires_at() > now);
+        self.trials.retain(|_, until| *until > now);
+        self.recent.retain(|_, at| now.since(*at) < RECENT_BEGIN);
+    }
+
+    /// Whether there are changes to push.
+    pub fn has_changed(&self) -> bool {
+        !self.changed.is_empty()
+    }
+
+    /// Returns the records that have changed here since the last call.
+    pub fn take_changed(&mut self) -> Vec<Record> {
+        let changed = std::mem::take(&mut self.changed);
+        let records = changed.iter().filter_map(|part| self.records.get(part));
+        records.cloned().collect()
+    }
+
+    /// Returns all records.
+    pub fn records(&self) -> Vec<Record> {
+        self.records.values().cloned().collect()
+    }
+
+    /// Returns the number of quarantined parts.
+    pub fn quarantined_parts(&self) -> usize {
+        let confirmed = self.records.values().filter(|r| r.confirmation.is_some());
+        confirmed.count()
+    }
+
+    /// Returns a hash of all records, by which two instances find out whether theirs differ.
+    pub fn digest(&self) -> u64 {
+        let digests = self.records.values().map(Record::digest);
+        digests.fold(0, |sum, digest| sum ^ digest)
+    }
+}
+
+/// Adds a part to those that have changed.
+fn mark(changed: &mut Vec<PartKey>, part: PartKey) {
+    if !changed.contains(&part) && changed.len() < MAX_RECORDS {
+        changed.push(part);
+    }
+}
+
+/// Inserts a time. If the map is full, those that are not recent are removed first, and the new
+/// one is left out if that does not suffice.
+fn insert_bounded<K: Eq + std::hash::Hash>(
+    map: &mut SeededHashMap<K, Instant>,
+    max: usize,
+    key: K,
+    now: Instant,
+) {
+    if map.len() >= max && !map.contains_key(&key) {
+        map.retain(|_, at| now.since(*at) < RECENT_BEGIN);
+    }
+    if map.len() < max || map.contains_key(&key) {
+        map.insert(key, now);
+    }
+}
--- /dev/null
+++ b/crates/state/quarantine/src/record.rs
@@ -0,0 +1,167 @@
+//! What is recorded of one part, and how the records of two instances are merged.
+
+use std::time::Duration;
+
+use hemlockwind_core::time::Instant;
+
+use crate::key::EngineRun;
+use crate::key::PartKey;
+use crate::key::ServiceKey;
+
+/// Maximum number of crashes that one record holds.
+pub const MAX_CRASHES: usize = 8;
+/// Crashes that follow one another faster are counted as one: a rack that fails takes several
+/// engines at once, a request takes one at a time.
+const MIN_SPACING: Duration = Duration::from_millis(150);
+/// How long a record is kept after its last crash or begin.
+const RETENTION: Duration = Duration::from_secs(300);
+/// How long a part is quarantined at first. Each failed trial doubles the time.
+const FIRST_HOLD: Duration = Duration::from_secs(60);
+/// The largest number of times that the first hold is doubled.
+const MAX_DOUBLINGS: u32 = 5;
+/// Time after the hold in which trials may release the part. Then it is forgotten.
+const TRIAL_PERIOD: Duration = Duration::from_secs(300);
+/// Times that two instances record for one event differ by the latency of their messages. Only a
+/// larger difference means another event.
+const SAME_EVENT: Duration = Duration::from_millis(500);
+
+/// `Crash` is the crash of an engine on which requests with the part had not begun.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Crash {
+    /// The run of the engine that ended.
+    pub run: EngineRun,
+    /// When it ended.
+    pub at: Instant,
+}
+
+/// `Confirmation` states that a part is quarantined.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Confirmation {
+    /// When the quarantine began.
+    pub at: Instant,
+    /// The number of trials that crashed an engine.
+    pub failed_trials: u32,
+}
+
+impl Confirmation {
+    /// Returns the end of the time in which no request with the part is dispatched.
+    pub fn hold_until(self) -> Instant {
+        self.at + FIRST_HOLD * 2u32.pow(self.failed_trials.min(MAX_DOUBLINGS))
+    }
+}
+
+/// `Record` holds what is known of one part.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record {
+    /// The part.
+    pub part: PartKey,
+    /// The service whose engines crashed.
+    pub service: ServiceKey,
+    /// The crashes since an answer on the part last began, in order of time.
+    pub crashes: Vec<Crash>,
+    /// When an answer on the part last began, if that was after a crash.
+    pub begun_at: Option<Instant>,
+    /// Set while the part is quarantined.
+    pub confirmation: Option<Confirmation>,
+}
+
+impl Record {
+    /// Returns a record without crashes.
+    pub const fn new(part: PartKey, service: ServiceKey) -> Self {
+        Self {
+            part,
+            service,
+            crashes: Vec::new(),
+            begun_at: None,
+            confirmation: None,
+        }
+    }
+
+    /// Adds a crash. Returns whether it was not recorded before.
+    pub fn add_crash(&mut self, crash: Crash) -> bool {
+        let is_known = self.crashes.iter().any(|c| c.run == crash.run);
+        let is_over = self.begun_at.is_some_and(|begun| crash.at <= begun);
+        if is_known || is_over || self.crashes.len() >= MAX_CRASHES {
+            return false;
+        }
+        self.crashes.push(crash);
+        self.crashes.sort_by_key(|c| c.at);
+        true
+    }
+
+    /// Records that an answer on the part began, which clears it.
+    pub fn set_begun(&mut self, now: Instant) {
+        self.begun_at = Some(now);
+        self.crashes.clear();
+        self.confirmation = None;
+    }
+
+    /// Returns the number of crashes, those of one moment counted as one.
+    pub fn count(&self) -> usize {
+        let mut counted: Option<Instant> = None;
+        let mut count = 0;
+        for crash in &self.crashes {
+            if counted.is_none_or(|at| crash.at.since(at) >= MIN_SPACING) {
+                counted = Some(crash.at);
+                count += 1;
+            }
+        }
+        count
+    }
+
+    /// Adds what another instance has recorded. Returns whether anything was new.
+    pub fn merge(&mut self, other: &Self) -> bool {
+        let before = self.clone();
+        if let Some(theirs) = other.begun_at
+            && self
+                .begun_at
+                .is_none_or(|ours| theirs.since(ours) > SAME_EVENT)
+        {
+            self.begun_at = Some(theirs);
+            self.crashes.retain(|c| c.at > theirs);
+        }
+        for crash in &other.crashes {
+            self.add_crash(*crash);
+        }
+        let is_newer = match (self.confirmation, other.confirmation) {
+            (None, Some(_)) => true,
+            (Some(ours), Some(theirs)) => theirs.failed_trials > ours.failed_trials,
+            (_, None) => false,
+        };
+        if is_newer {
+            self.confirmation = other.confirmation;
+        }
+        if let (Some(begun), Some(confirmation)) = (self.begun_at, self.confirmation)
+            && begun >= confirmation.at
+        {
+            self.confirmation = None;
+        }
+        *self != before
+    }
+
+    /// Returns when the record is of no use any more.
+    pub fn expires_at(&self) -> Instant {
+        if let Some(confirmation) = self.confirmation {
+            return confirmation.hold_until() + TRIAL_PERIOD;
+        }
+        let last = self.crashes.iter().map(|c| c.at).max();
+        last.max(self.begun_at).unwrap_or(Instant::ZERO) + RETENTION
+    }
+
+    /// Returns a hash of the record without its times, which instances record differently.
+    pub fn digest(&self) -> u64 {
+        let crashes = self.crashes.iter().map(|c| c.run.0);
+        let crashes = crashes.fold(0, |sum: u64, run| sum.wrapping_add(run));
+        let trials = self
+            .confirmation
+            .map_or(0, |c| u64::from(c.failed_trials) + 1);
+        let fields = [
+            self.part.0,
+            crashes,
+            trials,
+            u64::from(self.begun_at.is_some()),
+        ];
+        let bytes: Vec<u8> = fields.iter().flat_map(|f| f.to_le_bytes()).collect();
+        xxhash_rust::xxh3::xxh3_64(&bytes)
+    }
+}
--- a/crates/transport/peer/src/client.rs
+++ b/crates/transport/peer/src/client.rs
@@ -234,7 +234,7 @@
             Duration::from_millis(request.latest_ms.into()) + DISPATCH_GRACE
         }
         Request::Paths(_) => PATHS_TIMEOUT,
-        Request::Store(_) => CALL_TIMEOUT,
+        Request::Store(_) | Request::Quarantine(_) => CALL_TIMEOUT,
         Request::Membership(_) | Request::QueueReport(_) | Request::Grants(_) => CALL_TIMEOUT,
     }
 }
--- a/crates/transport/peer/tests/peers.rs
+++ b/crates/transport/peer/tests/peers.rs
@@ -42,7 +42,8 @@
             | Request::Grants(_)
             | Request::Dispatch(_)
             | Request::Paths(_)
-            | Request::Store(_) => Reply::Done,
+            | Request::Store(_)
+            | Request::Quarantine(_) => Reply::Done,
         }
     }
 }
