Quarantine: one part is quarantined for one series of crashes

Cause: each crash counted for all parts of its request. Parts are now taken in order, the later one in the prompts first, and a crash counts for the first that is quarantined. If that is wrong, the crashes go on without it, and the other one follows. Instances that came to different results agree when they merge.

Where each crash ends all paths, no other answer begins, and a part was never quarantined (emulator beside three busy processes: 10 to 14 crashes, in 2 of 7 runs crashing_part_reaches_few_engines failed, the others up to 30 s). Five crashes suffice there. Crashes 25 ms apart count as two (150 ms before): the next engine ends sooner than that.

--- a/crates/protocol/src/peer/quarantine.rs
+++ b/crates/protocol/src/peer/quarantine.rs
@@ -43,6 +43,8 @@
     pub part: u64,
     /// The key of the service.
     pub service: u64,
+    /// The largest index of the part in a prompt.
+    pub depth: u16,
     /// The runs of the engines that crashed, and how long ago.
     pub crashes: Vec<(u64, u32)>,
     /// How long ago an answer on the part began.
@@ -58,6 +60,7 @@
         Self {
             part: record.part.0,
             service: record.service.0,
+            depth: record.depth,
             crashes: record
                 .crashes
                 .iter()
@@ -73,6 +76,7 @@
         let at = |age_ms: u32| now.before(Duration::from_millis(age_ms.into()));
         let crashes = self.crashes.into_iter().take(MAX_CRASHES);
         let mut record = DomainRecord::new(PartKey(self.part), ServiceKey(self.service));
+        record.depth = self.depth;
         record.begun_at = self.begun.map(at);
         record.confirmation = self.confirmed.map(|(age_ms, failed_trials)| Confirmation {
             at: at(age_ms),
--- a/crates/state/quarantine/src/quarantine.rs
+++ b/crates/state/quarantine/src/quarantine.rs
@@ -20,8 +20,11 @@
 const MAX_SERVICES: usize = 256;
 /// Number of crashes since the last begin from which one request at a time is dispatched.
 const CRASHES_TO_LIMIT: usize = 2;
-/// Number of crashes since the last begin that quarantine a part.
+/// Number of crashes since the last begin that quarantine a part while other answers begin.
 const CRASHES_TO_CONFIRM: usize = 3;
+/// Number of crashes that quarantine a part while no answer of the service begins. That may be
+/// due to another cause, or to the crashes themselves where each one ends all paths.
+const CRASHES_TO_CONFIRM_ALONE: usize = 5;
 /// A part that began within this time before a crash did not cause it.
 const RECENT_BEGIN: Duration = Duration::from_millis(1_000);
 /// Time after which a request that alone was dispatched no longer keeps the others back.
@@ -75,7 +78,10 @@
         }
         let mut tried = Vec::new();
         for (index, part) in parts.iter().enumerate() {
-            self.confirm(now, *part);
+            let Some(service) = self.records.get(part).map(|r| r.service) else {
+                continue;
+            };
+            self.confirm(now, service);
             let Some(record) = self.records.get(part) else {
                 continue;
             };
@@ -94,7 +100,9 @@
                         None
                     }
                 }
-                None if record.count() >= CRASHES_TO_LIMIT && self.others_begin(record) => {
+                None if self.unexplained(record) >= CRASHES_TO_LIMIT
+                    && self.others_begin(record) =>
+                {
                     tried.push((*part, now + TRIAL_TIMEOUT));
                     is_tried.then_some(now + TRIAL_RETRY)
                 }
@@ -127,10 +135,9 @@
             let Some(record) = self.records.get_mut(part) else {
                 continue;
             };
-            // Other instances clear a single crash by their own answers.
-            let was_limited = record.confirmation.is_some() || record.count() >= CRASHES_TO_LIMIT;
+            let was_recorded = record.confirmation.is_some() || !record.crashes.is_empty();
             record.set_begun(now);
-            if was_limited {
+            if was_recorded {
                 mark(&mut self.changed, *part);
             }
         }
@@ -145,8 +152,7 @@
         run: EngineRun,
         parts: &[PartKey],
     ) -> Vec<PartKey> {
-        let mut confirmed = Vec::new();
-        for part in parts {
+        for (depth, part) in parts.iter().enumerate() {
             self.trials.remove(part);
             let begun_at = self.recent.get(part).copied();
             if begun_at.is_some_and(|at| now.since(at) < RECENT_BEGIN) {
@@ -157,6 +163,7 @@
                 .records
                 .entry(*part)
                 .or_insert_with(|| Record::new(*part, service));
+            record.depth = record.depth.max(depth as u16);
             let is_new = record.add_crash(Crash { run, at: now });
             if let Some(confirmation) = &mut record.confirmation
                 && now >= confirmation.hold_until()
@@ -169,16 +176,14 @@
             } else if is_new {
                 mark(&mut self.changed, *part);
             }
-            if self.confirm(now, *part) {
-                confirmed.push(*part);
-            }
         }
-        confirmed
+        self.confirm(now, service)
     }
 
     /// Adds the records of another instance. Returns whether anything was new.
     pub fn merge(&mut self, now: Instant, records: &[Record]) -> bool {
         let mut is_changed = false;
+        let mut services = Vec::new();
         for theirs in records.iter().take(MAX_RECORDS) {
             if theirs.expires_at() <= now {
                 continue;
@@ -190,32 +195,73 @@
                 .or_insert_with(|| Record::new(theirs.part, theirs.service));
             if record.merge(theirs) {
                 is_changed = true;
-                self.confirm(now, theirs.part);
+                services.push(theirs.service);
             }
         }
+        services.sort_unstable();
+        services.dedup();
+        for service in services {
+            self.confirm(now, service);
+        }
         is_changed
     }
 
-    /// Quarantines a part if its crashes suffice. Returns whether it was not quarantined before.
-    fn confirm(&mut self, now: Instant, part: PartKey) -> bool {
-        let Some(record) = self.records.get(&part) else {
-            return false;
-        };
-        let is_confirmed = record.confirmation.is_none()
-            && record.count() >= CRASHES_TO_CONFIRM
-            && self.others_begin(record);
-        if is_confirmed && let Some(record) = self.records.get_mut(&part) {
-            record.confirmation = Some(Confirmation {
-                at: now,
-                failed_trials: 0,
-            });
-            mark(&mut self.changed, part);
+    /// Quarantines the parts of a service whose crashes suffice, and returns those that were not
+    /// quarantined before.
+    ///
+    /// All parts of a request are recorded for its crash. So the parts are taken in order, the
+    /// latest in the prompts first, and a crash counts for the first quarantined part alone.
+    fn confirm(&mut self, now: Instant, service: ServiceKey) -> Vec<PartKey> {
+        let of_service = self.records.values().filter(|r| r.service == service);
+        let mut ordered: Vec<&Record> = of_service
+            .filter(|r| r.confirmation.is_some() || r.count(&[]) >= CRASHES_TO_CONFIRM)
+            .collect();
+        ordered.sort_by_key(|r| std::cmp::Reverse((r.depth, r.crashes.len(), r.part)));
+        let mut explained: Vec<EngineRun> = Vec::new();
+        let mut confirmed = Vec::new();
+        let mut released = Vec::new();
+        for record in ordered {
+            let count = record.count(&explained);
+            let is_explained = count < record.count(&[]) && count < CRASHES_TO_CONFIRM;
+            let suffices = count >= CRASHES_TO_CONFIRM_ALONE
+                || (count >= CRASHES_TO_CONFIRM && self.others_begin(record));
+            match record.confirmation {
+                None if suffices => confirmed.push(record.part),
+                None => continue,
+                Some(c) if is_explained && c.failed_trials == 0 => {
+                    released.push(record.part);
+                    continue;
+                }
+                Some(_) => {}
+            }
+            explained.extend(record.crashes.iter().map(|c| c.run));
         }
-        is_confirmed
+        for part in released {
+            if let Some(record) = self.records.get_mut(&part) {
+                record.confirmation = None;
+            }
+        }
+        for part in &confirmed {
+            if let Some(record) = self.records.get_mut(part) {
+                record.confirmation = Some(Confirmation {
+                    at: now,
+                    failed_trials: 0,
+                });
+                mark(&mut self.changed, *part);
+            }
+        }
+        confirmed
+    }
+
+    /// Returns the number of crashes of a record that no quarantined part explains.
+    fn unexplained(&self, record: &Record) -> usize {
+        let confirmed = self.records.values().filter(|r| r.confirmation.is_some());
+        let crashes = confirmed.flat_map(|r| &r.crashes);
+        let explained: Vec<EngineRun> = crashes.map(|c| c.run).collect();
+        record.count(&explained)
     }
 
-    /// Whether answers of other requests have begun since the first crash of a record. When no
-    /// answer begins at all, the part is not the cause.
+    /// Whether answers of other requests have begun since the first crash of a record.
     fn others_begin(&self, record: &Record) -> bool {
         let begun_at = self.services.get(&record.service);
         let first = record.crashes.first();
@@ -229,7 +275,7 @@
         }
         self.expire(now);
         while self.records.len() >= MAX_RECORDS {
-            let order = |r: &Record| (r.confirmation.is_some(), r.count(), r.expires_at());
+            let order = |r: &Record| (r.confirmation.is_some(), r.count(&[]), r.expires_at());
             let least = self.records.values().min_by_key(|r| order(r));
             let Some(least) = least.map(|r| r.part) else {
                 return;
--- a/crates/state/quarantine/src/record.rs
+++ b/crates/state/quarantine/src/record.rs
@@ -11,8 +11,8 @@
 /// Maximum number of crashes that one record holds.
 pub const MAX_CRASHES: usize = 8;
 /// Crashes that follow one another faster are counted as one: a rack that fails takes several
-/// engines at once, a request takes one at a time.
-const MIN_SPACING: Duration = Duration::from_millis(150);
+/// engines at once, a request takes the next one after its prompt was read there.
+const MIN_SPACING: Duration = Duration::from_millis(25);
 /// How long a record is kept after its last crash or begin.
 const RETENTION: Duration = Duration::from_secs(300);
 /// How long a part is quarantined at first. Each failed trial doubles the time.
@@ -57,6 +57,8 @@
     pub part: PartKey,
     /// The service whose engines crashed.
     pub service: ServiceKey,
+    /// The largest index of the part in a prompt. Fewer requests share a later part.
+    pub depth: u16,
     /// The crashes since an answer on the part last began, in order of time.
     pub crashes: Vec<Crash>,
     /// When an answer on the part last began, if that was after a crash.
@@ -71,6 +73,7 @@
         Self {
             part,
             service,
+            depth: 0,
             crashes: Vec::new(),
             begun_at: None,
             confirmation: None,
@@ -96,11 +99,13 @@
         self.confirmation = None;
     }
 
-    /// Returns the number of crashes, those of one moment counted as one.
-    pub fn count(&self) -> usize {
+    /// Returns the number of crashes, those of one moment counted as one, without those of the
+    /// runs in `explained`.
+    pub fn count(&self, explained: &[EngineRun]) -> usize {
         let mut counted: Option<Instant> = None;
         let mut count = 0;
-        for crash in &self.crashes {
+        let crashes = self.crashes.iter().filter(|c| !explained.contains(&c.run));
+        for crash in crashes {
             if counted.is_none_or(|at| crash.at.since(at) >= MIN_SPACING) {
                 counted = Some(crash.at);
                 count += 1;
@@ -112,6 +117,7 @@
     /// Adds what another instance has recorded. Returns whether anything was new.
     pub fn merge(&mut self, other: &Self) -> bool {
         let before = self.clone();
+        self.depth = self.depth.max(other.depth);
         if let Some(theirs) = other.begun_at
             && self
                 .begun_at
