--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -122,14 +122,16 @@
     pub fn record_load(&self, addr: SocketAddr, running: u32, waiting: u32) {
         let mut by_server = self.by_server.lock();
         let stats = by_server.entry(addr).or_default();
-        stats.others = (running + waiting).saturating_sub(stats.in_progress);
+        let total = running.saturating_add(waiting);
+        stats.others = total.saturating_sub(stats.in_progress);
     }
 }
 
 impl ServerStats {
     /// Returns the expected cost of a call, in milliseconds.
     fn cost(&self, now: Instant, server: &BackendServer, data_centre: &str) -> f64 {
-        let load = f64::from(self.in_progress + self.others + 1) / f64::from(server.slots);
+        let requests = f64::from(self.in_progress) + f64::from(self.others) + 1.0;
+        let load = requests / f64::from(server.slots);
         let queue = (load - 1.0).max(0.0);
         let remote = if *server.data_centre == *data_centre {
             0.0
--- a/crates/transport/backend/src/http1.rs
+++ b/crates/transport/backend/src/http1.rs
@@ -44,6 +44,8 @@
 const MAX_PROBES: u32 = 2;
 /// Time that an idle connection is kept if the server announces none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Longest time that an idle connection is kept.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(3_600);
 /// Fraction of the announced idle time that is not used, to allow for differences of the
 /// clocks and the network delay.
 const IDLE_MARGIN: f64 = 0.25;
@@ -258,8 +260,10 @@
         value.parse::<f64>().ok()
     });
     match seconds {
-        Some(s) if s.is_finite() && s > 0.0 => Duration::from_secs_f64(s * (1.0 - IDLE_MARGIN)),
-        Some(_) => Duration::ZERO,
+        Some(s) => {
+            let time = Duration::try_from_secs_f64(s * (1.0 - IDLE_MARGIN));
+            time.unwrap_or_default().min(MAX_IDLE_TIME)
+        }
         None => DEFAULT_IDLE_TIMEOUT,
     }
 }
