HTTP client: connections are not kept after a refusal

The id in the answer tells most copies apart, but not where the same request is sent again to the same server: the copy of its own refusal was taken for the answer to the second dispatch, 503 for a call that had run (repeated_refusal_of_the_same_request_is_not_taken_for_its_answer, red before). After 408, 421, 429 and 503 the connection is closed; streams did so already. A connection that carried a refusal is never used again, so a copy on it meets no request.

--- a/crates/transport/backend/src/http1.rs
+++ b/crates/transport/backend/src/http1.rs
@@ -12,6 +12,7 @@
 use http::HeaderMap;
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
@@ -190,7 +191,11 @@
         };
         let body = body.map_err(|e| (Attempt::Sent, failed(addr, &*e)))?;
         let (parts, ()) = head.into_parts();
-        self.keep(addr, send, &parts.headers);
+        // A faulty server may write a refusal once more. On this connection it would be taken for
+        // the answer to the next request, which has the same id if it is this one sent again.
+        if !is_refusal(parts.status) {
+            self.keep(addr, send, &parts.headers);
+        }
         Ok(Response::from_parts(parts, body.to_bytes()))
     }
 
@@ -245,6 +250,17 @@
     }
 }
 
+/// Whether a status states that the request was not run.
+fn is_refusal(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Returns how long a connection may stay idle, by the headers of its last response.
 fn idle_time(headers: &HeaderMap) -> Duration {
     let closes = headers.get(http::header::CONNECTION);
