Servers that announce that they leave, or want no requests, get none

An announcement marks the directory's entry as leaving until a later process of that id starts, whatever the entry in the store says, and goes to the queue owner, to the instances that issue orders and to those with streams there. A pause holds for this instance; engines stay in use as later stages of paths, as only the first one receives the request. Before each dispatch both are checked once more, as the queue owner may not know. A call whose servers all pause is refused at once, with the shortest of the pauses.

Also: an entry with layers beyond the model's is not used.

--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -22,6 +22,7 @@
 use hemlockwind_platform::headers::ServerHeaders;
 use hemlockwind_telemetry::histograms::Measure;
 
+use crate::announcements;
 use crate::answers;
 use crate::answers::Body;
 use crate::gateway::Gateway;
@@ -75,6 +76,7 @@
         tried: Vec::new(),
         sent: 0,
         unsent: 0,
+        wanted_after: None,
         last_error: None,
     };
     let response = call.run().await;
@@ -106,6 +108,9 @@
     sent: u32,
     /// Dispatches that reached none.
     unsent: u32,
+    /// The shortest time after which a server that wants no requests now will take them, if none
+    /// takes them now.
+    wanted_after: Option<Duration>,
     /// Why the latest dispatch gave no answer, or why there was none.
     last_error: Option<Error>,
 }
@@ -186,10 +191,18 @@
         };
         let data_centre = &self.gateway.settings.data_centre;
         let now = self.gateway.now();
-        let server = self
+        let pauses = &self.gateway.pauses;
+        let rest = |s: &Arc<BackendServer>| pauses.rest(now, s.addr);
+        let (paused, candidates): (Vec<_>, Vec<_>) =
+            candidates.into_iter().partition(|s| rest(s).is_some());
+        let Some(server) = self
             .gateway
             .servers
-            .begin(now, &candidates, data_centre, &self.tried)?;
+            .begin(now, &candidates, data_centre, &self.tried)
+        else {
+            self.wanted_after = paused.iter().filter_map(rest).min();
+            return None;
+        };
         self.tried.push(server.addr);
         Some(server)
     }
@@ -218,6 +231,11 @@
         let answer = http
             .call(server.addr, req, deadline, limit, is_answer)
             .await;
+        if let Ok(answer) = &answer {
+            let answered = ServerHeaders::read(answer.headers());
+            let from = (&*server.id, server.addr);
+            announcements::record(self.gateway, from, answer.status(), &answered);
+        }
         let result = match answer {
             Ok(answer) => check(server.addr, &accepted.attempt, answer),
             Err((attempt, e)) => DispatchResult::Failed(attempt, e),
@@ -250,6 +268,7 @@
                 0 => NO_SERVER_RETRY,
                 _ => REFUSED_RETRY,
             };
+            let retry = self.wanted_after.map_or(retry, |after| after.max(retry));
             self.gateway.counters.add("calls_not_run");
             let error = Error::backend_unreachable(last_error.to_string());
             let mut response = answers::failure(&error, attempt, Some(retry));
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -10,12 +10,16 @@
 use hemlockwind_core::collections::SeededHashMap;
 use hemlockwind_core::layers::LayerRange;
 use hemlockwind_core::servers::BackendServer;
+use hemlockwind_core::servers::ServerState;
 use hemlockwind_core::time::Instant;
 
 /// Time from the store's recovery until expired entries have reappeared, with a margin:
 /// the platform promises about two seconds.
 const REAPPEAR_TIME: Duration = Duration::from_millis(2_300);
 
+/// Number of announcements from which those of servers without an entry are removed.
+const MAX_LEAVING: usize = 1_024;
+
 #[derive(Clone, Debug)]
 struct Entry {
     server: Arc<BackendServer>,
@@ -30,6 +34,9 @@
     is_store_lost: bool,
     /// Until this time, removed entries may reappear.
     settled_at: Instant,
+    /// Servers that announced in their answers that they leave, and when they had started, in
+    /// milliseconds since the Unix epoch. Their entries may still say that they are ready.
+    leaving: SeededHashMap<Arc<str>, u64>,
 }
 
 impl Directory {
@@ -65,6 +72,13 @@
 
     /// Adds or replaces an entry.
     pub fn put(&mut self, server: BackendServer) {
+        let mut server = server;
+        match self.leaving.get(&server.id) {
+            Some(born_ms) if server.born_ms <= *born_ms => server.state = ServerState::Leaving,
+            // A later process of this id has started.
+            Some(_) => drop(self.leaving.remove(&server.id)),
+            None => {}
+        }
         // An address belongs to one server; an older entry for it is out of date.
         self.entries
             .retain(|id, e| e.server.addr != server.addr || *id == server.id);
@@ -75,6 +89,28 @@
         self.entries.insert(Arc::clone(&entry.server.id), entry);
     }
 
+    /// Records that a server announced that it leaves. Returns whether that was not known.
+    pub fn announce_leaving(&mut self, id: &str) -> bool {
+        if self.leaving.len() >= MAX_LEAVING {
+            let entries = &self.entries;
+            self.leaving.retain(|id, _| entries.contains_key(id));
+        }
+        let Some(entry) = self.entries.get_mut(id) else {
+            return false;
+        };
+        let server = Arc::make_mut(&mut entry.server);
+        let is_new = server.state == ServerState::Ready;
+        server.state = ServerState::Leaving;
+        self.leaving.insert(Arc::clone(&server.id), server.born_ms);
+        is_new
+    }
+
+    /// Returns whether a server leaves, by its entry or its own announcement.
+    pub fn is_leaving(&self, id: &str) -> bool {
+        let server = self.get(id);
+        server.is_some_and(|s| s.state == ServerState::Leaving) || self.leaving.contains_key(id)
+    }
+
     /// Sets the layers that an engine reported. Returns whether they have changed.
     pub fn set_layers(&mut self, id: &str, layers: Option<LayerRange>) -> bool {
         let Some(entry) = self.entries.get_mut(id) else {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -30,6 +30,7 @@
 use hemlockwind_telemetry::Histograms;
 use hemlockwind_telemetry::budget::LineBudget;
 
+use crate::announcements::Pauses;
 use crate::directory::Directory;
 use crate::engine_ends::EngineEnds;
 use crate::peers::Instance;
@@ -84,6 +85,8 @@
     pub reports: Reports,
     /// The causes of lost connections to engines.
     pub engine_ends: EngineEnds,
+    /// The servers that want no request from this instance for a time.
+    pub pauses: Pauses,
     /// The parts of prompts that crash engines.
     pub quarantine: SharedQuarantine,
     /// The engines that are slow.
@@ -165,6 +168,7 @@
             http: Http1::default(),
             reports: Reports::default(),
             engine_ends: EngineEnds::default(),
+            pauses: Pauses::default(),
             quarantine: SharedQuarantine::default(),
             slow: SlowEngines::default(),
             retry_budgets: Mutex::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! and [`updates`] receive routes, servers and instances, [`orders`] assigns layers to
 //! engines.
 
+pub mod announcements;
 pub mod answers;
 pub mod calls;
 pub mod diagnosis;
--- a/crates/gateway/src/queue_owners.rs
+++ b/crates/gateway/src/queue_owners.rs
@@ -324,6 +324,26 @@
         let _ = gateway.peers.call(&owner, req).await;
     }
 
+    /// Reports to the queue owner that an engine wants no new request for `time`.
+    pub async fn report_no_starts(
+        &self,
+        gateway: &Gateway,
+        grant: &Grant,
+        addr: SocketAddr,
+        time: Duration,
+    ) {
+        let key = &grant.guard.key;
+        let owner = gateway.peers.queue_owner(key);
+        if owner.name == gateway.peers.me().name {
+            self.exclude_starts_local(key, addr, time);
+            return;
+        }
+        let ms = u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
+        let req = Request::Paths(message::Message::NoStarts(key.to_string(), addr, ms));
+        // If the message is lost, this instance reports it again with the next such path.
+        let _ = gateway.peers.call(&owner, req).await;
+    }
+
     /// Excludes the engine at `addr` from new work. Returns whether it was not excluded
     /// before.
     pub fn exclude(&self, now: Instant, addr: SocketAddr) -> bool {
--- a/crates/gateway/src/queue_owners/handler.rs
+++ b/crates/gateway/src/queue_owners/handler.rs
@@ -16,6 +16,7 @@
 use hemlockwind_platform::headers::Stage;
 use hemlockwind_protocol::peer::paths as message;
 
+use crate::announcements;
 use crate::diagnosis;
 use crate::gateway::EngineFault;
 use crate::gateway::Gateway;
@@ -111,6 +112,15 @@
                 self.refused_local(gateway, &key, addr, Duration::from_millis(ms.into()));
                 message::Answer::Done
             }
+            message::Message::Announced(id) => {
+                announcements::apply_leaving(gateway, &id);
+                message::Answer::Done
+            }
+            message::Message::NoStarts(service, addr, ms) => {
+                let time = Duration::from_millis(ms.into());
+                self.exclude_starts_local(&service.into(), addr, time);
+                message::Answer::Done
+            }
             message::Message::Dead(addr) => {
                 self.exclude(now, addr);
                 // Sending fails when no stream runs.
@@ -216,6 +226,19 @@
         }
     }
 
+    /// Excludes an engine of a local queue owner as the first stage of paths for `time`.
+    pub(super) fn exclude_starts_local(
+        &self,
+        key: &QueueOwnerKey,
+        addr: SocketAddr,
+        time: Duration,
+    ) {
+        let Some(queue) = self.queue(key) else { return };
+        let now = self.now();
+        let engines = &mut queue.lock().queue_owner.engines;
+        engines.exclude_starts(addr, now + time);
+    }
+
     /// Starts or refuses the waiting entries that can be decided now.
     pub fn poll(&self, now: Instant) {
         let queues: Vec<SharedQueue> = self.queue_owners.lock().values().cloned().collect();
--- a/crates/gateway/src/queue_owners/notify.rs
+++ b/crates/gateway/src/queue_owners/notify.rs
@@ -120,6 +120,12 @@
         self.notify_affected(gateway, addr, message).await;
     }
 
+    /// Reports that a server announced that it leaves to the instances that are affected by that.
+    pub async fn notify_announced(&self, gateway: &Gateway, addr: SocketAddr, id: &str) {
+        let message = message::Message::Announced(id.to_string());
+        self.notify_affected(gateway, addr, message).await;
+    }
+
     /// Reports how slow an engine is to the instances that are affected by that.
     pub async fn notify_slow(&self, gateway: &Gateway, addr: SocketAddr, slowness: f64) {
         // Truncation is intended: the value is a small factor.
--- a/crates/gateway/src/relay/recover.rs
+++ b/crates/gateway/src/relay/recover.rs
@@ -366,6 +366,15 @@
                 None
             }
 
+            Err(OpenError::NotWanted(_, time)) => {
+                if let Some(grant) = self.grant.as_ref() {
+                    let queue_owners = &self.gateway.queue_owners;
+                    queue_owners
+                        .report_no_starts(&self.gateway, grant, first, time)
+                        .await;
+                }
+                None
+            }
             Err(OpenError::EngineFailure(_) | OpenError::Failed(..) | OpenError::Malformed(_)) => {
                 None
             }
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -30,6 +30,7 @@
 use hemlockwind_platform::headers::Stage;
 use hemlockwind_telemetry::histograms::Measure;
 
+use crate::announcements;
 use crate::answers;
 use crate::answers::Body;
 use crate::calls;
@@ -62,6 +63,9 @@
 /// How long an engine is excluded from new work after it refused to be part of a path.
 /// Usually it lacks memory for a moment; dead and leaving engines are detected otherwise.
 const REFUSAL_EXCLUSION: Duration = Duration::from_millis(100);
+/// How long an engine that leaves is not to begin streams, if its queue owner does not know that:
+/// longer than the announcement takes to get there.
+const LEAVING_EXCLUSION: Duration = Duration::from_secs(5);
 /// When to retry after all attempts were refused.
 const REFUSED_RETRY: Duration = Duration::from_millis(1_000);
 /// Largest random extension of a retry time, as a share of it: callers that were refused
@@ -230,6 +234,18 @@
                     drop(grant);
                     self.after_refusal(e)?;
                 }
+                Err(OpenError::NotWanted(e, time)) => {
+                    let first = grant.path.first().map(|s| s.addr);
+                    self.attempts.record(index, Attempt::Refused);
+                    if let Some(first) = first {
+                        let queue_owners = &self.gateway.queue_owners;
+                        queue_owners
+                            .report_no_starts(self.gateway, &grant, first, time)
+                            .await;
+                    }
+                    drop(grant);
+                    self.after_refusal(e)?;
+                }
                 Err(OpenError::Malformed(e)) => {
                     self.attempts.record(index, Attempt::Sent);
                     self.attempts.record(index, Attempt::Refused);
@@ -340,6 +356,10 @@
         if accepted.time_left().is_zero() {
             return Err(OpenError::Failed(Attempt::Unsent, Error::DeadlinePassed));
         }
+        if let Some(time) = not_wanted(self.gateway, first) {
+            let e = Error::backend_refused(format!("{} wants no requests", first.addr));
+            return Err(OpenError::NotWanted(e, time));
+        }
         let dispatch = Dispatch {
             server: &first.id,
             organisation: accepted.organisation.as_deref(),
@@ -362,6 +382,11 @@
                 .exclude(self.gateway.now(), first.addr);
             OpenError::Failed(attempt, e)
         })?;
+        let answered = ServerHeaders::read(exchange.head.headers());
+        if headers::may_answer(exchange.head.headers(), Some(&accepted.attempt)) {
+            let status = exchange.head.status();
+            announcements::record(self.gateway, (&first.id, first.addr), status, &answered);
+        }
         self.check(first.addr, path, exchange).await
     }
 
@@ -434,11 +459,22 @@
     }
 }
 
+/// Returns for how long an engine wants no request of this instance, if it doesn't.
+fn not_wanted(gateway: &Gateway, first: &Stage) -> Option<Duration> {
+    if gateway.directory.read().is_leaving(&first.id) {
+        return Some(LEAVING_EXCLUSION);
+    }
+    gateway.pauses.rest(gateway.now(), first.addr)
+}
+
 /// `OpenError` says why the first stage of a path did not begin a stream.
 pub enum OpenError {
     /// The first engine reports that it did not run the request, because of this engine of
     /// the path.
     NotRun(SocketAddr, Error),
+    /// The first engine announced that it leaves or that it wants no requests for this time, so
+    /// nothing was sent.
+    NotWanted(Error, Duration),
     /// The first engine reports that the path is malformed. The same path is not tried
     /// again.
     Malformed(Error),
--- a/crates/protocol/src/peer/paths.rs
+++ b/crates/protocol/src/peer/paths.rs
@@ -114,6 +114,11 @@
     /// Reports that an engine refused to be part of a path. The queue owner excludes it from
     /// new work for this time, in milliseconds.
     Refused(String, SocketAddr, u32),
+    /// Reports that a backend server, given by its id, announced that it leaves.
+    Announced(String),
+    /// Reports that an engine wants no new request for this time, in milliseconds. It goes on as
+    /// a later stage of paths.
+    NoStarts(String, SocketAddr, u32),
 }
 
 /// `Answer` is the answer to a [`Message`].
--- a/crates/state/paths/src/choice.rs
+++ b/crates/state/paths/src/choice.rs
@@ -173,7 +173,8 @@
             dc,
             layer_ms: layer_cost(self.engines, now, engine),
             available: engine.free(now) + overcommit,
-            can_start: !self.need.must_fit || engine.first_stage_streams < engine.slots,
+            can_start: engine.starts_excluded_until <= now
+                && (!self.need.must_fit || engine.first_stage_streams < engine.slots),
         });
     }
 
--- a/crates/state/paths/src/engines.rs
+++ b/crates/state/paths/src/engines.rs
@@ -70,6 +70,8 @@
     slowness: (f64, Instant),
     /// Until when it is excluded from new work, after failures.
     pub excluded_until: Instant,
+    /// Until when it may not be the first stage of a path.
+    pub starts_excluded_until: Instant,
     /// The memory figures of its last report.
     reported: Option<Reported>,
 }
@@ -219,7 +221,8 @@
     /// accelerator is not one of the model's.
     fn update_one(&mut self, entry: &BackendServer) -> Option<BackendServerKey> {
         let card = *self.model.cards.get(entry.card.as_ref()?)?;
-        let layers = entry.layers?;
+        let is_in_model = |l: &LayerRange| l.end() <= self.model.layers;
+        let layers = entry.layers.filter(is_in_model)?;
         let capacity = self.model.kv_capacity(card, layers.count());
         let is_ready = entry.state == ServerState::Ready;
         let existing = self.ids.get(&entry.id).copied();
@@ -244,6 +247,7 @@
             first_stage_streams: 0,
             slowness: (1.0, Instant::ZERO),
             excluded_until: Instant::ZERO,
+            starts_excluded_until: Instant::ZERO,
             reported: None,
         });
         self.ids.insert(Arc::clone(&entry.id), key);
@@ -298,6 +302,13 @@
         }
     }
 
+    /// Excludes the engine at `addr` as the first stage of paths until `until`.
+    pub fn exclude_starts(&mut self, addr: SocketAddr, until: Instant) {
+        for engine in self.engines.values_mut().filter(|e| e.addr == addr) {
+            engine.starts_excluded_until = engine.starts_excluded_until.max(until);
+        }
+    }
+
     /// Records the report of the engine at `addr` on its memory, in tokens x layers.
     pub fn record_report(&mut self, now: Instant, addr: SocketAddr, capacity: f64, used: f64) {
         for engine in self.engines.values_mut().filter(|e| e.addr == addr) {
