--- a/crates/hemlockwind/benches/capacity/main.rs
+++ b/crates/hemlockwind/benches/capacity/main.rs
@@ -7,6 +7,7 @@
 mod assignments;
 mod configuration;
 mod driver;
+mod quarantine;
 mod queue_owner;
 mod slots;
 mod table;
@@ -22,5 +23,6 @@
     assignments::measure(&mut table);
     slots::measure(&mut table);
     wire::measure(&mut table);
+    quarantine::measure(&mut table);
     table.print();
 }
--- a/crates/hemlockwind/src/lib.rs
+++ b/crates/hemlockwind/src/lib.rs
@@ -9,7 +9,7 @@
 //! | transport    | [`peer`], [`backend`], [`platform`], [`telemetry`]                          |
 //! | protocol     | [`protocol`]                                                                |
 //! | coordination | [`membership`], [`lease`], [`claims`], [`configuration`], [`sheet`]         |
-//! | state        | [`routing`], [`queueing`], [`limits`], [`stream`], [`paths`], [`placement`] |
+//! | state        | [`routing`], [`queueing`], [`limits`], [`quarantine`], [`stream`], [`paths`], [`placement`] |
 //! | core         | [`core`]                                                                    |
 
 pub use hemlockwind_backend as backend;
@@ -26,6 +26,7 @@
 pub use hemlockwind_placement as placement;
 pub use hemlockwind_platform as platform;
 pub use hemlockwind_protocol as protocol;
+pub use hemlockwind_quarantine as quarantine;
 pub use hemlockwind_queueing as queueing;
 pub use hemlockwind_routing as routing;
 pub use hemlockwind_settings as settings;
