--- a/crates/gateway/src/announcements.rs
+++ b/crates/gateway/src/announcements.rs
@@ -9,7 +9,7 @@
 use parking_lot::Mutex;
 use slog::info;
 
-use hemlockwind_core::collections::HashMap;
+use hemlockwind_core::collections::SeededHashMap;
 use hemlockwind_core::time::Instant;
 use hemlockwind_platform::headers::ServerHeaders;
 
@@ -20,26 +20,26 @@
 /// Number of pauses from which those that are over are removed.
 const MAX_PAUSES: usize = 4_096;
 
-/// `Pauses` holds the servers that want no request from this instance for a time.
+/// `Pauses` holds the servers that want no request from this instance for a time, by their ids.
 #[derive(Default)]
 pub struct Pauses {
-    until: Mutex<HashMap<SocketAddr, Instant>>,
+    until: Mutex<SeededHashMap<Box<str>, Instant>>,
 }
 
 impl Pauses {
     /// Begins or extends a pause.
-    fn set(&self, now: Instant, addr: SocketAddr, until: Instant) {
+    fn set(&self, now: Instant, id: &str, until: Instant) {
         let mut pauses = self.until.lock();
         if pauses.len() >= MAX_PAUSES {
             pauses.retain(|_, end| *end > now);
         }
-        let end = pauses.entry(addr).or_insert(until);
+        let end = pauses.entry(id.into()).or_insert(until);
         *end = until.max(*end);
     }
 
     /// Returns the rest of a server's pause, if it has one.
-    pub fn rest(&self, now: Instant, addr: SocketAddr) -> Option<Duration> {
-        let until = *self.until.lock().get(&addr)?;
+    pub fn rest(&self, now: Instant, id: &str) -> Option<Duration> {
+        let until = *self.until.lock().get(id)?;
         (until > now).then(|| until.since(now))
     }
 }
@@ -56,7 +56,7 @@
     }
     if let (StatusCode::SERVICE_UNAVAILABLE, Some(time)) = (status, answered.retry_after) {
         let now = gateway.now();
-        gateway.pauses.set(now, addr, now + time);
+        gateway.pauses.set(now, id, now + time);
         gateway.counters.add("servers_paused");
         if let Some(left_out) = gateway.lines.take(now, "paused") {
             info!(gateway.log, "server wants no requests"; "server" => id, "engine" => %addr,
--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -192,7 +192,7 @@
         let data_centre = &self.gateway.settings.data_centre;
         let now = self.gateway.now();
         let pauses = &self.gateway.pauses;
-        let rest = |s: &Arc<BackendServer>| pauses.rest(now, s.addr);
+        let rest = |s: &Arc<BackendServer>| pauses.rest(now, &s.id);
         let (paused, candidates): (Vec<_>, Vec<_>) =
             candidates.into_iter().partition(|s| rest(s).is_some());
         let Some(server) = self
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -464,7 +464,7 @@
     if gateway.directory.read().is_leaving(&first.id) {
         return Some(LEAVING_EXCLUSION);
     }
-    gateway.pauses.rest(gateway.now(), first.addr)
+    gateway.pauses.rest(gateway.now(), &first.id)
 }
 
 /// `OpenError` says why the first stage of a path did not begin a stream.
