--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -20,6 +20,7 @@
 
 use hemlockwind_core::edges::KvExport;
 use hemlockwind_core::engine::Incarnation;
+use hemlockwind_core::engine::Input;
 use hemlockwind_core::engine::LoadReport;
 use hemlockwind_core::engine::Output;
 use hemlockwind_core::engine::Refusal;
@@ -108,6 +109,8 @@
     pub leaving: bool,
     /// Shut down at once and cut all connections.
     pub die: bool,
+    /// Shut down as soon as a prompt with this text is to be prefilled.
+    pub die_on: Option<String>,
     /// Delay answers to steps, or add duplicate or unrelated results to them.
     pub late: Option<LateAnswers>,
 }
@@ -231,8 +234,24 @@
         self.inner.lock().streams.list()
     }
 
+    /// Whether one of the steps prefills a prompt on which the engine crashes.
+    fn dies_on(&self, steps: &[Step]) -> bool {
+        let faults = self.faults.borrow();
+        let Some(crash_text) = &faults.die_on else {
+            return false;
+        };
+        steps.iter().any(|step| match &step.input {
+            Input::Prompt { text, .. } => text.contains(crash_text.as_str()),
+            Input::Token(_) | Input::Activation(_) => false,
+        })
+    }
+
     /// Adds steps to the batch and returns their results when all have run.
     async fn run_steps(&self, steps: Vec<Step>) -> Vec<StepResult> {
+        if self.dies_on(&steps) {
+            self.shutdown.cancel();
+            return std::future::pending().await;
+        }
         let admitted = steps.into_iter().map(|step| {
             let id = step.id;
             let refused = self.inner.lock().streams.admit(&step, Instant::now()).err();
--- a/crates/standin/tests/fakes/engine.rs
+++ b/crates/standin/tests/fakes/engine.rs
@@ -371,3 +371,27 @@
     assert_eq!(load.streams, 0);
     assert_eq!(stage.engine.state.streams().len(), 1);
 }
+
+#[tokio::test]
+async fn set_faults_crash_on_a_prompt() {
+    let stage = Stage::new(0..MODEL_LAYERS, |_| ()).await;
+    stage.engine.state.set_faults(Faults {
+        die_on: Some("haichaji".into()),
+        ..Faults::default()
+    });
+    let other = Input::Prompt {
+        text: "nyingine".into(),
+        generated: Vec::new(),
+    };
+    let answer = stage.run(&stage.step(1, 0, true, other)).await;
+    assert!(matches!(answer, Output::Token { .. }), "{answer:?}");
+    let steps = vec![stage.step(2, 0, true, prompt(&[]))];
+    let crash = stage
+        .client
+        .json(Method::POST, "/v1/steps", &StepsRequest { steps })
+        .await;
+    assert!(crash.is_err());
+    let client = Client::new(stage.engine.addr);
+    let load = client.json(Method::GET, "/v1/load", &());
+    assert!(load.await.is_err());
+}
