--- a/crates/state/quarantine/src/quarantine.rs
+++ b/crates/state/quarantine/src/quarantine.rs
@@ -49,6 +49,23 @@
     },
 }
 
+/// `Standing` says what a request with a part may do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Standing {
+    /// It may be dispatched.
+    Free,
+    /// It may be dispatched, and no other until then.
+    Trial {
+        /// The end of the trial, unless an answer begins or an engine crashes before.
+        until: Instant,
+    },
+    /// It may not be dispatched.
+    Withheld {
+        /// When a retry may succeed.
+        retry_at: Instant,
+    },
+}
+
 /// `Quarantine` holds the records of one instance.
 #[derive(Debug, Default)]
 pub struct Quarantine {
@@ -76,46 +93,62 @@
         if self.records.is_empty() {
             return Admission::Admitted;
         }
-        let mut tried = Vec::new();
+        let mut trials = Vec::new();
         for (index, part) in parts.iter().enumerate() {
             let Some(service) = self.records.get(part).map(|r| r.service) else {
                 continue;
             };
             self.confirm(now, service);
-            let Some(record) = self.records.get(part) else {
-                continue;
-            };
-            let trial_until = self.trials.get(part).copied();
-            let is_tried = trial_until.is_some_and(|until| until > now);
-            let retry_at = match record.confirmation {
-                Some(confirmation) => {
-                    let hold_until = confirmation.hold_until();
-                    let turn = now.since(hold_until).as_micros() / TURN.as_micros();
-                    if now < hold_until {
-                        Some(hold_until)
-                    } else if is_tried || !is_on_turn(*part, turn as u64) {
-                        Some(now + TURN)
-                    } else {
-                        tried.push((*part, now + TURN));
-                        None
-                    }
+            match self.standing(now, *part, &is_on_turn) {
+                Standing::Free => {}
+                Standing::Trial { until } => trials.push((*part, until)),
+                Standing::Withheld { retry_at } => {
+                    return Admission::Withheld { index, retry_at };
                 }
-                None if self.unexplained(record) >= CRASHES_TO_LIMIT
-                    && self.others_begin(record) =>
-                {
-                    tried.push((*part, now + TRIAL_TIMEOUT));
-                    is_tried.then_some(now + TRIAL_RETRY)
-                }
-                None => None,
-            };
-            if let Some(retry_at) = retry_at {
-                return Admission::Withheld { index, retry_at };
             }
         }
-        self.trials.extend(tried);
+        self.trials.extend(trials);
         Admission::Admitted
     }
 
+    /// Returns what a request with a part may do.
+    fn standing(
+        &self,
+        now: Instant,
+        part: PartKey,
+        is_on_turn: impl Fn(PartKey, u64) -> bool,
+    ) -> Standing {
+        let Some(record) = self.records.get(&part) else {
+            return Standing::Free;
+        };
+        let trial_until = self.trials.get(&part).copied();
+        let is_tried = trial_until.is_some_and(|until| until > now);
+        if let Some(confirmation) = record.confirmation {
+            let hold_until = confirmation.hold_until();
+            if now < hold_until {
+                return Standing::Withheld {
+                    retry_at: hold_until,
+                };
+            }
+            let turn = now.since(hold_until).as_micros() / TURN.as_micros();
+            let until = now + TURN;
+            return match !is_tried && is_on_turn(part, turn as u64) {
+                true => Standing::Trial { until },
+                false => Standing::Withheld { retry_at: until },
+            };
+        }
+        let is_limited = self.unexplained(record) >= CRASHES_TO_LIMIT && self.others_begin(record);
+        match (is_limited, is_tried) {
+            (false, _) => Standing::Free,
+            (true, false) => Standing::Trial {
+                until: now + TRIAL_TIMEOUT,
+            },
+            (true, true) => Standing::Withheld {
+                retry_at: now + TRIAL_RETRY,
+            },
+        }
+    }
+
     /// Checks a request that was admitted once more, as a part may have been quarantined while it
     /// waited. Unlike [`Quarantine::admit`] it may be called any number of times.
     pub fn recheck(&self, now: Instant, parts: &[PartKey]) -> Admission {
