Streams: ids of events are read from bytes

Cause: the whole event was decoded as text before the id was looked for, so it had none. It was passed on without advancing the position of the stream, and the next run repeated it.

The id is now read from the bytes of the last id field. Data whose id can't be read is not passed on once events have ids, and a stream whose data has no ids is not continued by another run, which would begin anew. That works since a run is only continued after an event whose id was read.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -73,9 +73,10 @@
     }
 }
 
-/// Returns the id of an event.
+/// Returns the id of an event: the value of its last `id` field, if it is a number. The other
+/// fields may hold any bytes.
 fn id(event: &[u8]) -> Option<u64> {
-    let text = std::str::from_utf8(event).ok()?;
-    let value = text.lines().find_map(|line| line.strip_prefix("id:"))?;
-    value.trim().parse().ok()
+    let mut lines = event.rsplit(|b| *b == b'\n');
+    let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -98,6 +98,9 @@
     sent: u32,
     /// The id of the last event that was passed on.
     last_event: Option<u64>,
+    /// Whether the last data that was passed on has no id, so that no other run can continue
+    /// after it.
+    is_unnumbered: bool,
     /// Number of events that were passed on.
     events: u64,
     /// When the stream last made progress: a run began or was rerouted, or an event that
@@ -137,6 +140,7 @@
             first_engines: first.into_iter().collect(),
             crashes: 0,
             sent,
+            is_unnumbered: false,
             events: 0,
             progress_at: Instant::now(),
             first_ms: 0,
@@ -236,13 +240,19 @@
             )));
         }
         while let Some(event) = splitter.next_event() {
-            if let (Some(id), Some(last_event)) = (event.id, self.last_event) {
-                if id <= last_event {
-                    continue;
-                }
-                if id != last_event + 1 {
-                    let e = Error::backend_answer(format!("event {id} follows {last_event}"));
-                    return Some(End::Broken(e));
+            if let Some(last_event) = self.last_event {
+                match event.id {
+                    Some(id) if id <= last_event => continue,
+                    Some(id) if id != last_event + 1 => {
+                        let e = Error::backend_answer(format!("event {id} follows {last_event}"));
+                        return Some(End::Broken(e));
+                    }
+                    // Once it is passed on, a run that continues after `last_event` repeats it.
+                    None if event.has_data => {
+                        let e = format!("an event without a readable id follows {last_event}");
+                        return Some(End::Broken(Error::backend_answer(e)));
+                    }
+                    Some(_) | None => {}
                 }
             }
             if self.events == 0 {
@@ -265,6 +275,9 @@
             self.passed_at = now;
             self.events += 1;
             self.last_event = event.id.or(self.last_event);
+            if event.id.is_some() || event.has_data {
+                self.is_unnumbered = event.id.is_none();
+            }
             if self.tx.send(Ok(Frame::data(event.bytes))).await.is_err() {
                 return Some(End::CallerLeft);
             }
--- a/crates/gateway/src/relay/recover.rs
+++ b/crates/gateway/src/relay/recover.rs
@@ -283,7 +283,7 @@
 
     /// Whether another run may continue where this one ends.
     fn may_resume(&self) -> bool {
-        self.accepted.route.repeat == Repeat::Stream { resumable: true }
+        self.accepted.route.repeat == Repeat::Stream { resumable: true } && !self.is_unnumbered
     }
 
     /// Obtains another path, by a reroute of the current queue entry or by a new entry. Returns
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -42,6 +42,28 @@
     assert!(!splitter.push(&big));
 }
 
+// Guards against ORDER of issue 36: an event with a byte that is no UTF-8 had no id, so it came twice.
+#[test]
+fn next_event_id_beside_bytes_that_are_no_utf8() {
+    let (events, _) = split(&[b"id: 4\ndata: \xc3token\n\ndata: \xff\nid: 5\n\n"]);
+    let ids: Vec<_> = events.iter().map(|(id, _)| *id).collect();
+    assert_eq!(ids, [Some(4), Some(5)]);
+}
+
+#[test]
+fn next_event_unreadable_id() {
+    let (events, _) = split(&[b"id: \xff4\ndata: a\n\nid: four\ndata: b\n\n"]);
+    let ids: Vec<_> = events.iter().map(|(id, _)| *id).collect();
+    assert_eq!(ids, [None, None]);
+}
+
+// The blank line between two events was lost: the later id tells how far the stream has come.
+#[test]
+fn next_event_last_id_counts() {
+    let (events, _) = split(&[b"id: 4\ndata: a\nid: 5\ndata: b\n\n"]);
+    assert_eq!(events[0].0, Some(5));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 512, rng_seed: proptest::test_runner::RngSeed::Fixed(5), ..ProptestConfig::default() })]
 
