Quarantine: earlier begins and trials clear sound parts

Cause: an instance forgot begins after a second and told no other instance of them, the latest part of the prompts was blamed, and a quarantined part could not begin any more. A record also dropped crashes beyond its eighth, which were then blamed on the other part.

Begins are kept for five minutes and added to a part's record at any instance that gets one; parts without a known begin are blamed first; a quarantined part is in doubt while another part has all of its crashes, and a request that has only one of the two is tried, one at a time at each instance; a record keeps its sixteen latest crashes. This works since the part at fault never begins, and a request without it does.

Red before: quarantine crash_spares_a_part_that_began_before, crash_many_in_flight_are_explained_by_one_part, merge_spares_a_part_that_began_at_another_instance, merge_excuses_crashes_just_after_a_begin, trial_of_the_other_part_passes, trial_of_the_other_part_fails.

--- a/crates/state/quarantine/src/quarantine.rs
+++ b/crates/state/quarantine/src/quarantine.rs
@@ -10,6 +10,8 @@
 use crate::key::ServiceKey;
 use crate::record::Confirmation;
 use crate::record::Crash;
+use crate::record::RECENT_BEGIN;
+use crate::record::RETENTION;
 use crate::record::Record;
 
 /// Maximum number of records.
@@ -25,8 +27,6 @@
 /// Number of crashes that quarantine a part while no answer of the service begins. That may be
 /// due to another cause, or to the crashes themselves where each one ends all paths.
 const CRASHES_TO_CONFIRM_ALONE: usize = 5;
-/// A part that began within this time before a crash did not cause it.
-const RECENT_BEGIN: Duration = Duration::from_millis(1_000);
 /// Time after which a request that alone was dispatched no longer keeps the others back.
 const TRIAL_TIMEOUT: Duration = Duration::from_secs(2);
 /// When to retry while another request with the part is being tried.
@@ -99,7 +99,7 @@
                 continue;
             };
             self.confirm(now, service);
-            match self.standing(now, *part, &is_on_turn) {
+            match self.standing(now, *part, parts, &is_on_turn) {
                 Standing::Free => {}
                 Standing::Trial { until } => trials.push((*part, until)),
                 Standing::Withheld { retry_at } => {
@@ -111,11 +111,25 @@
         Admission::Admitted
     }
 
-    /// Returns what a request with a part may do.
+    /// Whether the crashes of a quarantined part may be due to another part, which a request with
+    /// `parts` doesn't have. That request then shows which of the two is at fault.
+    fn is_doubtful(&self, now: Instant, record: &Record, parts: &[PartKey]) -> bool {
+        let is_held = record
+            .confirmation
+            .is_some_and(|c| c.failed_trials == 0 && now < c.hold_until());
+        let may_be_at_fault = |other: &Record| {
+            let is_less_likely = record.begun_at.is_none() && other.begun_at.is_some();
+            record.is_covered_by(other) && !is_less_likely && !parts.contains(&other.part)
+        };
+        is_held && !record.crashes.is_empty() && self.records.values().any(may_be_at_fault)
+    }
+
+    /// Returns what a request with these parts may do as far as one of them is concerned.
     fn standing(
         &self,
         now: Instant,
         part: PartKey,
+        parts: &[PartKey],
         is_on_turn: impl Fn(PartKey, u64) -> bool,
     ) -> Standing {
         let Some(record) = self.records.get(&part) else {
@@ -123,7 +137,9 @@
         };
         let trial_until = self.trials.get(&part).copied();
         let is_tried = trial_until.is_some_and(|until| until > now);
-        if let Some(confirmation) = record.confirmation {
+        if let Some(confirmation) = record.confirmation
+            && !self.is_doubtful(now, record, parts)
+        {
             let hold_until = confirmation.hold_until();
             if now < hold_until {
                 return Standing::Withheld {
@@ -137,7 +153,8 @@
                 false => Standing::Withheld { retry_at: until },
             };
         }
-        let is_limited = self.unexplained(record) >= CRASHES_TO_LIMIT && self.others_begin(record);
+        let is_limited = record.confirmation.is_some()
+            || (self.unexplained(record) >= CRASHES_TO_LIMIT && self.others_begin(record));
         match (is_limited, is_tried) {
             (false, _) => Standing::Free,
             (true, false) => Standing::Trial {
@@ -153,8 +170,10 @@
     /// waited. Unlike [`Quarantine::admit`] it may be called any number of times.
     pub fn recheck(&self, now: Instant, parts: &[PartKey]) -> Admission {
         let withheld = parts.iter().enumerate().find_map(|(index, part)| {
-            let retry_at = self.records.get(part)?.confirmation?.hold_until();
-            (now < retry_at).then_some(Admission::Withheld { index, retry_at })
+            let record = self.records.get(part)?;
+            let retry_at = record.confirmation?.hold_until();
+            let is_withheld = now < retry_at && !self.is_doubtful(now, record, parts);
+            is_withheld.then_some(Admission::Withheld { index, retry_at })
         });
         withheld.unwrap_or(Admission::Admitted)
     }
@@ -197,6 +216,9 @@
                 .entry(*part)
                 .or_insert_with(|| Record::new(*part, service));
             record.depth = record.depth.max(depth as u16);
+            if let Some(begun_at) = begun_at {
+                record.add_begin(begun_at);
+            }
             let is_new = record.add_crash(Crash { run, at: now });
             if let Some(confirmation) = &mut record.confirmation
                 && now >= confirmation.hold_until()
@@ -230,6 +252,14 @@
                 is_changed = true;
                 services.push(theirs.service);
             }
+            // The others don't know when the part began at this instance.
+            if let Some(begun_at) = self.recent.get(&theirs.part)
+                && record.needs_begin(*begun_at)
+            {
+                record.add_begin(*begun_at);
+                mark(&mut self.changed, theirs.part);
+                services.push(theirs.service);
+            }
         }
         services.sort_unstable();
         services.dedup();
@@ -242,14 +272,16 @@
     /// Quarantines the parts of a service whose crashes suffice, and returns those that were not
     /// quarantined before.
     ///
-    /// All parts of a request are recorded for its crash. So the parts are taken in order, the
-    /// latest in the prompts first, and a crash counts for the first quarantined part alone.
+    /// All parts of a request are recorded for its crash. So the parts are taken in order: those on
+    /// which no answer is known to have begun first, and of these the latest in the prompts. A
+    /// crash counts for the first quarantined part alone.
     fn confirm(&mut self, now: Instant, service: ServiceKey) -> Vec<PartKey> {
         let of_service = self.records.values().filter(|r| r.service == service);
         let mut ordered: Vec<&Record> = of_service
             .filter(|r| r.confirmation.is_some() || r.count(&[]) >= CRASHES_TO_CONFIRM)
             .collect();
-        ordered.sort_by_key(|r| std::cmp::Reverse((r.depth, r.crashes.len(), r.part)));
+        let order = |r: &Record| (r.begun_at.is_none(), r.depth, r.crashes.len(), r.part);
+        ordered.sort_by_key(|r| std::cmp::Reverse(order(r)));
         let mut explained: Vec<EngineRun> = Vec::new();
         let mut confirmed = Vec::new();
         let mut released = Vec::new();
@@ -321,7 +353,7 @@
     pub fn expire(&mut self, now: Instant) {
         self.records.retain(|_, r| r.expires_at() > now);
         self.trials.retain(|_, until| *until > now);
-        self.recent.retain(|_, at| now.since(*at) < RECENT_BEGIN);
+        self.recent.retain(|_, at| now.since(*at) < RETENTION);
     }
 
     /// Whether there are changes to push.
--- a/crates/state/quarantine/src/record.rs
+++ b/crates/state/quarantine/src/record.rs
@@ -8,13 +8,15 @@
 use crate::key::PartKey;
 use crate::key::ServiceKey;
 
-/// Maximum number of crashes that one record holds.
-pub const MAX_CRASHES: usize = 8;
+/// Maximum number of crashes that one record holds; the latest ones are kept.
+pub const MAX_CRASHES: usize = 16;
 /// Crashes that follow one another faster are counted as one: a rack that fails takes several
 /// engines at once, a request takes the next one after its prompt was read there.
 const MIN_SPACING: Duration = Duration::from_millis(25);
 /// How long a record is kept after its last crash or begin.
-const RETENTION: Duration = Duration::from_secs(300);
+pub const RETENTION: Duration = Duration::from_secs(300);
+/// A part that began within this time before a crash did not cause it.
+pub const RECENT_BEGIN: Duration = Duration::from_millis(1_000);
 /// How long a part is quarantined at first. Each failed trial doubles the time.
 const FIRST_HOLD: Duration = Duration::from_secs(60);
 /// The largest number of times that the first hold is doubled.
@@ -61,7 +63,7 @@
     pub depth: u16,
     /// The crashes since an answer on the part last began, in order of time.
     pub crashes: Vec<Crash>,
-    /// When an answer on the part last began, if that was after a crash.
+    /// When an answer on the part last began, as far as that is known.
     pub begun_at: Option<Instant>,
     /// Set while the part is quarantined.
     pub confirmation: Option<Confirmation>,
@@ -83,15 +85,48 @@
     /// Adds a crash. Returns whether it was not recorded before.
     pub fn add_crash(&mut self, crash: Crash) -> bool {
         let is_known = self.crashes.iter().any(|c| c.run == crash.run);
-        let is_over = self.begun_at.is_some_and(|begun| crash.at <= begun);
-        if is_known || is_over || self.crashes.len() >= MAX_CRASHES {
+        let is_excused = self.begun_at.is_some_and(|at| is_excused(&crash, at));
+        let is_older = self.crashes.first().is_some_and(|c| crash.at <= c.at);
+        let is_full = self.crashes.len() >= MAX_CRASHES;
+        if is_known || is_excused || (is_full && is_older) {
             return false;
         }
+        if is_full {
+            self.crashes.remove(0);
+        }
         self.crashes.push(crash);
         self.crashes.sort_by_key(|c| c.at);
         true
     }
 
+    /// Records that an answer on the part began at `at`, maybe before its crashes. Those that
+    /// the part can't have caused are removed, as is an earlier quarantine.
+    pub fn add_begin(&mut self, at: Instant) {
+        self.begun_at = self.begun_at.max(Some(at));
+        self.crashes.retain(|c| !is_excused(c, at));
+        self.drop_unfounded_confirmation();
+    }
+
+    /// Ends a quarantine after which an answer began, or whose crashes are all excused.
+    fn drop_unfounded_confirmation(&mut self) {
+        let begun_at = self.begun_at;
+        let is_founded = !self.crashes.is_empty();
+        self.confirmation = self
+            .confirmation
+            .filter(|c| begun_at.is_none_or(|at| at < c.at) && (is_founded || c.failed_trials > 0));
+    }
+
+    /// Whether a begin at `at` would be new, or would excuse any of the crashes.
+    pub fn needs_begin(&self, at: Instant) -> bool {
+        self.begun_at.is_none() || self.crashes.iter().any(|c| is_excused(c, at))
+    }
+
+    /// Whether all crashes of the part were of requests that also had the part of `other`.
+    pub fn is_covered_by(&self, other: &Self) -> bool {
+        let has = |crash: &Crash| other.crashes.iter().any(|c| c.run == crash.run);
+        other.part != self.part && other.service == self.service && self.crashes.iter().all(has)
+    }
+
     /// Records that an answer on the part began, which clears it.
     pub fn set_begun(&mut self, now: Instant) {
         self.begun_at = Some(now);
@@ -123,8 +158,7 @@
                 .begun_at
                 .is_none_or(|ours| theirs.since(ours) > SAME_EVENT)
         {
-            self.begun_at = Some(theirs);
-            self.crashes.retain(|c| c.at > theirs);
+            self.add_begin(theirs);
         }
         for crash in &other.crashes {
             self.add_crash(*crash);
@@ -137,11 +171,7 @@
         if is_newer {
             self.confirmation = other.confirmation;
         }
-        if let (Some(begun), Some(confirmation)) = (self.begun_at, self.confirmation)
-            && begun >= confirmation.at
-        {
-            self.confirmation = None;
-        }
+        self.drop_unfounded_confirmation();
         *self != before
     }
 
@@ -171,3 +201,8 @@
         xxhash_rust::xxh3::xxh3_64(&bytes)
     }
 }
+
+/// Whether a part on which an answer began at `begun_at` did not cause the crash.
+fn is_excused(crash: &Crash, begun_at: Instant) -> bool {
+    crash.at.since(begun_at) < RECENT_BEGIN
+}
--- a/crates/state/quarantine/tests/quarantine.rs
+++ b/crates/state/quarantine/tests/quarantine.rs
@@ -186,6 +186,106 @@
     }
 }
 
+// Guards against LOST of issue 36: five crashes between two sound requests, whose common part stands
+// behind the one at fault, quarantined that part, too.
+#[test]
+fn crash_spares_a_part_that_began_before() {
+    let mut q = Quarantine::default();
+    q.on_begin(at(0), SERVICE, &[OTHER, SHARED]);
+    for i in 0..5 {
+        crash(&mut q, 4_000 + i * 60, i, &[BAD, SHARED]);
+    }
+    assert_eq!(q.quarantined_parts(), 1);
+    assert!(admit(&mut q, 5_000, &[SHARED]) && admit(&mut q, 5_000, &[SHARED]));
+    assert!(!admit(&mut q, 5_000, &[BAD]));
+}
+
+// The instance that sees the crashes learns from another one that the common part has begun.
+#[test]
+fn merge_spares_a_part_that_began_at_another_instance() {
+    let mut q = Quarantine::default();
+    let mut other = Quarantine::default();
+    other.on_begin(at(0), SERVICE, &[OTHER, SHARED]);
+    for i in 0..5 {
+        crash(&mut q, 4_000 + i * 60, i, &[BAD, SHARED]);
+    }
+    assert!(other.merge(at(4_300), &q.take_changed()));
+    assert!(other.has_changed());
+    q.merge(at(4_310), &other.take_changed());
+    for q in [&mut q, &mut other] {
+        assert_eq!(q.quarantined_parts(), 1);
+        assert!(admit(q, 4_400, &[SHARED]) && admit(q, 4_400, &[SHARED]));
+        assert!(!admit(q, 4_400, &[BAD, SHARED]));
+    }
+    // The exchange ends.
+    other.merge(at(4_420), &q.take_changed());
+    assert!(!other.has_changed());
+}
+
+// A begin excuses the crashes within a second after it wherever it is known, in any order.
+#[test]
+fn merge_excuses_crashes_just_after_a_begin() {
+    let mut q = Quarantine::default();
+    let mut other = Quarantine::default();
+    other.on_begin(at(0), SERVICE, &[SHARED]);
+    for i in 0..5 {
+        crash(&mut q, 300 + i * 60, i, &[SHARED]);
+    }
+    assert!(!admit(&mut q, 600, &[SHARED]));
+    other.merge(at(600), &q.take_changed());
+    q.merge(at(610), &other.take_changed());
+    for q in [&mut q, &mut other] {
+        assert!(admit(q, 700, &[SHARED]) && admit(q, 700, &[SHARED]));
+    }
+}
+
+/// Returns the state after five crashes of requests with both parts, on none of which an answer
+/// has begun before.
+fn undecided() -> Quarantine {
+    let mut q = Quarantine::default();
+    for i in 0..5 {
+        crash(&mut q, i * 60, i, &[BAD, SHARED]);
+    }
+    q
+}
+
+// Nothing tells the two parts apart but a request that has one of them.
+#[test]
+fn trial_of_the_other_part_passes() {
+    let mut q = undecided();
+    assert!(!admit(&mut q, 400, &[BAD, SHARED]));
+    assert!(admit(&mut q, 400, &[SHARED]));
+    assert_eq!(q.recheck(at(410), &[SHARED]), Admission::Admitted);
+    assert!(!admit(&mut q, 420, &[SHARED]));
+    q.on_begin(at(500), SERVICE, &[SHARED]);
+    assert!(admit(&mut q, 510, &[SHARED]) && admit(&mut q, 510, &[SHARED]));
+    assert!(!admit(&mut q, 510, &[BAD]));
+}
+
+#[test]
+fn trial_of_the_other_part_fails() {
+    let mut q = undecided();
+    assert!(admit(&mut q, 400, &[SHARED]));
+    crash(&mut q, 500, 9, &[SHARED]);
+    assert!(!admit(&mut q, 510, &[SHARED]));
+    assert!(!admit(&mut q, 5_000, &[SHARED]));
+    assert_ne!(q.recheck(at(5_000), &[SHARED]), Admission::Admitted);
+    assert!(admit(&mut q, 510, &[BAD]));
+}
+
+// Requests that were sent before any instance knew of the part.
+#[test]
+fn crash_many_in_flight_are_explained_by_one_part() {
+    let mut q = Quarantine::default();
+    q.on_begin(at(0), SERVICE, &[SHARED]);
+    for i in 0..40 {
+        crash(&mut q, 2_000 + i * 30, i, &[BAD, SHARED]);
+    }
+    assert_eq!(q.quarantined_parts(), 1);
+    assert!(admit(&mut q, 3_300, &[SHARED]) && admit(&mut q, 3_300, &[SHARED]));
+    assert!(!admit(&mut q, 3_300, &[BAD]));
+}
+
 #[test]
 fn recheck_of_a_request_that_waited() {
     let q = quarantined();
