Store: a watch that lost its connection is noticed within the bound

Cause: a watch waits for 6.5 s, and the probe beside it asked over another connection whether the store answers, not whether there is something newer.

One instance of all has short watches; a watch that breaks or gets no answer is followed by a read over a new connection at once, and what it brings is pushed to the other data centres, too. Only if that read fails the store counts as lost. A watch is also given up when others are ahead of it, when the probe shows a newer manifest, or when the assignment has gone. The calls for it are saved where the lease of others is polled: that read may be stale, as a takeover is conditional on the version.

--- a/crates/coordination/lease/src/holder.rs
+++ b/crates/coordination/lease/src/holder.rs
@@ -182,6 +182,13 @@
         self.release.is_some() && self.term.is_none()
     }
 
+    /// Whether the answer to [`Action::Get`] may be an older state of the object. That is so while
+    /// another instance is known to hold the lease: a takeover is conditional on the version that
+    /// was read, so an older one costs a refused write at most.
+    pub fn may_read_stale(&self) -> bool {
+        self.settled
+    }
+
     /// Handles an event and returns the next call to the platform.
     pub fn on_event(&mut self, now: Instant, event: Event) -> Option<Action> {
         match event {
@@ -231,11 +238,18 @@
     }
 
     fn on_read(&mut self, now: Instant, object: Option<(Value, ObjectVersion)>) {
+        let is_older = match &object {
+            Some((_, version)) => self.version.is_some_and(|known| *version < known),
+            None => self.version.is_some(),
+        };
+        if is_older && self.settled {
+            self.next_call_at = now + self.options.retry;
+        }
         let Some((value, version)) = object else {
             self.settled |= self.version.is_none();
             return;
         };
-        if self.version.is_some_and(|known| version < known) {
+        if is_older {
             return;
         }
         self.settled = true;
--- a/crates/coordination/lease/tests/holder.rs
+++ b/crates/coordination/lease/tests/holder.rs
@@ -50,6 +50,8 @@
     Late,
     /// The answer arrives at a later [`Op::DeliverSlowAnswer`].
     Slow,
+    /// A read that permits it returns the object as it was this number of writes ago.
+    Stale(u8),
 }
 
 /// `Op` is one step of a simulation.
@@ -94,6 +96,8 @@
     real_us: u64,
     mode: Mode,
     object: Option<(Value, ObjectVersion)>,
+    /// All states of the object that were replaced.
+    replaced: Vec<Option<(Value, ObjectVersion)>>,
     processes: Vec<Process>,
     started: u64,
     late_writes: Vec<(Value, Precondition)>,
@@ -119,6 +123,7 @@
             1 => Just(Mode::LoseAnswer),
             1 => Just(Mode::Late),
             1 => Just(Mode::Slow),
+            2 => (1_u8..6).prop_map(Mode::Stale),
         ].prop_map(Op::Mode),
         1 => any::<u8>().prop_map(Op::ApplyLateWrite),
         2 => any::<u8>().prop_map(Op::DeliverSlowAnswer),
@@ -138,6 +143,7 @@
             real_us: 0,
             mode: Mode::Up,
             object: None,
+            replaced: Vec::new(),
             processes: Vec::new(),
             started: 0,
             late_writes: Vec::new(),
@@ -243,12 +249,17 @@
     fn call(&mut self, i: usize, action: Action) {
         let event = match action {
             Action::Get => match self.mode {
-                Mode::Up | Mode::Slow => Event::Read(self.object.clone()),
+                Mode::Stale(age) if self.processes[i].holder.may_read_stale() => {
+                    let at = self.replaced.len().saturating_sub(age.into());
+                    let state = self.replaced.get(at).unwrap_or(&self.object);
+                    Event::Read(state.clone())
+                }
+                Mode::Up | Mode::Slow | Mode::Stale(_) => Event::Read(self.object.clone()),
                 Mode::Down | Mode::LoseAnswer | Mode::Late => Event::PlatformDown,
             },
             Action::Put { write, value, when } => {
                 let outcome = match self.mode {
-                    Mode::Up | Mode::Slow => self.write(value, when),
+                    Mode::Up | Mode::Slow | Mode::Stale(_) => self.write(value, when),
                     Mode::Down => Outcome::Refused,
                     Mode::LoseAnswer => {
                         self.write(value, when);
@@ -264,7 +275,7 @@
         };
         match self.mode {
             Mode::Slow => self.slow_answers.push((i, self.processes[i].number, event)),
-            Mode::Up | Mode::Down | Mode::LoseAnswer | Mode::Late => {
+            Mode::Up | Mode::Down | Mode::LoseAnswer | Mode::Late | Mode::Stale(_) => {
                 self.processes[i].inbox.push(event);
             }
         }
@@ -281,7 +292,8 @@
             return Outcome::Conflict;
         }
         let version = ObjectVersion(version.unwrap_or_default().0 + 1);
-        self.object = Some((value, version));
+        let replaced = self.object.replace((value, version));
+        self.replaced.push(replaced);
         Outcome::Done(version)
     }
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -32,11 +32,19 @@
 use crate::instances;
 use crate::updates;
 
-/// How long a watch waits for a change. A waiting watch costs one call. An unresponsive
-/// store answers no watch, so this also bounds how late its recovery is detected.
+/// How long a watch waits for a change. A waiting watch costs one call.
 const WATCH_WAIT: Duration = Duration::from_secs(5);
 /// How long a watch of the instances waits: no request depends on their latest state.
 const INSTANCES_WAIT: Duration = Duration::from_secs(20);
+/// How long after the end of a watch's wait its answer may arrive: it may be large.
+const WATCH_GRACE: Duration = Duration::from_millis(1_500);
+/// A connection may lose the answer to a watch without a sign of it. So one instance waits for
+/// this share of the time bound of a change only, and its answer is due this share later. The
+/// rest is left to read the change over another connection and to pass it on.
+const SHORT_WAIT_SHARE: f64 = 0.55;
+const SHORT_GRACE_SHARE: f64 = 0.2;
+/// Interval at which a waiting watch is compared with what other instances have received.
+const COMPARE_INTERVAL: Duration = Duration::from_millis(300);
 /// Pause after changes of the servers before the next watch: changes often arrive
 /// together, and each watch costs a call.
 const GATHER_TIME: Duration = Duration::from_millis(150);
@@ -73,10 +81,31 @@
 enum ReadResult {
     /// All objects of the kind.
     All(Listing),
-    /// The changes after the cached version, and the version that they lead to.
-    Changes(Vec<Change>, u64),
+    /// The changes after a version.
+    Changes(Watched),
     /// The store has dropped the history: all objects have to be read.
     Lost,
+    /// Nothing, as this instance no longer has the assignment.
+    Unassigned,
+}
+
+/// `Watched` holds the changes of a kind between two versions of the store.
+struct Watched {
+    changes: Vec<Change>,
+    after: u64,
+    version: u64,
+    /// Whether an earlier watch gave no answer, so that others may wait in vain, too.
+    is_late: bool,
+}
+
+/// `Interruption` says why a watch is given up.
+enum Interruption {
+    /// The store no longer answers this instance.
+    Unresponsive(Error),
+    /// There are changes that the watch has not returned.
+    Overtaken,
+    /// Other instances have the assignment now.
+    Unassigned,
 }
 
 /// Reads one kind from the store whenever this instance has that assignment, until the
@@ -99,7 +128,7 @@
             continue;
         }
         let applied = (version > 0 && !is_history_lost).then_some(version);
-        match read_next(&gateway, kind, applied).await {
+        match read_next(&gateway, kind, applied, is_unavailable).await {
             Ok(result) => {
                 gateway.store_cache.set_served(kind, true);
                 if is_unavailable {
@@ -109,7 +138,7 @@
                 }
                 is_history_lost = matches!(result, ReadResult::Lost);
                 pause = MIN_PAUSE;
-                apply(&gateway, kind, version, result).await;
+                apply(&gateway, kind, result).await;
             }
             Err(e) => {
                 gateway.store_cache.set_served(kind, false);
@@ -127,13 +156,19 @@
     }
 }
 
-/// Whether this instance reads a kind from the store now: it is one of those that watch
-/// it, or it has not received any object of the kind.
+/// Whether this instance reads a kind from the store now: it has the assignment, or it has not
+/// received any object of the kind.
 fn has_assignment(gateway: &Gateway, kind: Kind, version: u64, started: Instant) -> bool {
     if version == 0 {
         return kind == Kind::Instances || started.elapsed() >= PEERS_FIRST_TIME;
     }
-    gateway.peers.watches(gateway.now(), kind)
+    is_assigned(gateway, kind)
+}
+
+/// Whether this instance is one of those that watch a kind.
+fn is_assigned(gateway: &Gateway, kind: Kind) -> bool {
+    let now = gateway.now();
+    gateway.peers.watches(now, kind) || gateway.peers.has_short_watches(now)
 }
 
 /// Handles the recovery of the store. If the store has served other instances meanwhile,
@@ -147,68 +182,175 @@
     }
 }
 
-/// Reads all objects, or waits for the next changes after `version`.
-async fn read_next(gateway: &Gateway, kind: Kind, version: Option<u64>) -> Result<ReadResult> {
+/// Reads all objects, or waits for the next changes after `version`. While the store is
+/// unavailable it does not wait, so that the recovery shows at once.
+async fn read_next(
+    gateway: &Gateway,
+    kind: Kind,
+    version: Option<u64>,
+    is_unavailable: bool,
+) -> Result<ReadResult> {
     let Some(version) = version else {
         return Ok(ReadResult::All(
             gateway.store.list(name(kind), false).await?,
         ));
     };
-    let wait = match kind {
-        Kind::Routes | Kind::Servers => WATCH_WAIT,
-        Kind::Instances => INSTANCES_WAIT,
-    };
-    let watch = gateway.store.watch(name(kind), version, wait);
-    let watched = match kind {
-        // Changes of the routes have a time bound, so a stuck watch must not keep this
-        // instance from giving up the assignment.
-        Kind::Routes => tokio::select! {
-            watched = watch => watched?,
-            e = wait_until_unresponsive(gateway) => return Err(e),
+    if is_unavailable {
+        return read_newer(gateway, kind, version, false).await;
+    }
+    let is_short = gateway.peers.has_short_watches(gateway.now());
+    let (wait, grace) = wait_and_grace(gateway, kind, is_short);
+    let watch = gateway.store.watch(name(kind), version, wait, grace);
+    let watched = tokio::select! {
+        watched = watch => watched,
+        interruption = interrupt(gateway, kind, version, is_short) => match interruption {
+            Interruption::Unresponsive(e) => return Err(e),
+            Interruption::Unassigned => return Ok(ReadResult::Unassigned),
+            Interruption::Overtaken => Err(Error::platform_unavailable("the watch is stuck")),
         },
-        Kind::Servers | Kind::Instances => watch.await?,
     };
     match watched {
+        Ok(outcome) => Ok(read_result(gateway, kind, version, outcome, false)),
+        Err(e) => {
+            if let Some(left_out) = gateway.lines.take(gateway.now(), "watch_replaced") {
+                info!(gateway.log, "watch replaced"; "kind" => name(kind), "version" => version,
+                    "error" => %e, "left_out" => left_out);
+            }
+            gateway.counters.add("watches_replaced");
+            // Other connections to the store may be affected, too.
+            gateway.store.close_idle();
+            read_newer(gateway, kind, gateway.store_cache.version(kind), true).await
+        }
+    }
+}
+
+/// Returns how long a watch waits, and how much later its answer may arrive.
+fn wait_and_grace(gateway: &Gateway, kind: Kind, is_short: bool) -> (Duration, Duration) {
+    let bound = match kind {
+        Kind::Routes => gateway.settings.bounds.apply,
+        Kind::Servers => gateway.settings.bounds.drain,
+        Kind::Instances => return (INSTANCES_WAIT, WATCH_GRACE),
+    };
+    match is_short {
+        true => (
+            bound.mul_f64(SHORT_WAIT_SHARE),
+            bound.mul_f64(SHORT_GRACE_SHARE),
+        ),
+        false => (WATCH_WAIT, WATCH_GRACE),
+    }
+}
+
+/// Reads the changes after `version` without waiting for more. Of the routes only the newest
+/// version matters, so the versions before it are not read.
+async fn read_newer(
+    gateway: &Gateway,
+    kind: Kind,
+    version: u64,
+    is_late: bool,
+) -> Result<ReadResult> {
+    let store = &gateway.store;
+    if kind == Kind::Routes {
+        let listing = store.list(name(kind), false).await?;
+        let newer = listing.objects.into_iter();
+        let newer = newer.filter(|object| object.version.0 > version);
+        let changes = newer.map(|object| Change {
+            object,
+            is_removed: false,
+        });
+        return Ok(ReadResult::Changes(Watched {
+            changes: changes.collect(),
+            after: 0,
+            version: listing.version,
+            is_late,
+        }));
+    }
+    let outcome = store.watch(name(kind), version, Duration::ZERO, WATCH_GRACE);
+    Ok(read_result(gateway, kind, version, outcome.await?, is_late))
+}
+
+fn read_result(
+    gateway: &Gateway,
+    kind: Kind,
+    after: u64,
+    outcome: WatchOutcome,
+    is_late: bool,
+) -> ReadResult {
+    match outcome {
         WatchOutcome::Lost => {
-            info!(gateway.log, "history lost"; "kind" => name(kind), "version" => version);
-            Ok(ReadResult::Lost)
+            info!(gateway.log, "history lost"; "kind" => name(kind), "version" => after);
+            ReadResult::Lost
         }
-        WatchOutcome::Changes(changes, next) => Ok(ReadResult::Changes(changes, next)),
+        WatchOutcome::Changes(changes, version) => ReadResult::Changes(Watched {
+            changes,
+            after,
+            version,
+            is_late,
+        }),
     }
 }
 
-/// Returns the error of a probe once the store no longer answers this instance.
-async fn wait_until_unresponsive(gateway: &Gateway) -> Error {
+/// Returns why a watch from `version` is to be given up, once there is a reason.
+async fn interrupt(gateway: &Gateway, kind: Kind, version: u64, is_short: bool) -> Interruption {
+    let mut probe_at = Instant::now() + PROBE_INTERVAL;
+    let mut was_overtaken = false;
     loop {
-        sleep(PROBE_INTERVAL).await;
-        if let Err(e) = gateway.store.probe(PROBE_TIMEOUT).await {
-            return e;
+        sleep(COMPARE_INTERVAL).await;
+        // The answer of the watch may be on its way.
+        let is_overtaken = gateway.store_cache.changed(kind) > version;
+        if !is_assigned(gateway, kind) {
+            return Interruption::Unassigned;
+        }
+        if is_overtaken && was_overtaken {
+            return Interruption::Overtaken;
+        }
+        was_overtaken = is_overtaken;
+        // Changes of the routes have a time bound, so a long watch that is stuck must not keep this
+        // instance from giving up the assignment.
+        if kind == Kind::Routes && !is_short && Instant::now() >= probe_at {
+            match gateway.store.probe(PROBE_TIMEOUT).await {
+                Ok(Some(changed)) if changed.0 > gateway.store_cache.version(kind) => {
+                    return Interruption::Overtaken;
+                }
+                Ok(_) => probe_at = Instant::now() + PROBE_INTERVAL,
+                Err(e) => return Interruption::Unresponsive(e),
+            }
         }
     }
 }
 
 /// Applies what was read from the store and pushes changes to the other instances.
-async fn apply(gateway: &Arc<Gateway>, kind: Kind, after: u64, result: ReadResult) {
+async fn apply(gateway: &Arc<Gateway>, kind: Kind, result: ReadResult) {
     match result {
-        ReadResult::Lost => {}
+        ReadResult::Lost | ReadResult::Unassigned => {}
         ReadResult::All(listing) => apply_all(gateway, kind, listing.version, &listing.objects),
-        ReadResult::Changes(changes, version) => {
-            let has_changes = !changes.is_empty();
-            apply_changes(gateway, kind, version, &changes);
-            if has_changes {
-                updates::push(gateway, kind, after, version, &changes);
-                if kind == Kind::Servers {
-                    sleep(GATHER_TIME).await;
-                }
+        ReadResult::Changes(watched) => {
+            let Watched {
+                changes,
+                after,
+                version,
+                is_late,
+            } = watched;
+            let is_applied = apply_changes(gateway, kind, version, &changes);
+            if changes.is_empty() || (is_late && !is_applied) {
+                return;
+            }
+            let mut receivers = gateway.peers.same_data_centre();
+            if is_late {
+                receivers.extend(gateway.peers.remote_watchers(gateway.now(), kind));
+            }
+            updates::push(gateway, receivers, kind, after, version, &changes);
+            if kind == Kind::Servers {
+                sleep(GATHER_TIME).await;
             }
         }
     }
 }
 
-/// Applies all changes of a kind up to `version`, unless that version is cached already.
-pub fn apply_changes(gateway: &Arc<Gateway>, kind: Kind, version: u64, changes: &[Change]) {
+/// Applies all changes of a kind up to `version`, unless that version is cached already. Returns
+/// whether they were applied.
+pub fn apply_changes(gateway: &Arc<Gateway>, kind: Kind, version: u64, changes: &[Change]) -> bool {
     if version <= gateway.store_cache.version(kind) {
-        return;
+        return false;
     }
     for change in changes {
         gateway
@@ -226,6 +368,7 @@
     if !changes.is_empty() {
         refresh_queue_owners(gateway);
     }
+    true
 }
 
 /// Applies all objects of a kind as of a version of the store, unless a later one is
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -78,7 +78,7 @@
             action = action.or(holder.on_event(gateway.now(), Event::Stop));
         }
         while let Some(next) = action {
-            let event = perform(&gateway, next).await;
+            let event = perform(&gateway, next, holder.may_read_stale()).await;
             action = holder.on_event(gateway.now(), event);
         }
         let now = gateway.now();
@@ -134,15 +134,18 @@
 }
 
 /// Performs a call to the store for the lease holder and returns its result as an event.
-async fn perform(gateway: &Gateway, action: Action) -> Event {
+async fn perform(gateway: &Gateway, action: Action, may_be_stale: bool) -> Event {
     match action {
-        Action::Get => match gateway.store.get(LEASE_KIND, LEASE_NAME).await {
-            Ok(object) => Event::Read(object.and_then(|object| {
-                let value = serde_json::from_str(object.content.get()).ok()?;
-                Some((parse_lease(&value)?, object.version))
-            })),
-            Err(_) => Event::PlatformDown,
-        },
+        Action::Get => {
+            let object = gateway.store.get(LEASE_KIND, LEASE_NAME, may_be_stale);
+            match object.await {
+                Ok(object) => Event::Read(object.and_then(|object| {
+                    let value = serde_json::from_str(object.content.get()).ok()?;
+                    Some((parse_lease(&value)?, object.version))
+                })),
+                Err(_) => Event::PlatformDown,
+            }
+        }
         Action::Put { write, value, when } => {
             let content = json!({
                 "holder": &*value.holder,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -162,13 +162,16 @@
         live.into_iter().cloned().collect()
     }
 
+    /// Returns the instances that the store does not serve.
+    fn unserved(&self, now: Instant) -> SeededHashMap<Arc<str>, Instant> {
+        let mut unserved = self.unserved.lock();
+        unserved.retain(|_, until| *until > now);
+        unserved.clone()
+    }
+
     /// Returns the instances of a data centre that watch a kind in the store.
     fn watchers(&self, now: Instant, kind: store::Kind, data_centre: &str) -> Vec<Instance> {
-        let unserved = {
-            let mut unserved = self.unserved.lock();
-            unserved.retain(|_, until| *until > now);
-            unserved.clone()
-        };
+        let unserved = self.unserved(now);
         let may_watch =
             |i: &Instance| *i.data_centre == *data_centre && !unserved.contains_key(&i.name);
         let mut watchers = self.ranked(WATCH_ASSIGNMENT, may_watch);
@@ -185,6 +188,21 @@
         watchers.iter().any(|i| i.name == self.me.name)
     }
 
+    /// Whether this instance is the one, of all that watch the store, whose watches are short.
+    pub fn has_short_watches(&self, now: Instant) -> bool {
+        let unserved = self.unserved(now);
+        let may_watch = |i: &Instance| !unserved.contains_key(&i.name);
+        let first = self.ranked(WATCH_ASSIGNMENT, may_watch).into_iter().next();
+        first.is_none_or(|i| i.name == self.me.name)
+    }
+
+    /// Returns the instances of the other data centres that watch a kind in the store.
+    pub fn remote_watchers(&self, now: Instant, kind: store::Kind) -> Vec<Instance> {
+        let data_centres = self.data_centres();
+        let watchers = data_centres.iter().map(|d| self.watchers(now, kind, d));
+        watchers.flatten().collect()
+    }
+
     /// Returns another instance to pull updates from: one that watches the store.
     /// Instances that watch it themselves pull from the watchers of all data centres.
     pub fn update_source(&self, now: Instant) -> Option<Instance> {
@@ -193,9 +211,7 @@
         }
         let mut sources = self.watchers(now, store::Kind::Routes, &self.me.data_centre);
         if sources.iter().any(|i| i.name == self.me.name) {
-            for data_centre in self.data_centres() {
-                sources.extend(self.watchers(now, store::Kind::Routes, &data_centre));
-            }
+            sources.extend(self.remote_watchers(now, store::Kind::Routes));
             sources.retain(|i| i.name != self.me.name);
         }
         let source = sources.choose(&mut rand::rng()).cloned();
--- a/crates/gateway/src/store_cache.rs
+++ b/crates/gateway/src/store_cache.rs
@@ -57,6 +57,11 @@
         self.of(kind).lock().version
     }
 
+    /// Returns the version at which an object of a kind last changed, 0 if there is none.
+    pub fn changed(&self, kind: Kind) -> u64 {
+        self.of(kind).lock().changed
+    }
+
     /// Replaces all objects of a kind, unless a later version is cached.
     pub fn replace(&self, kind: Kind, version: u64, objects: &[Object]) {
         let mut cached = self.of(kind).lock();
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -85,14 +85,21 @@
                 is_removed: false,
             });
             let changes: Vec<Change> = changes.collect();
-            push(gateway, newer.kind, 0, newer.version, &changes);
+            let receivers = gateway.peers.same_data_centre();
+            push(gateway, receivers, newer.kind, 0, newer.version, &changes);
         }
     }
 }
 
-/// Pushes the changes between two versions of the store to the other instances of this
-/// data centre.
-pub fn push(gateway: &Arc<Gateway>, kind: Kind, after: u64, version: u64, changes: &[Change]) {
+/// Pushes the changes of a kind between two versions of the store to other instances.
+pub fn push(
+    gateway: &Arc<Gateway>,
+    receivers: Vec<Instance>,
+    kind: Kind,
+    after: u64,
+    version: u64,
+    changes: &[Change],
+) {
     let settling = gateway.directory.read().settling(gateway.now());
     let objects = changes.iter().map(|change| Changed {
         name: change.object.name.clone(),
@@ -105,10 +112,13 @@
         settling_ms: u32::try_from(settling.as_millis()).unwrap_or(u32::MAX),
         objects: objects.collect(),
     };
+    send(gateway, receivers, changes);
+}
+
+fn send(gateway: &Arc<Gateway>, receivers: Vec<Instance>, changes: Changes) {
     let gateway = Arc::clone(gateway);
     tokio::spawn(async move {
-        let others = gateway.peers.same_data_centre();
-        let calls = others.iter().map(|other| {
+        let calls = receivers.iter().map(|other| {
             let message = Message::Update(changes.clone());
             gateway.peers.call(other, Request::Store(message))
         });
@@ -149,9 +159,14 @@
         }
         return;
     }
-    let objects = changes.objects.into_iter().filter_map(parse_change);
+    let objects = changes.objects.iter().cloned().filter_map(parse_change);
     let objects: Vec<Change> = objects.collect();
-    follow::apply_changes(gateway, changes.kind, changes.version, &objects);
+    let is_applied = follow::apply_changes(gateway, changes.kind, changes.version, &objects);
+    let sender = gateway.peers.get(from);
+    let is_remote = sender.is_some_and(|i| i.data_centre != gateway.peers.me().data_centre);
+    if is_applied && is_remote {
+        send(gateway, gateway.peers.same_data_centre(), changes);
+    }
 }
 
 /// Returns the change of one object, or `None` if its content is not JSON.
