Store: a merge of changes is one step

Instances could put an older manifest, or the entry of a server before it left, over a newer one (CONFIG, DRAIN). Found by reading; only processes with several cores are affected. Cause: the version was compared, the objects were applied and the version was raised in separate steps, from the tasks of watch, push and pull.

All of it now happens under the lock of the kind's cache, so content, version and what is in force belong together.

The tests of the cache use the new calls and check in addition that nothing older is put in force.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -349,35 +349,27 @@
 /// Applies all changes of a kind up to `version`, unless that version is cached already. Returns
 /// whether they were applied.
 pub fn apply_changes(gateway: &Arc<Gateway>, kind: Kind, version: u64, changes: &[Change]) -> bool {
-    if version <= gateway.store_cache.version(kind) {
-        return false;
-    }
-    for change in changes {
-        gateway
-            .store_cache
-            .apply_change(kind, &change.object, change.is_removed);
-        match kind {
-            Kind::Routes => apply_routes(gateway, &change.object),
-            Kind::Servers => apply_server(gateway, change),
-            Kind::Instances => apply_instance(gateway, change),
+    let put_in_force = || {
+        for change in changes {
+            match kind {
+                Kind::Routes => apply_routes(gateway, &change.object),
+                Kind::Servers => apply_server(gateway, change),
+                Kind::Instances => apply_instance(gateway, change),
+            }
         }
-    }
-    gateway
-        .store_cache
-        .advance_to(kind, version, !changes.is_empty());
-    if !changes.is_empty() {
+    };
+    let cache = &gateway.store_cache;
+    let is_applied = cache.apply_changes(kind, version, changes, put_in_force);
+    if is_applied && !changes.is_empty() {
         refresh_queue_owners(gateway);
     }
-    true
+    is_applied
 }
 
 /// Applies all objects of a kind as of a version of the store, unless a later one is
 /// cached.
 pub fn apply_all(gateway: &Arc<Gateway>, kind: Kind, version: u64, objects: &[Object]) {
-    if version < gateway.store_cache.version(kind) {
-        return;
-    }
-    match kind {
+    let put_in_force = || match kind {
         Kind::Routes => {
             for object in objects {
                 apply_routes(gateway, object);
@@ -388,9 +380,11 @@
             let listed = objects.iter().filter_map(instances::parse);
             gateway.peers.replace(listed.collect());
         }
+    };
+    let cache = &gateway.store_cache;
+    if cache.replace(kind, version, objects, put_in_force) {
+        refresh_queue_owners(gateway);
     }
-    gateway.store_cache.replace(kind, version, objects);
-    refresh_queue_owners(gateway);
 }
 
 /// Replaces the list of servers.
@@ -424,7 +418,8 @@
     }
 }
 
-/// Applies the routes if their version is newer.
+/// Applies the routes if their version is newer. Only one call runs at a time, as the cache of
+/// the routes is locked meanwhile.
 fn apply_routes(gateway: &Gateway, object: &Object) {
     if object.name != manifest::NAME {
         return;
--- a/crates/gateway/src/store_cache.rs
+++ b/crates/gateway/src/store_cache.rs
@@ -6,6 +6,7 @@
 use parking_lot::Mutex;
 
 use hemlockwind_core::time::Instant;
+use hemlockwind_platform::store::Change;
 use hemlockwind_platform::store::Object;
 use hemlockwind_protocol::peer::store::Answer;
 use hemlockwind_protocol::peer::store::Kind;
@@ -62,38 +63,57 @@
         self.of(kind).lock().changed
     }
 
-    /// Replaces all objects of a kind, unless a later version is cached.
-    pub fn replace(&self, kind: Kind, version: u64, objects: &[Object]) {
+    /// Replaces all objects of a kind by those as of `version`, unless a later version is cached.
+    /// Returns whether it did. `put_in_force` is called within the same step, so that of two
+    /// concurrent calls the one with the older version can't come last.
+    pub fn replace(
+        &self,
+        kind: Kind,
+        version: u64,
+        objects: &[Object],
+        put_in_force: impl FnOnce(),
+    ) -> bool {
         let mut cached = self.of(kind).lock();
         if version < cached.version {
-            return;
+            return false;
         }
         let objects = objects.iter();
         cached.objects = objects
             .map(|o| (o.name.clone(), o.content.get().to_string()))
             .collect();
         (cached.version, cached.changed) = (version, version);
+        put_in_force();
+        true
     }
 
-    /// Applies one change; [`StoreCache::advance_to`] raises the version.
-    pub fn apply_change(&self, kind: Kind, object: &Object, is_removed: bool) {
+    /// Applies all changes of a kind up to `version`, unless that version is cached already.
+    /// Returns whether it did. As in [`StoreCache::replace`], all of it is one step.
+    pub fn apply_changes(
+        &self,
+        kind: Kind,
+        version: u64,
+        changes: &[Change],
+        put_in_force: impl FnOnce(),
+    ) -> bool {
         let mut cached = self.of(kind).lock();
-        match is_removed {
-            true => cached.objects.remove(&object.name),
-            false => {
-                let content = object.content.get().to_string();
-                cached.objects.insert(object.name.clone(), content)
-            }
-        };
-    }
-
-    /// Raises the version of a kind after all changes up to `version` were applied.
-    pub fn advance_to(&self, kind: Kind, version: u64, has_changes: bool) {
-        let mut cached = self.of(kind).lock();
-        cached.version = cached.version.max(version);
-        if has_changes {
-            cached.changed = cached.version;
+        if version <= cached.version {
+            return false;
+        }
+        for Change { object, is_removed } in changes {
+            match is_removed {
+                true => cached.objects.remove(&object.name),
+                false => {
+                    let content = object.content.get().to_string();
+                    cached.objects.insert(object.name.clone(), content)
+                }
+            };
+        }
+        cached.version = version;
+        if !changes.is_empty() {
+            cached.changed = version;
         }
+        put_in_force();
+        true
     }
 
     /// Sets whether the store answered the last call about a kind.
--- a/crates/gateway/tests/store_cache.rs
+++ b/crates/gateway/tests/store_cache.rs
@@ -4,6 +4,7 @@
 
 use hemlockwind_core::time::Instant;
 use hemlockwind_gateway::store_cache::StoreCache;
+use hemlockwind_platform::store::Change;
 use hemlockwind_platform::store::Object;
 use hemlockwind_protocol::peer::store::Answer;
 use hemlockwind_protocol::peer::store::Kind;
@@ -13,6 +14,13 @@
     Object::new(name.into(), content.into()).unwrap()
 }
 
+fn written(name: &str, content: &str) -> Change {
+    Change {
+        object: object(name, content),
+        is_removed: false,
+    }
+}
+
 fn query(cache: &StoreCache, version: u64) -> Answer {
     cache.answer(&[(Kind::Routes, version)], Duration::ZERO)
 }
@@ -30,9 +38,14 @@
 fn answer_newer_only() {
     let cache = StoreCache::default();
     cache.set_served(Kind::Routes, true);
-    cache.replace(Kind::Routes, 10, &[object("main", "{\"version\":1}")]);
+    cache.replace(
+        Kind::Routes,
+        10,
+        &[object("main", "{\"version\":1}")],
+        || {},
+    );
     // Nothing of this kind has changed up to version 15, so nothing is sent again.
-    cache.advance_to(Kind::Routes, 15, false);
+    assert!(cache.apply_changes(Kind::Routes, 15, &[], || {}));
     let same = Answer {
         is_served: true,
         ..Answer::default()
@@ -45,17 +58,47 @@
 #[test]
 fn answer_after_a_change() {
     let cache = StoreCache::default();
-    cache.replace(Kind::Routes, 10, &[object("main", "{\"version\":1}")]);
-    cache.apply_change(Kind::Routes, &object("main", "{\"version\":2}"), false);
-    cache.advance_to(Kind::Routes, 12, true);
+    cache.replace(
+        Kind::Routes,
+        10,
+        &[object("main", "{\"version\":1}")],
+        || {},
+    );
+    let changes = [written("main", "{\"version\":2}")];
+    assert!(cache.apply_changes(Kind::Routes, 12, &changes, || {}));
     assert_eq!(newer(&cache, 10).objects[0].1, "{\"version\":2}");
 }
 
 #[test]
 fn replace_never_goes_back() {
     let cache = StoreCache::default();
-    cache.replace(Kind::Routes, 10, &[object("main", "{\"version\":2}")]);
-    cache.replace(Kind::Routes, 8, &[object("main", "{\"version\":1}")]);
+    cache.replace(
+        Kind::Routes,
+        10,
+        &[object("main", "{\"version\":2}")],
+        || {},
+    );
+    let older = [object("main", "{\"version\":1}")];
+    let is_replaced = cache.replace(Kind::Routes, 8, &older, || panic!("put in force"));
+    assert!(!is_replaced);
+    assert_eq!(newer(&cache, 0).objects[0].1, "{\"version\":2}");
+}
+
+#[test]
+fn apply_changes_never_goes_back() {
+    let cache = StoreCache::default();
+    cache.replace(
+        Kind::Routes,
+        10,
+        &[object("main", "{\"version\":2}")],
+        || {},
+    );
+    let older = [written("main", "{\"version\":1}")];
+    for version in [8, 10] {
+        let is_applied =
+            cache.apply_changes(Kind::Routes, version, &older, || panic!("put in force"));
+        assert!(!is_applied);
+    }
     assert_eq!(newer(&cache, 0).objects[0].1, "{\"version\":2}");
 }
 
