Store: changes above the size limit of an answer lead to a list

An instance that had missed several large manifests stayed behind until the store dropped its history (CONFIG). Found by reading. Cause: the answer of a watch with all of them exceeds 4 MiB, which counted as a lost store, and the same was asked again. A push of all of them exceeded the limit of a message.

Such an answer leads to a list, and of several changes of one object the last is applied and pushed.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -15,6 +15,7 @@
 
 use hemlockwind_core::Error;
 use hemlockwind_core::Result;
+use hemlockwind_core::collections::SeededHashMap;
 use hemlockwind_core::servers::BackendServer;
 use hemlockwind_core::servers::ServerState;
 use hemlockwind_platform::manifest;
@@ -281,7 +282,7 @@
             ReadResult::Lost
         }
         WatchOutcome::Changes(changes, version) => ReadResult::Changes(Watched {
-            changes,
+            changes: latest(changes),
             after,
             version,
             is_late,
@@ -289,6 +290,18 @@
     }
 }
 
+/// Returns the last change of each object: a message to other instances has a size limit, and
+/// earlier versions of the routes may be large.
+fn latest(changes: Vec<Change>) -> Vec<Change> {
+    let mut seen: SeededHashMap<String, ()> = SeededHashMap::default();
+    let newest_first = changes.into_iter().rev();
+    let mut latest: Vec<Change> = newest_first
+        .filter(|c| seen.insert(c.object.name.clone(), ()).is_none())
+        .collect();
+    latest.reverse();
+    latest
+}
+
 /// Returns why a watch from `version` is to be given up, once there is a reason.
 async fn interrupt(gateway: &Gateway, kind: Kind, version: u64, is_short: bool) -> Interruption {
     let mut probe_at = Instant::now() + PROBE_INTERVAL;
--- a/crates/transport/backend/src/http1.rs
+++ b/crates/transport/backend/src/http1.rs
@@ -15,6 +15,7 @@
 use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -189,7 +190,13 @@
                 Error::backend_failed(format!("{addr} did not complete its response in time"));
             return Err((Attempt::Sent, error));
         };
-        let body = body.map_err(|e| (Attempt::Sent, failed(addr, &*e)))?;
+        let body = body.map_err(|e| match e.is::<LengthLimitError>() {
+            true => {
+                let error = format!("{addr} responded with more than {limit} bytes");
+                (Attempt::Sent, Error::backend_answer(error))
+            }
+            false => (Attempt::Sent, failed(addr, &*e)),
+        })?;
         let (parts, ()) = head.into_parts();
         // A faulty server may write a refusal once more. On this connection it would be taken for
         // the answer to the next request, which has the same id if it is this one sent again.
