Connections: a budget for the memory of all answers

A faulty server that sends bodies without end could use up the memory of the instance (report of another operator): each answer was bounded, but not all of them together. 200 such calls took 277 MB more; an instance has 260.

What is being read draws on a budget, reserved before the memory is used: a sixteenth of the memory of the instance, 64 MiB in hemlockwindd.

Red before: emulator hostile endless_bodies_of_many_calls_use_little_memory (277 MB, bound 80). Green with the change. backend buffer_budget and connection are new with it. part_of_a_head_is_no_answer_to_a_call and _to_a_stream, for the report on broken heads, were green before.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use hemlockwind_backend::buffer_budget::BufferBudget;
 use hemlockwind_backend::clock::SystemClock;
 use hemlockwind_backend::http1::Http1;
 use hemlockwind_core::collections::HashMap;
@@ -153,6 +154,7 @@
         let seeds = seeds.map(|seed| SocketAddr::new(seed.ip(), settings.peers.port()));
         let seeds: Vec<SocketAddr> = seeds.collect();
         let key = SharedKey::new(settings.peer_key.as_bytes());
+        let answers = BufferBudget::new(settings.memory_bytes / ALL_ANSWERS_MEMORY_DIVISOR);
         Self {
             store: Store::new(settings.store),
             queue_owners: QueueOwners::new(clock),
@@ -165,7 +167,7 @@
             routes: ArcSwap::default(),
             directory: RwLock::default(),
             servers: Servers::default(),
-            http: Http1::default(),
+            http: Http1::new(answers),
             reports: Reports::default(),
             engine_ends: EngineEnds::default(),
             pauses: Pauses::default(),
@@ -257,6 +259,9 @@
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 /// One answer may use the memory that the process may use, divided by this number.
 const ANSWER_MEMORY_DIVISOR: usize = 64;
+/// All answers that are being read may use the memory that the process may use, divided by this
+/// number.
+const ALL_ANSWERS_MEMORY_DIVISOR: usize = 16;
 /// Share of the ratio that is used: windows slide, and instances differ in load.
 const RETRY_RATIO_SHARE: f64 = 0.8;
 /// Share of the slack that is used; the rest is for instances that are not counted yet.
--- a/crates/transport/backend/src/connection.rs
+++ b/crates/transport/backend/src/connection.rs
@@ -11,9 +11,7 @@
 use http::Method;
 use http::Request;
 use http::Response;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -25,6 +23,8 @@
 use hemlockwind_core::attempt::Attempt;
 use hemlockwind_core::collections::HashMap;
 
+use crate::buffer_budget::BufferBudget;
+
 /// Time within which a connection must be opened, or the address is unreachable.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time between keep-alive pings.
@@ -33,6 +33,8 @@
 const PING_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Maximum size of a response body, in bytes.
 pub const MAX_ANSWER_BYTES: usize = 8 << 20;
+/// Maximum size of all response bodies that are being read at a time, in bytes.
+const MAX_BUFFERED_BYTES: usize = 64 << 20;
 
 /// `Failure` is the outcome of a request without a usable answer: whether the request may have
 /// run, and the error.
@@ -53,6 +55,7 @@
 pub struct Connections {
     protocol: Protocol,
     clients: Mutex<HashMap<SocketAddr, HttpClient>>,
+    budget: BufferBudget,
 }
 
 impl Connections {
@@ -61,6 +64,7 @@
         Self {
             protocol,
             clients: Mutex::default(),
+            budget: BufferBudget::new(MAX_BUFFERED_BYTES),
         }
     }
 
@@ -83,9 +87,9 @@
         let exchange = async {
             let response = self.open(addr, req).await?;
             let (parts, body) = response.into_parts();
-            let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-            let body = body.map_err(|e| (Attempt::Sent, Error::backend_failed(e.to_string())))?;
-            Ok(Response::from_parts(parts, body.to_bytes()))
+            let body = self.budget.read(addr, body, MAX_ANSWER_BYTES).await;
+            let body = body.map_err(|e| (Attempt::Sent, e))?;
+            Ok(Response::from_parts(parts, body))
         };
         match tokio::time::timeout(timeout, exchange).await {
             Ok(result) => result,
--- a/crates/transport/backend/src/http1.rs
+++ b/crates/transport/backend/src/http1.rs
@@ -13,10 +13,7 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
@@ -33,6 +30,7 @@
 use hemlockwind_core::attempt::Attempt;
 use hemlockwind_core::collections::HashMap;
 
+use crate::buffer_budget::BufferBudget;
 use crate::connection::Failure;
 
 /// Time within which a connection must be opened, or the address is unreachable. A lost SYN
@@ -73,6 +71,7 @@
 pub struct Http1 {
     idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
     opened: AtomicU64,
+    budget: BufferBudget,
 }
 
 /// `Exchange` holds a response whose body has not been read yet. Dropping it closes the
@@ -87,6 +86,14 @@
 }
 
 impl Http1 {
+    /// Returns a pool whose responses are buffered within `budget`.
+    pub fn new(budget: BufferBudget) -> Self {
+        Self {
+            budget,
+            ..Self::default()
+        }
+    }
+
     /// Returns the number of connections opened so far.
     pub fn opened(&self) -> u64 {
         self.opened.load(Ordering::Relaxed)
@@ -170,8 +177,8 @@
     ///
     /// # Errors
     ///
-    /// Returns `Sent` if the body exceeds `limit` bytes, breaks off or is not complete by
-    /// `deadline`.
+    /// Returns `Sent` if the body exceeds `limit` bytes or the budget of all responses, breaks off
+    /// or is not complete by `deadline`.
     pub async fn read(
         &self,
         exchange: Exchange,
@@ -184,26 +191,20 @@
             send,
             addr,
         } = exchange;
-        let body = timeout_at(deadline, Limited::new(body, limit).collect()).await;
+        let body = timeout_at(deadline, self.budget.read(addr, body, limit)).await;
         let Ok(body) = body else {
             let error =
                 Error::backend_failed(format!("{addr} did not complete its response in time"));
             return Err((Attempt::Sent, error));
         };
-        let body = body.map_err(|e| match e.is::<LengthLimitError>() {
-            true => {
-                let error = format!("{addr} responded with more than {limit} bytes");
-                (Attempt::Sent, Error::backend_answer(error))
-            }
-            false => (Attempt::Sent, failed(addr, &*e)),
-        })?;
+        let body = body.map_err(|e| (Attempt::Sent, e))?;
         let (parts, ()) = head.into_parts();
         // A faulty server may write a refusal once more. On this connection it would be taken for
         // the answer to the next request, which has the same id if it is this one sent again.
         if !is_refusal(parts.status) {
             self.keep(addr, send, &parts.headers);
         }
-        Ok(Response::from_parts(parts, body.to_bytes()))
+        Ok(Response::from_parts(parts, body))
     }
 
     /// Returns a connection to the pool. The caller must have read the whole response body.
--- a/crates/transport/backend/src/lib.rs
+++ b/crates/transport/backend/src/lib.rs
@@ -2,8 +2,9 @@
 //!
 //! [`platform`], [`engine`] and [`service`] send their requests over [`connection`]. [`http1`] is a
 //! separate client, which reuses a connection only as long as its server announced and rejects
-//! responses to other requests. [`port`] probes whether a process listens on an address.
+//! responses to other requests; [`buffer_budget`] bounds their memory. [`port`] probes whether a process listens on an address.
 
+pub mod buffer_budget;
 pub mod clock;
 pub mod connection;
 pub mod engine;
