Stop: unsafe requests that may outlast the process are refused at once

From the signal on they get 503 and Retry-After, so that another instance takes them. Requests that may be repeated are still taken in that time, as most end long before their deadlines.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,6 +21,7 @@
 use hemlockwind_core::collections::HashMap;
 use hemlockwind_core::edges::Clock;
 use hemlockwind_core::names::Rank;
+use hemlockwind_core::routes::Route;
 use hemlockwind_core::routes::Routes;
 use hemlockwind_core::time::Instant;
 use hemlockwind_limits::RetryBudget;
@@ -104,8 +105,10 @@
     pub counters: Counters,
     /// Set when a planned stop begins.
     pub stopping: CancellationToken,
-    /// The latest end of this process, set once it accepts no new connection.
+    /// The latest end of this process, set when a planned stop begins.
     pub ends_at: OnceLock<tokio::time::Instant>,
+    /// Set once this process accepts no new connection.
+    pub closing: CancellationToken,
     /// Requests in progress.
     pub requests: TaskTracker,
 }
@@ -180,6 +183,7 @@
             counters: Counters::default(),
             stopping: CancellationToken::new(),
             ends_at: OnceLock::new(),
+            closing: CancellationToken::new(),
             requests: TaskTracker::new(),
         }
     }
@@ -194,6 +198,15 @@
         !self.stopping.is_cancelled() && self.routes.load().version > 0
     }
 
+    /// Whether a request that may last until `deadline` is to be left to another instance, as
+    /// this one may end before. Most requests end long before their deadlines, so those that may
+    /// be repeated are refused only once the balancer sends no more of them here.
+    pub fn may_be_cut(&self, route: &Route, deadline: tokio::time::Instant) -> bool {
+        let is_careful = self.closing.is_cancelled() || !route.repeat.is_idempotent();
+        let outlasts = self.ends_at.get().is_some_and(|end| deadline > *end);
+        is_careful && outlasts
+    }
+
     /// Counts a request for `service`, which adds its share to the retry budget.
     pub fn count_request(&self, service: &Arc<str>) {
         let now = self.now();
--- a/crates/gateway/src/requests.rs
+++ b/crates/gateway/src/requests.rs
@@ -155,12 +155,7 @@
     let service = service.ok_or_else(|| Error::no_path(&*route.name))?;
     let rank = organisation.and_then(|o| o.rank).unwrap_or(route.rank);
     let wait = client.wait.unwrap_or(DEFAULT_WAIT).min(route.timeout);
-    // A request that may outlast this process would be cut; another instance can take it.
-    if gateway
-        .ends_at
-        .get()
-        .is_some_and(|end| arrived + wait > *end)
-    {
+    if gateway.may_be_cut(route, arrived + wait) {
         return Err(Error::Stopping);
     }
     Ok(Accepted {
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -135,10 +135,11 @@
         let gateway = Arc::clone(&self.gateway);
         let deadline = Instant::now() + gateway.settings.bounds.grace.saturating_sub(END_MARGIN);
         info!(gateway.log, "stopping"; "requests" => gateway.requests.len());
-        gateway.stopping.cancel();
-        tokio::time::sleep(BALANCER_NOTICE_TIME).await;
         // A process is stopped only once, so the value is not set yet.
         let _ = gateway.ends_at.set(deadline);
+        gateway.stopping.cancel();
+        tokio::time::sleep(BALANCER_NOTICE_TIME).await;
+        gateway.closing.cancel();
         self.ending.cancel();
         gateway.requests.close();
         let drain = async {
