Streams: an unframed answer without events is broken off

The end of the connection counted as the end of the stream.

Before the first event it now counts as broken off, so the stream is sent again where that is permitted.

Red before: emulator hostile unframed_stream_without_events_goes_on_elsewhere (200, empty). Green with the change.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::header;
 use http_body_util::BodyExt;
 use hyper::body::Frame;
 use slog::info;
@@ -297,6 +298,12 @@
         if !rest.is_empty() {
             return End::Broken(Error::backend_answer("the last event is incomplete"));
         }
+        // The end of the connection ends such an answer, also if the engine has ended too early.
+        let is_framed = head.headers().contains_key(header::CONTENT_LENGTH)
+            || head.headers().contains_key(header::TRANSFER_ENCODING);
+        if self.events == 0 && !is_framed {
+            return End::Broken(Error::backend_answer("no event, and no length"));
+        }
         if let Some(first) = first {
             self.gateway.http.finish(first, sender, head.headers());
         }
