Stop of hemlockwindd: unsafe calls that may outlast it are refused at once

Red before: process stop stop_refuses_unsafe_calls_that_would_outlast_it (200 for a call of an hour). Green with the change, as are the other three tests of planned stops and kills.

--- a/crates/daemon/src/callers/services.rs
+++ b/crates/daemon/src/callers/services.rs
@@ -99,6 +99,14 @@
     let now = instance.edges.clock.now();
     let caller = Caller::new(&parts.headers, &instance.config.load(), now)?;
     let target = target(instance, service, parts.method.as_str(), &caller)?;
+    // A call that may outlast this process would be cut with an unknown outcome.
+    let outlasts = instance
+        .ends_at
+        .get()
+        .is_some_and(|end| caller.deadline > *end);
+    if outlasts && !target.may_repeat {
+        return Err(Error::Stopping.into());
+    }
     let key = key(&parts.headers)?;
     let whole = parts.uri.path_and_query().map_or("", |path| path.as_str());
     let path = whole
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -1,6 +1,7 @@
 //! The state that the parts of one instance share.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 
 use arc_swap::ArcSwap;
 use parking_lot::RwLock;
@@ -22,6 +23,7 @@
 use hemlockwind_core::edges::Service;
 use hemlockwind_core::names::DataCentreKey;
 use hemlockwind_core::names::Rank;
+use hemlockwind_core::time::Instant;
 use hemlockwind_peer::H2Peer;
 use hemlockwind_peer::SharedKey;
 use hemlockwind_protocol::peer::Peer;
@@ -108,6 +110,8 @@
     pub histograms: Histograms,
     /// Cancelled when a planned stop begins: the load balancer should send no more requests.
     pub unready: CancellationToken,
+    /// The latest end of this process, set when a planned stop begins.
+    pub ends_at: OnceLock<Instant>,
     /// Cancelled when the instance stops accepting requests.
     pub stopping: CancellationToken,
     /// The tasks of the requests in progress. A planned stop waits for them.
@@ -151,6 +155,7 @@
             metrics,
             histograms: Histograms::default(),
             unready: CancellationToken::new(),
+            ends_at: OnceLock::new(),
             stopping: CancellationToken::new(),
             requests: TaskTracker::new(),
             request_permits: Arc::new(request_permits),
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -152,6 +152,9 @@
         let instance = Arc::clone(&self.instance);
         let limits = instance.settings.limits;
         info!(instance.log, "stopping"; "requests" => instance.requests.len());
+        let time = Duration::from_millis(limits.notice_ms + limits.drain_ms);
+        // A process is stopped only once, so the value is not set yet.
+        let _ = instance.ends_at.set(instance.edges.clock.now() + time);
         instance.unready.cancel();
         tokio::time::sleep(Duration::from_millis(limits.notice_ms)).await;
         instance.stopping.cancel();
--- a/programs/tests/process/stop.rs
+++ b/programs/tests/process/stop.rs
@@ -118,6 +118,31 @@
     assert_eq!(problem["ran"], "no", "{problem}");
 }
 
+// Guards against LOST of the report of issue 36: calls that may not be repeated were taken after the
+// signal although they might last longer than the process.
+#[tokio::test]
+async fn stop_refuses_unsafe_calls_that_would_outlast_it() {
+    let mut site = Site::start("outlast").await;
+    let caller = site.instances[0].caller.clone();
+    let path = format!("/v1/services/{}/loans", sample::SERVICE);
+    let call = |deadline_ms: &'static str| {
+        let headers = [("x-hemlockwind-deadline-ms", deadline_ms)];
+        let (caller, path) = (caller.clone(), path.clone());
+        async move { caller.call("POST", &path, &headers, "loan".into()).await }
+    };
+    let (status, _) = call("3000").await.unwrap();
+    assert!(status.is_success());
+    site.instances[0].process.signal("TERM");
+    tokio::time::sleep(MIN_NOTICE_TIME).await;
+    let (status, body) = call("3600000").await.unwrap();
+    assert!(!status.is_success(), "{status}");
+    assert_not_run(&body);
+    let (status, _) = call("3000").await.unwrap();
+    assert!(status.is_success());
+    let status = site.instances[0].process.wait(STOP_TIMEOUT).await;
+    assert_eq!(status.code(), Some(0));
+}
+
 #[tokio::test]
 async fn kill_cuts_streams_and_other_instance_serves() {
     let mut site = Site::start("kill").await;
