Streams: engines tried before a stream began count as its attempts

Cause: the relay knew only the engine on which the stream had begun.

The start passes on the engines that may have run the request; those that have ended or can't be reached don't count.

Red before: emulator hostile stream_that_loses_two_answers_reaches_two_servers. Green with the change.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -34,6 +34,7 @@
 use crate::slow;
 use crate::streams;
 use crate::streams::BodyFrame;
+use crate::streams::SentTo;
 
 /// Time beyond its target, for the first event or for a pause, after which a stream counts
 /// as stalled.
@@ -121,16 +122,16 @@
 }
 
 impl Relay {
-    /// Returns a relay for a stream that has begun on the path of `grant`.
+    /// Returns a relay for a stream that has begun on the path of `grant`, after the request was
+    /// `sent`.
     pub fn new(
         gateway: Arc<Gateway>,
         accepted: Accepted,
         grant: Grant,
         tx: mpsc::Sender<BodyFrame>,
-        sent: u32,
+        sent: SentTo,
     ) -> Self {
         let faults = gateway.faults.subscribe();
-        let first = grant.path.first().map(|s| s.addr);
         Self {
             last_event: accepted.client.resume_after,
             gateway,
@@ -138,9 +139,9 @@
             grant: Some(grant),
             tx,
             faults,
-            first_engines: first.into_iter().collect(),
+            first_engines: sent.first_engines,
             crashes: 0,
-            sent,
+            sent: sent.times,
             is_unnumbered: false,
             events: 0,
             progress_at: Instant::now(),
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -83,10 +83,21 @@
     /// The request.
     pub accepted: &'a Accepted,
     attempts: Attempts,
+    /// The engines that may have run the request as the first of a path. Those that have ended
+    /// since don't count.
+    first_engines: Vec<SocketAddr>,
     sent: u32,
     refused: u32,
 }
 
+/// `SentTo` says where and how often a request was sent without a refusal.
+pub struct SentTo {
+    /// The engines that may have run it as the first of a path, without those that have ended.
+    pub first_engines: Vec<SocketAddr>,
+    /// How often it was sent.
+    pub times: u32,
+}
+
 /// `Started` is the result of a start.
 enum Started {
     /// The first engine runs the stream; its answer is not read yet.
@@ -119,6 +130,7 @@
         gateway,
         accepted: &accepted,
         attempts: Attempts::default(),
+        first_engines: Vec::new(),
         sent: 0,
         refused: 0,
     };
@@ -127,9 +139,14 @@
         Err(e) => Err((e, None)),
     };
     let (sent, refused) = (start.sent, start.refused);
+    let first_engines = std::mem::take(&mut start.first_engines);
     let outcome = match started {
         Ok(Started::Running(grant, exchange)) => {
-            return run(gateway, accepted, grant, exchange, sent).await;
+            let sent_to = SentTo {
+                first_engines,
+                times: sent,
+            };
+            return run(gateway, accepted, grant, exchange, sent_to).await;
         }
         Ok(Started::Failure(answer)) => Ok(answer),
         Err(e) => Err(e),
@@ -168,7 +185,7 @@
     accepted: Accepted,
     grant: Grant,
     exchange: Exchange,
-    sent: u32,
+    sent: SentTo,
 ) -> Response<Body> {
     let (tx, mut rx) = mpsc::channel(EVENT_BACKLOG);
     let attempt = accepted.attempt.clone();
@@ -204,6 +221,7 @@
             gateway,
             accepted,
             attempts: Attempts::default(),
+            first_engines: Vec::new(),
             sent,
             refused: 0,
         }
@@ -221,6 +239,7 @@
             {
                 Ok(exchange) => {
                     self.sent += 1;
+                    self.record_first_engine(&grant);
                     return Ok(Started::Running(grant, exchange));
                 }
                 Err(OpenError::EngineFailure(answer)) => return Ok(Started::Failure(answer)),
@@ -256,9 +275,13 @@
                     self.attempts.record(index, attempt);
                     self.sent += 1;
                     if let Some(first) = grant.path.first() {
-                        after_lost_engine(self.gateway, self.accepted, first.addr, false)
-                            .await
-                            .map_err(|e| self.not_started(e, REFUSED_RETRY))?;
+                        let cause =
+                            after_lost_engine(self.gateway, self.accepted, first.addr, false)
+                                .await
+                                .map_err(|e| self.not_started(e, REFUSED_RETRY))?;
+                        if cause == EndCause::Running {
+                            self.record_first_engine(&grant);
+                        }
                     }
                     let route = &self.accepted.route;
                     let may_run_again = route.repeat.is_idempotent()
@@ -272,6 +295,13 @@
         }
     }
 
+    fn record_first_engine(&mut self, grant: &Grant) {
+        let first = grant.path.first().map(|s| s.addr);
+        if let Some(first) = first.filter(|addr| !self.first_engines.contains(addr)) {
+            self.first_engines.push(first);
+        }
+    }
+
     /// Counts an attempt that did not run.
     ///
     /// # Errors
