Gateway: merging changes of the store is a module of its own

What merges changes and puts them in force moves to merge.rs unchanged; watching stays. No change of behaviour.

--- a/crates/gateway/src/announcements.rs
+++ b/crates/gateway/src/announcements.rs
@@ -13,9 +13,9 @@
 use hemlockwind_core::time::Instant;
 use hemlockwind_platform::headers::ServerHeaders;
 
-use crate::follow;
 use crate::gateway::EngineFault;
 use crate::gateway::Gateway;
+use crate::merge;
 
 /// Number of pauses from which those that are over are removed.
 const MAX_PAUSES: usize = 4_096;
@@ -92,7 +92,7 @@
     gateway.counters.add("servers_announced_leaving");
     info!(gateway.log, "server announced that it leaves"; "server" => id,
         "engine" => addr.map(|a| a.to_string()));
-    follow::refresh_queue_owners(gateway);
+    merge::refresh_queue_owners(gateway);
     if let Some(addr) = addr {
         // Sending fails when no stream runs.
         let _ = gateway.faults.send(EngineFault::Leaving(addr));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,8 +3,8 @@
 //! It passes opaque requests to backend servers: plain calls to one server, streams over
 //! a path of engines. [`requests`] reads a caller's request, [`calls`] and [`streams`]
 //! dispatch it, [`queue_owners`] decides where and when a stream may start, [`follow`]
-//! and [`updates`] receive routes, servers and instances, [`orders`] assigns layers to
-//! engines.
+//! and [`updates`] receive routes, servers and instances, [`merge`] puts them in force,
+//! [`orders`] assigns layers to engines.
 
 pub mod announcements;
 pub mod answers;
@@ -17,6 +17,7 @@
 pub mod gateway;
 pub mod instances;
 pub mod listener;
+pub mod merge;
 pub mod orders;
 mod partitions;
 pub mod peers;
--- /dev/null
+++ b/crates/gateway/src/merge.rs
@@ -0,0 +1,158 @@
+//! Merges changes of the store's objects, whichever way they came, into the cache and puts them in
+//! force: routes, backend servers and instances.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use slog::info;
+use slog::warn;
+
+use hemlockwind_core::servers::BackendServer;
+use hemlockwind_core::servers::ServerState;
+use hemlockwind_platform::manifest;
+use hemlockwind_platform::servers;
+use hemlockwind_platform::store::Change;
+use hemlockwind_platform::store::Object;
+use hemlockwind_protocol::peer::store::Kind;
+
+use crate::gateway::EngineFault;
+use crate::gateway::Gateway;
+use crate::instances;
+
+/// Applies all changes of a kind up to `version`, unless that version is cached already. Returns
+/// whether they were applied.
+pub fn apply_changes(gateway: &Arc<Gateway>, kind: Kind, version: u64, changes: &[Change]) -> bool {
+    let put_in_force = || {
+        for change in changes {
+            match kind {
+                Kind::Routes => apply_routes(gateway, &change.object),
+                Kind::Servers => apply_server(gateway, change),
+                Kind::Instances => apply_instance(gateway, change),
+            }
+        }
+    };
+    let cache = &gateway.store_cache;
+    let is_applied = cache.apply_changes(kind, version, changes, put_in_force);
+    if is_applied && !changes.is_empty() {
+        refresh_queue_owners(gateway);
+    }
+    is_applied
+}
+
+/// Applies all objects of a kind as of a version of the store, unless a later one is
+/// cached.
+pub fn apply_all(gateway: &Arc<Gateway>, kind: Kind, version: u64, objects: &[Object]) {
+    let put_in_force = || match kind {
+        Kind::Routes => {
+            for object in objects {
+                apply_routes(gateway, object);
+            }
+        }
+        Kind::Servers => apply_servers(gateway, objects),
+        Kind::Instances => {
+            let listed = objects.iter().filter_map(instances::parse);
+            gateway.peers.replace(listed.collect());
+        }
+    };
+    let cache = &gateway.store_cache;
+    if cache.replace(kind, version, objects, put_in_force) {
+        refresh_queue_owners(gateway);
+    }
+}
+
+/// Replaces the list of servers.
+fn apply_servers(gateway: &Gateway, objects: &[Object]) {
+    let now = gateway.now();
+    let listed: Vec<BackendServer> = objects.iter().filter_map(servers::parse).collect();
+    let leaving: Vec<SocketAddr> = {
+        let directory = gateway.directory.read();
+        let leaves = |s: &BackendServer| {
+            let current = listed.iter().find(|l| l.id == s.id);
+            current.is_none_or(|l| l.state == ServerState::Leaving)
+        };
+        let ready = directory.iter().filter(|s| s.state == ServerState::Ready);
+        ready.filter(|s| leaves(s)).map(|s| s.addr).collect()
+    };
+    gateway.directory.write().replace(now, listed);
+    for addr in leaving {
+        // Sending fails when no stream runs.
+        let _ = gateway.faults.send(EngineFault::Leaving(addr));
+    }
+}
+
+/// Applies one change of the list of instances.
+fn apply_instance(gateway: &Gateway, change: &Change) {
+    info!(gateway.log, "instance"; "name" => &change.object.name,
+        "removed" => change.is_removed, "object_version" => change.object.version.0);
+    if change.is_removed {
+        gateway.peers.remove(&change.object.name);
+    } else if let Some(instance) = instances::parse(&change.object) {
+        gateway.peers.put(instance);
+    }
+}
+
+/// Applies the routes if their version is newer. Only one call runs at a time, as the cache of
+/// the routes is locked meanwhile.
+fn apply_routes(gateway: &Gateway, object: &Object) {
+    if object.name != manifest::NAME {
+        return;
+    }
+    let routes = match manifest::parse(object.content.get()) {
+        Ok(routes) => routes,
+        Err(e) => {
+            warn!(gateway.log, "routes can't be read"; "object_version" => object.version.0,
+                "code" => e.code().number(), "error" => %e);
+            return;
+        }
+    };
+    let applied = gateway.routes.load().version;
+    if routes.version <= applied {
+        return;
+    }
+    info!(gateway.log, "routes in force"; "version" => routes.version, "before" => applied,
+        "routes" => routes.len(), "object_version" => object.version.0);
+    gateway.routes.store(Arc::new(routes));
+}
+
+/// Applies one change of the list of servers.
+fn apply_server(gateway: &Gateway, change: &Change) {
+    let now = gateway.now();
+    let mut directory = gateway.directory.write();
+    let before = directory.get(&change.object.name).cloned();
+    let after = servers::parse(&change.object).filter(|_| !change.is_removed);
+    let leaves = match (&before, &after) {
+        (Some(before), Some(after)) => {
+            before.state == ServerState::Ready && after.state == ServerState::Leaving
+        }
+        (Some(_), None) => true,
+        (None, _) => false,
+    };
+    if let Some(left_out) = gateway.lines.take(now, "server") {
+        info!(gateway.log, "server"; "server" => &change.object.name,
+            "removed" => change.is_removed, "readable" => after.is_some(),
+            "state" => after.as_ref().map(|s| format!("{:?}", s.state)),
+            "layers" => after.as_ref().and_then(|s| s.layers).map(|l| l.to_string()),
+            "data_centre" => after.as_ref().map(|s| s.data_centre.to_string()),
+            "card" => after.as_ref().and_then(|s| s.card.as_ref()).map(|c| c.to_string()),
+            "addr" => after.as_ref().map(|s| s.addr.to_string()),
+            "object_version" => change.object.version.0, "left_out" => left_out);
+    }
+    match after {
+        Some(server) => directory.put(server),
+        None => directory.remove(now, &change.object.name),
+    }
+    if let (true, Some(before)) = (leaves, before) {
+        // Sending fails when no stream runs.
+        let _ = gateway.faults.send(EngineFault::Leaving(before.addr));
+    }
+}
+
+/// Updates the queue owners after a change and wakes the tasks that wait for changes.
+pub fn refresh_queue_owners(gateway: &Gateway) {
+    let routes = gateway.routes.load();
+    gateway
+        .queue_owners
+        .update(&routes, &gateway.directory.read());
+    gateway.queue_owners.poll(gateway.now());
+    gateway.changed.notify_waiters();
+}
--- a/crates/gateway/src/partitions.rs
+++ b/crates/gateway/src/partitions.rs
@@ -16,9 +16,9 @@
 
 use hemlockwind_platform::engine;
 
-use crate::follow;
 use crate::gateway::EngineFault;
 use crate::gateway::Gateway;
+use crate::merge;
 
 /// Interval of the probes. Streams across a partition stall until it is detected; each
 /// round costs a message of a few hundred bytes to each other data centre.
@@ -52,7 +52,7 @@
             let _ = gateway.faults.send(EngineFault::Dead(addr));
         }
         previous = cut_off;
-        follow::refresh_queue_owners(&gateway);
+        merge::refresh_queue_owners(&gateway);
     }
 }
 
--- a/crates/gateway/src/queue_owners/notify.rs
+++ b/crates/gateway/src/queue_owners/notify.rs
@@ -10,9 +10,9 @@
 use hemlockwind_protocol::peer::Request;
 use hemlockwind_protocol::peer::paths as message;
 
-use crate::follow;
 use crate::gateway::EngineFault;
 use crate::gateway::Gateway;
+use crate::merge;
 use crate::orders::CANDIDATES;
 use crate::orders::ORDERS_ASSIGNMENT;
 use crate::peers::Instance;
@@ -214,7 +214,7 @@
         if is_changed {
             info!(gateway.log, "engine layers changed"; "engine" => id,
                 "layers" => layers.map(|l| l.to_string()));
-            follow::refresh_queue_owners(gateway);
+            merge::refresh_queue_owners(gateway);
         }
         is_changed
     }
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -22,8 +22,8 @@
 use hemlockwind_protocol::peer::store::Kind;
 use hemlockwind_protocol::peer::store::Message;
 
-use crate::follow;
 use crate::gateway::Gateway;
+use crate::merge;
 use crate::peers::Instance;
 
 /// Interval of the pulls: a change reaches an instance that missed its message well
@@ -76,7 +76,7 @@
             "other" => &*other.name, "version" => newer.version,
             "before" => gateway.store_cache.version(newer.kind), "is_served" => answer.is_served);
         let is_newer = newer.version > gateway.store_cache.version(newer.kind);
-        follow::apply_all(gateway, newer.kind, newer.version, &objects);
+        merge::apply_all(gateway, newer.kind, newer.version, &objects);
         // Other instances receive the updates from this one. Changes of the routes have a
         // time bound, so they are pushed at once.
         if is_newer && newer.kind == Kind::Routes && gateway.peers.watches(now, newer.kind) {
@@ -161,7 +161,7 @@
     }
     let objects = changes.objects.iter().cloned().filter_map(parse_change);
     let objects: Vec<Change> = objects.collect();
-    let is_applied = follow::apply_changes(gateway, changes.kind, changes.version, &objects);
+    let is_applied = merge::apply_changes(gateway, changes.kind, changes.version, &objects);
     let sender = gateway.peers.get(from);
     let is_remote = sender.is_some_and(|i| i.data_centre != gateway.peers.me().data_centre);
     if is_applied && is_remote {
