Stop: the log says what each cut request was waiting for

Cause: "requests were cut" had one number. It named no request, didn't tell one that an engine ran from one that waited for a path, had been sent but not begun, or was between two runs, and counted 0 when only the last bytes of answers were on their way. A second signal ended the process without the line.

Change: a registry of the requests in progress with the phase of each replaces the counter. A request is in progress until its answer has been read by the connection.

No change of what callers get.

--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -26,6 +26,7 @@
 use crate::answers;
 use crate::answers::Body;
 use crate::gateway::Gateway;
+use crate::in_progress::Phase;
 use crate::requests::Accepted;
 use crate::servers::CallOutcome;
 
@@ -225,6 +226,7 @@
                 .min(started + accepted.route.target.mul_f64(RETRY_AFTER_SHARE)),
             false => accepted.deadline + DEADLINE_GRACE,
         };
+        accepted.progress.set_phase(Phase::Running);
         let http = &self.gateway.http;
         let limit = self.gateway.answer_limit();
         let is_answer = |h: &HeaderMap| headers::may_answer(h, Some(&accepted.attempt));
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -35,6 +35,7 @@
 use crate::announcements::Pauses;
 use crate::directory::Directory;
 use crate::engine_ends::EngineEnds;
+use crate::in_progress::InProgress;
 use crate::peers::Instance;
 use crate::peers::Peers;
 use crate::quarantine::SharedQuarantine;
@@ -110,7 +111,9 @@
     /// Set once this process accepts no new connection.
     pub closing: CancellationToken,
     /// Requests in progress.
-    pub requests: TaskTracker,
+    pub requests: InProgress,
+    /// Open connections of callers.
+    pub connections: TaskTracker,
 }
 
 /// `Counters` counts events since the start, by name.
@@ -184,7 +187,8 @@
             stopping: CancellationToken::new(),
             ends_at: OnceLock::new(),
             closing: CancellationToken::new(),
-            requests: TaskTracker::new(),
+            requests: InProgress::default(),
+            connections: TaskTracker::new(),
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod events;
 pub mod follow;
 pub mod gateway;
+pub mod in_progress;
 pub mod instances;
 pub mod listener;
 pub mod merge;
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -72,7 +72,7 @@
             .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
             .serve_connection(TokioIo::new(tcp), service);
         let connection = graceful.watch(connection);
-        tokio::spawn(async move {
+        gateway.connections.spawn(async move {
             // A broken connection concerns only its caller.
             let _ = connection.await;
         });
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -29,6 +29,7 @@
 use crate::events::Splitter;
 use crate::gateway::EngineFault;
 use crate::gateway::Gateway;
+use crate::in_progress::Phase;
 use crate::queue_owners::Grant;
 use crate::requests::Accepted;
 use crate::slow;
@@ -167,6 +168,7 @@
                 }
                 end => {
                     self.log_broken(&end);
+                    self.accepted.progress.set_phase(Phase::Resuming);
                     match self.resume(&end).await {
                         Ok(next) => exchange = next,
                         Err(e) => {
@@ -177,6 +179,7 @@
                 }
             }
         };
+        self.accepted.progress.set_phase(Phase::Answering);
         self.finish(outcome);
     }
 
@@ -187,6 +190,10 @@
         let mut splitter = Splitter::default();
         self.progress_at = Instant::now();
         let mut check_at = self.progress_at + self.stall_limit();
+        self.accepted.progress.set_phase(match self.events {
+            0 => Phase::Starting,
+            _ => Phase::Running,
+        });
         loop {
             let move_at = self.move_at.map(|(at, _)| at);
             tokio::select! {
@@ -258,6 +265,7 @@
                 }
             }
             if self.events == 0 {
+                self.accepted.progress.set_phase(Phase::Running);
                 self.first_ms = self.accepted.arrived.elapsed().as_millis() as u64;
                 streams::record_first_event(&self.gateway, &self.accepted);
             }
--- a/crates/gateway/src/requests.rs
+++ b/crates/gateway/src/requests.rs
@@ -10,6 +10,7 @@
 use http::Response;
 use http::Uri;
 use http::header;
+use http_body::Body as _;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
@@ -30,6 +31,9 @@
 use crate::answers::Body;
 use crate::calls;
 use crate::gateway::Gateway;
+use crate::in_progress::Phase;
+use crate::in_progress::RequestGuard;
+use crate::in_progress::TrackedBody;
 use crate::quarantine::PromptParts;
 use crate::streams;
 
@@ -75,6 +79,8 @@
     pub expires_at: hemlockwind_core::time::Instant,
     /// The clock of `expires_at`.
     pub clock: SystemClock,
+    /// Its entry among the requests in progress.
+    pub progress: Arc<RequestGuard>,
 }
 
 impl Accepted {
@@ -94,16 +100,19 @@
 
 /// Answers one request.
 pub async fn handle(gateway: Arc<Gateway>, req: Request<Incoming>) -> Response<Body> {
-    let token = gateway.requests.token();
     let client = ClientHeaders::read(req.headers());
     let attempt = client.attempt.clone();
-    let response = match accept(&gateway, req, client).await {
+    let progress = Arc::new(gateway.requests.begin(attempt.clone()));
+    let response = match accept(&gateway, req, client, &progress).await {
         Ok(accepted) => dispatch(&gateway, accepted).await,
         Err(e) => refuse(&gateway, attempt.as_deref(), &e),
     };
-    // A stream has a token of its own.
-    drop(token);
-    response
+    // The relay of a stream sets its phases.
+    if response.body().size_hint().exact().is_some() {
+        progress.set_phase(Phase::Answering);
+    }
+    // The request is in progress until its answer has been read.
+    response.map(|body| TrackedBody::new(body, progress).boxed_unsync())
 }
 
 async fn dispatch(gateway: &Arc<Gateway>, accepted: Accepted) -> Response<Body> {
@@ -130,6 +139,7 @@
     gateway: &Gateway,
     req: Request<Incoming>,
     client: ClientHeaders,
+    progress: &Arc<RequestGuard>,
 ) -> Result<Accepted> {
     let arrived = Instant::now();
     let (parts, body) = req.into_parts();
@@ -158,6 +168,7 @@
     if gateway.may_be_cut(route, arrived + wait) {
         return Err(Error::Stopping);
     }
+    progress.set_phase(Phase::Waiting);
     Ok(Accepted {
         attempt,
         headers: parts.headers,
@@ -173,6 +184,7 @@
         deadline: arrived + wait,
         expires_at: gateway.now() + wait.saturating_sub(arrived.elapsed()),
         clock: gateway.clock,
+        progress: Arc::clone(progress),
         route: Arc::clone(route),
         client,
     })
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -109,6 +109,15 @@
     gateway.queue_owners.report_running(&gateway).await;
 }
 
+/// Logs what the end of the process cuts, if anything.
+pub fn log_cut(gateway: &Gateway) {
+    let (cut, connections) = (gateway.requests.len(), gateway.connections.len());
+    if cut > 0 || connections > 0 {
+        warn!(gateway.log, "requests were cut"; "cut" => cut, "connections" => connections,
+            "phases" => gateway.requests.count_by_phase(), "requests" => gateway.requests.describe());
+    }
+}
+
 /// Opens a listening socket whose backlog holds a burst of callers.
 fn open_listener(addr: SocketAddr) -> Result<TcpListener> {
     let error = |e: std::io::Error| Error::listen(format!("{addr}: {e}"));
@@ -141,7 +150,6 @@
         tokio::time::sleep(BALANCER_NOTICE_TIME).await;
         gateway.closing.cancel();
         self.ending.cancel();
-        gateway.requests.close();
         let drain = async {
             gateway.requests.wait().await;
             // The last answers may still be in transit to their callers.
@@ -151,9 +159,7 @@
             Ok(()) => 0,
             Err(_) => gateway.requests.len(),
         };
-        if cut > 0 {
-            warn!(gateway.log, "requests were cut"; "cut" => cut);
-        }
+        log_cut(&gateway);
         if timeout_at(deadline + DEREGISTER_TIME, instances::deregister(&gateway))
             .await
             .is_err()
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -37,6 +37,7 @@
 use crate::engine_ends::EndCause;
 use crate::gateway::EngineFault;
 use crate::gateway::Gateway;
+use crate::in_progress::Phase;
 use crate::quarantine;
 use crate::queue_owners::Grant;
 use crate::queue_owners::PathRequest;
@@ -194,12 +195,8 @@
     *response.headers_mut() = headers::end_to_end(exchange.head.headers());
     // The relay may combine the events of several runs.
     response.headers_mut().remove(http::header::CONTENT_LENGTH);
-    let token = gateway.requests.token();
     let relay = Relay::new(Arc::clone(gateway), accepted, grant, tx, sent);
-    tokio::spawn(async move {
-        relay.run(exchange).await;
-        drop(token);
-    });
+    tokio::spawn(relay.run(exchange));
     // The head is sent with the first event, so that a stream that ends before it can still be
     // answered with an error.
     let first = rx.recv().await;
@@ -229,10 +226,12 @@
 
     async fn run(&mut self) -> Result<Started, (Error, Option<Duration>)> {
         loop {
+            self.accepted.progress.set_phase(Phase::Waiting);
             let grant = self.request_path().await?;
             quarantine::recheck(self.gateway, self.accepted)
                 .map_err(|e| self.not_started(e, REFUSED_RETRY))?;
             let index = self.attempts.open();
+            self.accepted.progress.set_phase(Phase::Starting);
             match self
                 .open(&grant.path, self.accepted.client.resume_after)
                 .await
--- a/programs/src/bin/hemlockwind-gateway.rs
+++ b/programs/src/bin/hemlockwind-gateway.rs
@@ -1,6 +1,7 @@
 //! The daemon that every instance runs on the users' platform.
 
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use argh::FromArgs;
 use slog::error;
@@ -9,8 +10,10 @@
 
 use hemlockwind::core::Error;
 use hemlockwind::core::Result;
+use hemlockwind::gateway::Gateway;
 use hemlockwind::gateway::Running;
 use hemlockwind::gateway::start;
+use hemlockwind::gateway::start::log_cut;
 use hemlockwind::platform::settings::PATH_VARIABLE;
 use hemlockwind::platform::settings::Settings;
 use hemlockwind::telemetry::logs;
@@ -116,14 +119,20 @@
             _ = reload.recv() => slog::info!(log, "reload"; "changed" => 0),
         }
     }
-    let requests = running.gateway.requests.clone();
+    let gateway = Arc::clone(&running.gateway);
     let cut_count = tokio::select! {
         cut_count = running.stop() => cut_count,
-        _ = terminate.recv() => requests.len(),
-        _ = interrupt.recv() => requests.len(),
+        _ = terminate.recv() => cut(&gateway),
+        _ = interrupt.recv() => cut(&gateway),
     };
     match cut_count {
         0 => ExitCode::SUCCESS,
         _ => ExitCode::from(1),
     }
 }
+
+/// Logs the requests that the end of the process cuts, and returns their number.
+fn cut(gateway: &Gateway) -> usize {
+    log_cut(gateway);
+    gateway.requests.len()
+}
