Streams: a run goes on until another one has begun

Callers saw: streams that stopped in the middle and were cut, at the latest by their deadline, though the engine that ran them would have finished them.

Cause: a run was ended before another one had begun. When the first engine of a path left as planned, or was only suspected to have failed, the connection to it was dropped and the stream waited for another engine, up to its own deadline. It waited in vain if the route forbids another run, if its attempts were used up (two engines that leave, one after the other, are enough: routes have maxAttempts 2), if the retry budget was empty, or if no other engine took it.

Change: the end of a run (the answer is complete, the connection broke, the caller left, the deadline passed, another run has begun) and a doubt about it (dead, unreachable, silent) are two types. On a doubt or a planned leave the present run stays open while the next one is begun; if that fails, the run goes on, and the queue owner records again that the stream stays on its old path. Without another attempt no search begins. A caller who leaves while the next run is opened ends the opening.

--- a/crates/gateway/src/queue_owners.rs
+++ b/crates/gateway/src/queue_owners.rs
@@ -280,6 +280,14 @@
         true
     }
 
+    /// Records that a stream which was moved to another path stays on `path`.
+    pub async fn restore(&self, gateway: &Gateway, grant: &mut Grant, path: Vec<Stage>) {
+        grant.guard.set_path(&path);
+        grant.path = path;
+        self.report_held(gateway, &grant.guard.key, &[grant.guard.number])
+            .await;
+    }
+
     async fn request_reroute(
         &self,
         gateway: &Gateway,
--- a/crates/gateway/src/queue_owners/notify.rs
+++ b/crates/gateway/src/queue_owners/notify.rs
@@ -78,8 +78,7 @@
             service_streams.reported_to = Some(Arc::clone(&owner.name));
             service_streams.running.keys().copied().collect()
         };
-        let is_mine = owner.name == gateway.peers.me().name;
-        let unknown = match is_mine {
+        let unknown = match owner.name == gateway.peers.me().name {
             true => self.running_local(key, "", &numbers),
             false => {
                 let req = Request::Paths(message::Message::Running(key.to_string(), numbers));
@@ -90,22 +89,32 @@
                 }
             }
         };
-        if unknown.is_empty() {
-            return;
+        if !unknown.is_empty() {
+            self.report_held(gateway, key, &unknown).await;
         }
+    }
+
+    /// Describes running streams, given by number, to their queue owner.
+    pub(super) async fn report_held(
+        &self,
+        gateway: &Gateway,
+        key: &QueueOwnerKey,
+        numbers: &[u64],
+    ) {
         let held: Vec<message::Held> = {
             let streams = self.streams.lock();
             let running = streams.get(key).map(|s| &s.running);
-            let recorded = unknown.iter().filter_map(|n| Some((n, running?.get(n)?)));
+            let recorded = numbers.iter().filter_map(|n| Some((n, running?.get(n)?)));
             recorded
                 .map(|(n, (tokens, path))| held_to_wire(*n, *tokens, path))
                 .collect()
         };
-        if is_mine {
+        let owner = gateway.peers.queue_owner(key);
+        if owner.name == gateway.peers.me().name {
             self.adopt_local(key, "", &held);
         } else {
             let req = Request::Paths(message::Message::Held(key.to_string(), held));
-            // A lost message is repeated after the next report.
+            // A stream that the owner has no record of is described again after the next report.
             let _ = gateway.peers.call(&owner, req).await;
         }
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -24,6 +24,7 @@
 use hemlockwind_core::Error;
 use hemlockwind_platform::engine::Report;
 use hemlockwind_platform::headers;
+use hemlockwind_platform::headers::Stage;
 use hemlockwind_telemetry::histograms::Measure;
 
 use crate::events::Splitter;
@@ -31,6 +32,7 @@
 use crate::gateway::Gateway;
 use crate::in_progress::Phase;
 use crate::queue_owners::Grant;
+use crate::relay::recover::Search;
 use crate::requests::Accepted;
 use crate::slow;
 use crate::streams;
@@ -59,6 +61,13 @@
     Deadline,
     /// The connection to the first engine broke.
     Broken(Error),
+    /// Another run has begun.
+    Moved(Exchange),
+}
+
+/// `Doubt` says why a run may have failed that has not ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Doubt {
     /// This engine of the path makes no progress.
     Dead(SocketAddr),
     /// This engine answers but stalls the stream: other engines of the path can't reach
@@ -66,22 +75,15 @@
     Unreachable(SocketAddr),
     /// No event arrived, and no cause was found.
     Silent,
-    /// This engine of the path leaves.
-    Leaving(SocketAddr),
 }
 
-impl End {
+impl Doubt {
     /// Returns the reason, for a log line.
-    fn reason(&self) -> String {
+    fn reason(self) -> String {
         match self {
-            Self::Complete => "complete".into(),
-            Self::CallerLeft => "the caller left".into(),
-            Self::Deadline => "the deadline passed".into(),
-            Self::Broken(e) => e.to_string(),
             Self::Dead(addr) => format!("{addr} makes no progress"),
             Self::Unreachable(addr) => format!("{addr} is not reached by the path"),
             Self::Silent => "no event, and no cause found".into(),
-            Self::Leaving(addr) => format!("{addr} leaves"),
         }
     }
 }
@@ -91,6 +93,8 @@
     gateway: Arc<Gateway>,
     accepted: Accepted,
     grant: Option<Grant>,
+    /// The path of the present run; that of `grant` may already be the next one.
+    path: Vec<Stage>,
     tx: mpsc::Sender<BodyFrame>,
     faults: broadcast::Receiver<EngineFault>,
     /// The engines that this stream was sent to as the first of a path.
@@ -120,6 +124,8 @@
     /// Until this time a move waits for an engine in the data centre of the leaving one;
     /// a move to another data centre sends all tokens so far over the link.
     local_until: Option<Instant>,
+    /// The search for the next run while the present one is in doubt.
+    search: Option<Search>,
 }
 
 impl Relay {
@@ -137,6 +143,7 @@
             last_event: accepted.client.resume_after,
             gateway,
             accepted,
+            path: grant.path.clone(),
             grant: Some(grant),
             tx,
             faults,
@@ -151,6 +158,7 @@
             longest_pause: (Duration::ZERO, 0),
             move_at: None,
             local_until: None,
+            search: None,
         }
     }
 
@@ -161,15 +169,16 @@
             match self.pass_events(exchange).await {
                 End::Complete => break "complete",
                 End::CallerLeft => break "caller left",
+                End::Moved(next) => exchange = next,
                 End::Deadline => {
                     self.fail(Error::outcome_unknown("the deadline passed"))
                         .await;
                     break "deadline";
                 }
-                end => {
-                    self.log_broken(&end);
+                End::Broken(e) => {
+                    self.log_broken(&e.to_string());
                     self.accepted.progress.set_phase(Phase::Resuming);
-                    match self.resume(&end).await {
+                    match self.resume().await {
                         Ok(next) => exchange = next,
                         Err(e) => {
                             self.fail(e).await;
@@ -183,19 +192,40 @@
         self.finish(outcome);
     }
 
+    /// Records that a run has begun on the granted path.
+    fn begin_run(&mut self) {
+        self.path = self
+            .grant
+            .as_ref()
+            .map(|g| g.path.clone())
+            .unwrap_or_default();
+        self.progress_at = Instant::now();
+        self.move_at = None;
+        self.search = None;
+        self.set_phase();
+    }
+
+    /// Records what the stream waits for while a run is read.
+    fn set_phase(&self) {
+        self.accepted
+            .progress
+            .set_phase(match (self.search, self.events) {
+                (Some(_), _) => Phase::Resuming,
+                (None, 0) => Phase::Starting,
+                (None, _) => Phase::Running,
+            });
+    }
+
     /// Passes events on until this run ends.
     async fn pass_events(&mut self, exchange: Exchange) -> End {
         let (head, mut body, sender) = exchange.into_parts();
+        self.begin_run();
         let first = self.first_engine();
         let mut splitter = Splitter::default();
-        self.progress_at = Instant::now();
         let mut check_at = self.progress_at + self.stall_limit();
-        self.accepted.progress.set_phase(match self.events {
-            0 => Phase::Starting,
-            _ => Phase::Running,
-        });
         loop {
             let move_at = self.move_at.map(|(at, _)| at);
+            let search_at = self.search.map(|search| search.at);
             tokio::select! {
                 biased;
                 () = self.tx.closed() => return End::CallerLeft,
@@ -208,28 +238,34 @@
                         }
                         // Bytes without a whole event are no progress.
                         if self.progress_at != before {
+                            self.end_search();
                             check_at = Instant::now() + self.stall_limit();
                         }
                     }
                     Some(Err(e)) => return End::Broken(Error::backend_failed(e.to_string())),
                     None => return self.on_end(splitter, first, sender, &head).await,
                 },
-                fault = self.faults.recv() => if let Some(end) = self.on_fault(fault) {
-                    if !self.try_repath(&end).await {
-                        return end;
+                fault = self.faults.recv(), if search_at.is_none() => if let Some(doubt) = self.on_fault(fault) {
+                    if !self.try_repath(doubt).await {
+                        self.search_next_run(doubt);
                     }
                     check_at = Instant::now() + self.stall_limit();
                 },
-                () = sleep_until(check_at) => {
+                () = sleep_until(check_at), if search_at.is_none() => {
                     check_at = Instant::now() + STALL_CHECK_INTERVAL;
-                    if let Some(end) = self.check_stall().await {
-                        if !self.try_repath(&end).await {
-                            return end;
+                    if let Some(doubt) = self.check_stall().await {
+                        if !self.try_repath(doubt).await {
+                            self.search_next_run(doubt);
                         }
                         check_at = Instant::now() + self.stall_limit();
                     }
                 }
-                () = sleep_until(move_at.unwrap_or(check_at + Duration::from_secs(60))) => {
+                () = sleep_until(search_at.unwrap_or(check_at)), if search_at.is_some() => {
+                    if let Some(next) = self.continue_search().await {
+                        return End::Moved(next);
+                    }
+                }
+                () = sleep_until(move_at.unwrap_or(check_at)), if move_at.is_some() && search_at.is_none() => {
                     if let Some((_, addr)) = self.move_at.take()
                         && let Some(end) = self.move_away(addr).await
                     {
@@ -275,8 +311,7 @@
                 self.longest_pause = (pause, self.events);
             }
             if self.events > 0 && pause > self.gap_target() {
-                let path = self.grant.iter().flat_map(|g| &g.path);
-                slow::check_path(&self.gateway, path.map(|s| s.addr));
+                slow::check_path(&self.gateway, self.path.iter().map(|s| s.addr));
             }
             // An engine that generates no token may send comments without end.
             if event.id.is_some() || (self.last_event.is_none() && event.has_data) {
@@ -319,12 +354,12 @@
         End::Complete
     }
 
-    /// Handles a fault of an engine. Returns why the run ends, if it does.
-    fn on_fault(&mut self, fault: Result<EngineFault, RecvError>) -> Option<End> {
-        let grant = self.grant.as_ref()?;
+    /// Handles a fault of an engine. Returns why the run is in doubt, if it is.
+    fn on_fault(&mut self, fault: Result<EngineFault, RecvError>) -> Option<Doubt> {
+        let uses_engine = |addr| self.path.iter().any(|s| s.addr == addr);
         match fault {
-            Ok(EngineFault::Dead(addr)) if grant.uses_engine(addr) => Some(End::Dead(addr)),
-            Ok(EngineFault::Leaving(addr)) if grant.uses_engine(addr) && self.move_at.is_none() => {
+            Ok(EngineFault::Dead(addr)) if uses_engine(addr) => Some(Doubt::Dead(addr)),
+            Ok(EngineFault::Leaving(addr)) if uses_engine(addr) && self.move_at.is_none() => {
                 // The moves are spread at random over the drain time; a short stream may end
                 // before its move is due.
                 let drain = self.gateway.settings.bounds.drain;
@@ -340,8 +375,7 @@
     }
 
     fn first_engine(&self) -> Option<SocketAddr> {
-        let grant = self.grant.as_ref()?;
-        grant.path.first().map(|s| s.addr)
+        self.path.first().map(|s| s.addr)
     }
 
     /// Returns the time without progress after which the stream counts as stalled.
@@ -366,12 +400,12 @@
         let _ = self.tx.send(Err(e)).await;
     }
 
-    fn log_broken(&self, end: &End) {
+    fn log_broken(&self, why: &str) {
         let gateway = &self.gateway;
         gateway.counters.add("streams_broken");
         if let Some(left_out) = gateway.lines.take(gateway.now(), "stream_broken") {
             info!(gateway.log, "stream broken"; "id" => &self.accepted.attempt,
-                "why" => end.reason(), "after" => self.last_event,
+                "why" => why, "after" => self.last_event,
                 "begun" => self.events > 0, "parts" => self.accepted.client.shared_parts.join(","),
                 "silent_ms" => self.progress_at.elapsed().as_millis() as u64,
                 "path" => self.path_text(), "left_out" => left_out);
@@ -390,8 +424,7 @@
     }
 
     fn path_text(&self) -> String {
-        let grant = self.grant.as_ref();
-        grant.map_or_else(String::new, |g| headers::path(&g.path))
+        headers::path(&self.path)
     }
 
     fn finish(&self, outcome: &str) {
--- a/crates/gateway/src/relay/recover.rs
+++ b/crates/gateway/src/relay/recover.rs
@@ -22,7 +22,9 @@
 
 use crate::engine_ends::EndCause;
 use crate::quarantine;
+use crate::queue_owners::Grant;
 use crate::queue_owners::PathRequest;
+use crate::relay::Doubt;
 use crate::relay::End;
 use crate::relay::Relay;
 use crate::streams;
@@ -40,6 +42,8 @@
 /// Base interval between attempts to find a path away from a leaving engine; each is
 /// varied at random.
 const MOVE_RETRY_INTERVAL: Duration = Duration::from_millis(250);
+/// How long an engine is excluded from new work after its connection broke.
+const LOST_EXCLUSION: Duration = Duration::from_millis(500);
 /// Attempts to continue behind the same first engine before the stream is sent again.
 const REPATH_ATTEMPTS: u32 = 2;
 /// The first pause between two attempts to resume; it doubles up to the longest one.
@@ -49,14 +53,31 @@
 /// The longest pause between two attempts to resume.
 const MAX_RESUME_PAUSE: Duration = Duration::from_millis(240);
 
+/// `Search` is the search for the next run while the present one is in doubt.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Search {
+    /// When to try next.
+    pub at: Instant,
+    /// The pause after the next try.
+    pause: Duration,
+}
+
+/// `Found` says how a path for the next run was found.
+enum Found {
+    /// The queue entry was moved to it.
+    Rerouted,
+    /// There is a new queue entry; this was the one before.
+    Replaced(Option<Grant>),
+}
+
 impl Relay {
-    /// Checks why the stream is stalled. Returns why the run ends, if it does.
-    pub(super) async fn check_stall(&mut self) -> Option<End> {
+    /// Checks why the stream is stalled. Returns why the run is in doubt, if it is.
+    pub(super) async fn check_stall(&mut self) -> Option<Doubt> {
         let first = self.first_engine()?;
         self.gateway.counters.add("streams_in_doubt");
         let report = tokio::select! {
             biased;
-            () = self.tx.closed() => return Some(End::CallerLeft),
+            () = self.tx.closed() => return None,
             report = timeout(STALL_REPORT_TIMEOUT, self.gateway.reports.get(&self.gateway.http, first)) => {
                 report.unwrap_or_else(|_| Err(Error::backend_unreachable(first.to_string())))
             }
@@ -70,7 +91,7 @@
                         "engine" => %first, "error" => %e,
                         "silent_ms" => silent.as_millis() as u64, "left_out" => left_out);
                 }
-                Some(End::Dead(first))
+                Some(Doubt::Dead(first))
             }
             Ok(report) => {
                 let stalled = report
@@ -84,18 +105,19 @@
                 let wait_limit = streams::wait_limit(&self.accepted);
                 let is_late = silent >= wait_limit.mul_f64(GIVE_UP_RATIO);
                 // A slow run continues if no other run may follow it.
-                (is_late && self.may_resume()).then_some(End::Silent)
+                (is_late && self.may_run_again()).then_some(Doubt::Silent)
             }
         }
     }
 
-    /// Moves away from a leaving engine. The run continues until there is another path.
-    /// Returns why the run ends, if a run from another first engine is to follow it.
+    /// Moves away from a leaving engine. The run goes on until there is another path, and ends
+    /// where it is if no other run may follow it.
     pub(super) async fn move_away(&mut self, addr: SocketAddr) -> Option<End> {
         let is_moved = match self.first_engine() == Some(addr) {
+            true if !self.may_run_again() => return None,
             true => {
-                if self.find_path(true).await {
-                    return Some(End::Leaving(addr));
+                if let Some(next) = self.begin_next_run(true).await {
+                    return Some(End::Moved(next));
                 }
                 false
             }
@@ -117,22 +139,76 @@
         None
     }
 
+    /// Starts to search for the next run, as the present one may have failed. The present run goes on
+    /// until another one has begun, and to its end if no other may follow.
+    pub(super) fn search_next_run(&mut self, doubt: Doubt) {
+        if let Doubt::Dead(addr) = doubt {
+            streams::report_dead(&self.gateway, addr);
+        }
+        if !self.may_run_again() {
+            return;
+        }
+        self.log_broken(&doubt.reason());
+        self.search = Some(Search {
+            at: Instant::now(),
+            pause: RESUME_PAUSE,
+        });
+        self.set_phase();
+    }
+
+    /// Tries once to begin the next run, and sets the time of the next try.
+    pub(super) async fn continue_search(&mut self) -> Option<Exchange> {
+        let next = self.begin_next_run(false).await;
+        if let Some(search) = &mut self.search {
+            search.at = Instant::now() + search.pause;
+            search.pause = (search.pause * 2).min(MAX_RESUME_PAUSE);
+        }
+        next
+    }
+
+    /// Ends the search for the next run, as the present one makes progress.
+    pub(super) fn end_search(&mut self) {
+        if self.search.take().is_some() {
+            self.gateway.counters.add("streams_recovered");
+            self.set_phase();
+        }
+    }
+
+    /// Begins the next run at another first engine. The present run is not read meanwhile, and goes
+    /// on if the other engine does not begin.
+    async fn begin_next_run(&mut self, must_fit: bool) -> Option<Exchange> {
+        let gateway = Arc::clone(&self.gateway);
+        if self.events == 0 && quarantine::recheck(&gateway, &self.accepted).is_err() {
+            return None;
+        }
+        let found = self.find_path(must_fit).await?;
+        let limit = streams::wait_limit(&self.accepted).mul_f64(GIVE_UP_RATIO);
+        if let Ok(Some(next)) = timeout(limit, self.try_resume()).await {
+            return Some(next);
+        }
+        match found {
+            Found::Replaced(grant) => self.grant = grant,
+            Found::Rerouted => {
+                let path = self.path.clone();
+                if let Some(grant) = self.grant.as_mut() {
+                    gateway.queue_owners.restore(&gateway, grant, path).await;
+                }
+            }
+        }
+        None
+    }
+
     /// Reroutes the stream behind the same first engine after a later one died or became
     /// unreachable. Returns whether it did; if not, the stream has to be sent again.
-    pub(super) async fn try_repath(&mut self, end: &End) -> bool {
-        let crossing = match end {
-            End::Dead(addr) if self.first_engine() == Some(*addr) => return false,
-            End::Dead(addr) => {
-                streams::report_dead(&self.gateway, *addr);
+    pub(super) async fn try_repath(&mut self, doubt: Doubt) -> bool {
+        let crossing = match doubt {
+            Doubt::Dead(addr) if self.first_engine() == Some(addr) => return false,
+            Doubt::Dead(addr) => {
+                streams::report_dead(&self.gateway, addr);
                 Crossing::Free
             }
-            End::Unreachable(_) => Crossing::None,
-            End::Complete
-            | End::CallerLeft
-            | End::Deadline
-            | End::Broken(_)
-            | End::Silent
-            | End::Leaving(_) => return false,
+            Doubt::Unreachable(_) => Crossing::None,
+            Doubt::Silent => return false,
         };
         for _ in 0..REPATH_ATTEMPTS {
             if self.repath(false, crossing).await {
@@ -146,11 +222,11 @@
 
     /// Returns what is wrong when the first engine reports that `addr` stalls the stream:
     /// the engine is dead, or a network partition separates it from others of the path.
-    async fn diagnose_stall(&self, addr: SocketAddr) -> End {
+    async fn diagnose_stall(&self, addr: SocketAddr) -> Doubt {
         let gateway = &self.gateway;
         let crosses = {
             let directory = gateway.directory.read();
-            let path = self.grant.iter().flat_map(|g| &g.path);
+            let path = self.path.iter();
             let mut data_centres = path.filter_map(|s| Some(&directory.get(&s.id)?.data_centre));
             let first = data_centres.next();
             data_centres.any(|d| Some(d) != first)
@@ -166,8 +242,8 @@
                 "silent_ms" => self.progress_at.elapsed().as_millis() as u64, "left_out" => left_out);
         }
         match answers {
-            true => End::Unreachable(addr),
-            false => End::Dead(addr),
+            true => Doubt::Unreachable(addr),
+            false => Doubt::Dead(addr),
         }
     }
 
@@ -204,43 +280,34 @@
                 "before" => before, "path" => path, "outcome" => format!("{ordered:?}"),
                 "events" => self.events, "left_out" => left_out);
         }
-        ordered == OrderOutcome::Accepted
+        let is_accepted = ordered == OrderOutcome::Accepted;
+        if is_accepted {
+            self.path = grant.path.clone();
+        }
+        is_accepted
     }
 
-    /// Continues on another path after the last event that was passed on.
+    /// Continues on another path after the last event that was passed on, as the connection to the
+    /// first engine broke.
     ///
     /// # Errors
     ///
     /// Returns why the stream can't go on. It may have run, so no error says that it did not.
-    pub(super) async fn resume(&mut self, end: &End) -> Result<Exchange> {
+    pub(super) async fn resume(&mut self) -> Result<Exchange> {
         let unknown = |why: &str| Error::outcome_unknown(why);
-        match end {
-            End::Dead(addr) => streams::report_dead(&self.gateway, *addr),
-            End::Broken(_) => {
-                if let Some(first) = self.first_engine() {
-                    self.gateway.queue_owners.exclude_for(
-                        self.gateway.now(),
-                        first,
-                        Duration::from_millis(500),
-                    );
-                    self.after_lost_engine(first).await?;
-                }
-            }
-            End::Silent | End::Leaving(_) | End::Unreachable(_) => {}
-            End::Complete | End::CallerLeft | End::Deadline => {
-                return Err(unknown("the stream ended"));
-            }
+        if let Some(first) = self.first_engine() {
+            self.gateway
+                .queue_owners
+                .exclude_for(self.gateway.now(), first, LOST_EXCLUSION);
+            self.after_lost_engine(first).await?;
         }
         if !self.may_resume() {
             return Err(unknown("the stream broke off"));
         }
-        self.move_at = None;
         // The answer is not ended as long as the caller waits.
         let mut pause = RESUME_PAUSE;
-        let mut has_path = matches!(end, End::Leaving(_));
         while Instant::now() < self.accepted.deadline && !self.tx.is_closed() {
-            if has_path || self.find_path(false).await {
-                has_path = false;
+            if self.find_path(false).await.is_some() {
                 if self.events == 0 {
                     quarantine::recheck(&self.gateway, &self.accepted)
                         .map_err(|e| unknown(&e.to_string()))?;
@@ -286,9 +353,18 @@
         self.accepted.route.repeat == Repeat::Stream { resumable: true } && !self.is_unnumbered
     }
 
-    /// Obtains another path, by a reroute of the current queue entry or by a new entry. Returns
-    /// whether there is one.
-    async fn find_path(&mut self, must_fit: bool) -> bool {
+    /// Whether the stream may be sent to another first engine.
+    fn has_attempt_left(&self) -> bool {
+        self.first_engines.len() < self.accepted.route.attempts as usize
+    }
+
+    /// Whether another run may follow the present one, at another first engine.
+    fn may_run_again(&self) -> bool {
+        self.may_resume() && self.has_attempt_left()
+    }
+
+    /// Obtains another path, by a reroute of the current queue entry or by a new entry.
+    async fn find_path(&mut self, must_fit: bool) -> Option<Found> {
         let reroute = Reroute {
             must_fit,
             keeps_first: false,
@@ -301,7 +377,7 @@
                 .reroute(&self.gateway, grant, reroute)
                 .await
         {
-            return true;
+            return Some(Found::Rerouted);
         }
         let now = self.gateway.now();
         let request = PathRequest {
@@ -319,12 +395,9 @@
             .request_path(&self.gateway, &request)
             .await
         {
-            Ok(grant) => {
-                self.grant = Some(grant);
-                true
-            }
+            Ok(grant) => Some(Found::Replaced(self.grant.replace(grant))),
             // The caller of this function tries again after a pause.
-            Err(_) => false,
+            Err(_) => None,
         }
     }
 
@@ -337,10 +410,9 @@
             .unwrap_or_default();
         let first = path.first().map(|s| s.addr)?;
         let is_new = !self.first_engines.contains(&first);
-        let attempts = self.accepted.route.attempts as usize;
         // An engine whose entry is gone may still run the request for many seconds, so all
         // first engines count as attempts.
-        if is_new && self.first_engines.len() >= attempts {
+        if is_new && !self.has_attempt_left() {
             // The next path may begin at an engine that the stream was sent to before.
             return None;
         }
@@ -348,12 +420,21 @@
             return None;
         }
         let start = Start::resumed(&self.gateway, &self.accepted, self.sent);
-        match start.open(&path, self.last_event).await {
+        // The engine may run the request from now on, also if this function is cancelled.
+        if is_new {
+            self.first_engines.push(first);
+        }
+        let opened = tokio::select! {
+            biased;
+            () = self.tx.closed() => return None,
+            opened = start.open(&path, self.last_event) => opened,
+        };
+        if opened.is_err() && is_new {
+            self.first_engines.pop();
+        }
+        match opened {
             Ok(exchange) => {
                 self.sent += 1;
-                if is_new {
-                    self.first_engines.push(first);
-                }
                 Some(exchange)
             }
             Err(OpenError::NotRun(at_fault, _)) => {
--- a/crates/state/paths/src/queue_owner.rs
+++ b/crates/state/paths/src/queue_owner.rs
@@ -252,13 +252,15 @@
         unrecorded.into_iter().collect()
     }
 
-    /// Records a running stream that another queue owner granted.
+    /// Records a running stream as its instance reports it: one that another queue owner
+    /// granted, or one that stays on another path than recorded here.
     pub fn adopt(&mut self, now: Instant, id: QueueEntryId, held: Held) {
+        let recorded = self.running.get(&id);
         let running = Running {
             tokens: held.tokens,
             path: held.path,
-            started: now,
-            organisation: None,
+            started: recorded.map_or(now, |r| r.started),
+            organisation: recorded.and_then(|r| r.organisation),
         };
         self.insert_running(id, running);
     }
