Stop: what no server runs is answered before the process ends

Callers saw: around a planned stop, requests that were read and got no answer when the process ended: streams that waited for a path, streams that an engine had taken and not begun, and calls that a server had taken and not answered (LOST).

Nothing that waits looked at the end of the process.

Change: a stop has two more moments that requests wait for. From the close of the listener on, a stream that waits for a path and may outlast the process is refused as a new one would be (503, 2005, Retry-After), so that another instance takes it. 400 ms before the end, every request whose answer has not begun gets a whole answer: 503 if no server can have run it, else 502. A stream whose events have begun goes on to the end of the process. The answers to requests that were read before the signal close their connections, too.

--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -125,6 +125,10 @@
                 self.last_error = Some(Error::DeadlinePassed);
                 break;
             }
+            if self.gateway.are_answers_due() {
+                self.last_error = Some(Error::Stopping);
+                break;
+            }
             let Some(server) = self.next_server() else {
                 self.last_error
                     .get_or_insert(Error::no_path(&*accepted.service));
@@ -230,9 +234,12 @@
         let http = &self.gateway.http;
         let limit = self.gateway.answer_limit();
         let is_answer = |h: &HeaderMap| headers::may_answer(h, Some(&accepted.attempt));
-        let answer = http
-            .call(server.addr, req, deadline, limit, is_answer)
-            .await;
+        let answer = tokio::select! {
+            biased;
+            answer = http.call(server.addr, req, deadline, limit, is_answer) => answer,
+            // It was sent, so the server may run it.
+            () = self.gateway.answers_due() => Err((Attempt::Sent, Error::Stopping)),
+        };
         if let Ok(answer) = &answer {
             let answered = ServerHeaders::read(answer.headers());
             let from = (&*server.id, server.addr);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,6 +5,7 @@
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
@@ -211,6 +212,35 @@
         is_careful && outlasts
     }
 
+    /// Waits until a request that has not begun is to be left to another instance: the balancer
+    /// sends no more of them here, and this one may end before `deadline`.
+    pub async fn left_to_others(&self, deadline: tokio::time::Instant) {
+        self.closing.cancelled().await;
+        if self.ends_at.get().is_none_or(|end| deadline <= *end) {
+            std::future::pending().await
+        }
+    }
+
+    /// Waits until requests whose answers have not begun are to be answered, as this process
+    /// ends soon.
+    pub async fn answers_due(&self) {
+        self.stopping.cancelled().await;
+        match self.answers_due_at() {
+            Some(due) => tokio::time::sleep_until(due).await,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Whether [`Self::answers_due`] would return at once.
+    pub fn are_answers_due(&self) -> bool {
+        let due = self.answers_due_at();
+        due.is_some_and(|due| due <= tokio::time::Instant::now())
+    }
+
+    fn answers_due_at(&self) -> Option<tokio::time::Instant> {
+        self.ends_at.get()?.checked_sub(ANSWER_TIME)
+    }
+
     /// Counts a request for `service`, which adds its share to the retry budget.
     pub fn count_request(&self, service: &Arc<str>) {
         let now = self.now();
@@ -269,6 +299,8 @@
     }
 }
 
+/// The last answers that this instance gives itself begin this long before the process ends.
+const ANSWER_TIME: Duration = Duration::from_millis(400);
 /// Number of instances that the slack is divided by before their list arrives: more than
 /// most deployments have, since too small a part does less harm than too large a one.
 const ASSUMED_INSTANCES: usize = 256;
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -53,9 +53,8 @@
             service_fn(move |req| {
                 let gateway = Arc::clone(&gateway);
                 async move {
-                    let closes = gateway.stopping.is_cancelled();
-                    let mut response = requests::handle(gateway, req).await;
-                    if closes {
+                    let mut response = requests::handle(Arc::clone(&gateway), req).await;
+                    if gateway.stopping.is_cancelled() {
                         let close = http::HeaderValue::from_static("close");
                         response
                             .headers_mut()
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -48,6 +48,8 @@
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Time beyond the deadline after which a stream is broken off.
 const DEADLINE_GRACE: Duration = Duration::from_millis(200);
+/// Why a stream without events ends before the process does.
+const STOPPING: &str = "this instance is stopping";
 /// Streams have moved away from a leaving engine this long before its end.
 const MOVE_MARGIN: Duration = Duration::from_millis(200);
 
@@ -59,6 +61,8 @@
     CallerLeft,
     /// The deadline passed.
     Deadline,
+    /// This process ends soon, and no event was passed on.
+    Stopping,
     /// The connection to the first engine broke.
     Broken(Error),
     /// Another run has begun.
@@ -169,6 +173,10 @@
             match self.pass_events(exchange).await {
                 End::Complete => break "complete",
                 End::CallerLeft => break "caller left",
+                End::Stopping => {
+                    self.fail(Error::outcome_unknown(STOPPING)).await;
+                    break "stopping";
+                }
                 End::Moved(next) => exchange = next,
                 End::Deadline => {
                     self.fail(Error::outcome_unknown("the deadline passed"))
@@ -272,6 +280,7 @@
                         return end;
                     }
                 }
+                () = self.gateway.answers_due(), if self.events == 0 => return End::Stopping,
                 () = sleep_until(self.accepted.deadline + DEADLINE_GRACE) => return End::Deadline,
             }
         }
--- a/crates/gateway/src/relay/recover.rs
+++ b/crates/gateway/src/relay/recover.rs
@@ -27,6 +27,7 @@
 use crate::relay::Doubt;
 use crate::relay::End;
 use crate::relay::Relay;
+use crate::relay::STOPPING;
 use crate::streams;
 use crate::streams::OpenError;
 use crate::streams::Start;
@@ -304,7 +305,18 @@
         if !self.may_resume() {
             return Err(unknown("the stream broke off"));
         }
-        // The answer is not ended as long as the caller waits.
+        let gateway = Arc::clone(&self.gateway);
+        let has_begun = self.events > 0;
+        tokio::select! {
+            biased;
+            next = self.begin_again() => next,
+            () = gateway.answers_due(), if !has_begun => Err(unknown(STOPPING)),
+        }
+    }
+
+    /// Tries to begin another run, as long as the caller waits.
+    async fn begin_again(&mut self) -> Result<Exchange> {
+        let unknown = |why: &str| Error::outcome_unknown(why);
         let mut pause = RESUME_PAUSE;
         while Instant::now() < self.accepted.deadline && !self.tx.is_closed() {
             if self.find_path(false).await.is_some() {
--- a/crates/gateway/src/requests.rs
+++ b/crates/gateway/src/requests.rs
@@ -41,7 +41,7 @@
 const DEFAULT_WAIT: Duration = Duration::from_secs(30);
 /// When to retry after a refusal by an instance that has no routes yet or is stopping:
 /// another one takes the next connection.
-const OTHER_INSTANCE_RETRY: Duration = Duration::from_millis(100);
+pub const OTHER_INSTANCE_RETRY: Duration = Duration::from_millis(100);
 /// The organisation name under which requests of public routes are counted.
 const PUBLIC_ORGANISATION: &str = "public";
 
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -44,6 +44,7 @@
 use crate::queue_owners::Refusal;
 use crate::relay::Relay;
 use crate::requests::Accepted;
+use crate::requests::OTHER_INSTANCE_RETRY;
 
 /// Number of events that are buffered for a slow caller.
 const EVENT_BACKLOG: usize = 32;
@@ -232,10 +233,16 @@
                 .map_err(|e| self.not_started(e, REFUSED_RETRY))?;
             let index = self.attempts.open();
             self.accepted.progress.set_phase(Phase::Starting);
-            match self
-                .open(&grant.path, self.accepted.client.resume_after)
-                .await
-            {
+            let opened = tokio::select! {
+                biased;
+                opened = self.open(&grant.path, self.accepted.client.resume_after) => opened,
+                () = self.gateway.answers_due() => {
+                    // It was sent, so an engine may run it.
+                    self.attempts.record(index, Attempt::Sent);
+                    return Err(self.not_started(Error::Stopping, OTHER_INSTANCE_RETRY));
+                }
+            };
+            match opened {
                 Ok(exchange) => {
                     self.sent += 1;
                     self.record_first_engine(&grant);
@@ -322,7 +329,7 @@
     fn not_started(&self, e: Error, retry: Duration) -> (Error, Option<Duration>) {
         match self.attempts.not_run() {
             Some(_) => match e {
-                Error::PathMalformed(_) => (e, Some(retry)),
+                Error::PathMalformed(_) | Error::Stopping => (e, Some(retry)),
                 Error::Quarantined(_, after) => (e, Some(after)),
                 _ => (Error::no_path(e.to_string()), Some(retry)),
             },
@@ -349,12 +356,16 @@
             latest: until(wait_limit(accepted).min(accepted.time_left())),
             may_wait: true,
         };
-        let granted = self
-            .gateway
-            .queue_owners
-            .request_path(self.gateway, &request)
-            .await;
-        granted.map_err(|refusal| self.refusal(refusal))
+        let queue_owners = &self.gateway.queue_owners;
+        tokio::select! {
+            biased;
+            granted = queue_owners.request_path(self.gateway, &request) => {
+                granted.map_err(|refusal| self.refusal(refusal))
+            }
+            () = self.gateway.left_to_others(accepted.deadline) => {
+                Err(self.not_started(Error::Stopping, OTHER_INSTANCE_RETRY))
+            }
+        }
     }
 
     fn refusal(&self, refusal: Refusal) -> (Error, Option<Duration>) {
