Stop: a repeated SIGTERM cuts nothing

Cause: any second signal ended the process at once. That is meant for an operator at a terminal; a supervisor that repeats its signal means the same stop, and has SIGKILL for an end at once.

Change: SIGTERM during a stop is logged and ignored; SIGINT during a stop still ends the process, after the line of what is cut.

Evidence: gateway_stop::stop_signalled_again_cuts_nothing red before (the answer ended early), green after; gateway_stop::stop_interrupted_twice_ends_at_once green before and after.

--- a/programs/src/bin/hemlockwind-gateway.rs
+++ b/programs/src/bin/hemlockwind-gateway.rs
@@ -5,6 +5,7 @@
 
 use argh::FromArgs;
 use slog::error;
+use slog::info;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
@@ -92,8 +93,8 @@
     builder.enable_all().build()
 }
 
-/// Runs until a stop signal arrives and returns the exit code. The first signal begins a planned
-/// stop; a second one ends the process at once.
+/// Runs until SIGTERM or SIGINT arrives and returns the exit code. The first signal begins a planned
+/// stop; SIGINT during the stop ends the process at once.
 async fn run(settings: Settings) -> ExitCode {
     let log = logs::json(std::io::stdout(), &settings.name);
     let (Ok(mut terminate), Ok(mut interrupt), Ok(mut reload)) = (
@@ -116,14 +117,19 @@
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
             // Nothing to reload: all that can change while a process runs comes from the store.
-            _ = reload.recv() => slog::info!(log, "reload"; "changed" => 0),
+            _ = reload.recv() => info!(log, "reload"; "changed" => 0),
         }
     }
     let gateway = Arc::clone(&running.gateway);
-    let cut_count = tokio::select! {
-        cut_count = running.stop() => cut_count,
-        _ = terminate.recv() => cut(&gateway),
-        _ = interrupt.recv() => cut(&gateway),
+    let stop = running.stop();
+    tokio::pin!(stop);
+    let cut_count = loop {
+        tokio::select! {
+            cut_count = &mut stop => break cut_count,
+            // A supervisor may repeat its signal; it ends the process with SIGKILL.
+            _ = terminate.recv() => info!(log, "already stopping"; "requests" => gateway.requests.len()),
+            _ = interrupt.recv() => break cut(&gateway),
+        }
     };
     match cut_count {
         0 => ExitCode::SUCCESS,
--- a/programs/tests/process/main.rs
+++ b/programs/tests/process/main.rs
@@ -3,6 +3,7 @@
 mod completions;
 mod failures;
 mod fleet;
+mod gateway_stop;
 mod leaving;
 mod loans;
 mod orders;
