Quarantine: each instance that confirms a part logs it

Cause: the line "part quarantined" was written for what on_crash returned. A part is also confirmed when records of another instance are merged and when a request is admitted, as an instance alone knows which answers of others began there.

Change: Quarantine collects what it has confirmed, and the gateway takes and logs that after each of the three calls, with the key of the part, "by" (crash, records, request) and the name where the request has the part.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -49,6 +49,36 @@
     changed: Notify,
 }
 
+/// `Cause` says by what this instance found that a part is to be quarantined.
+#[derive(Clone, Copy)]
+enum Cause<'a> {
+    /// The request lost the engine with this id.
+    Crash(&'a Accepted, &'a str),
+    /// Records of another instance.
+    Records,
+    /// The request was to be admitted.
+    Request(&'a Accepted),
+}
+
+impl<'a> Cause<'a> {
+    /// Returns the value in log lines.
+    const fn text(self) -> &'static str {
+        match self {
+            Self::Crash(..) => "crash",
+            Self::Records => "records",
+            Self::Request(_) => "request",
+        }
+    }
+
+    /// Returns the request, if there is one.
+    const fn request(self) -> Option<&'a Accepted> {
+        match self {
+            Self::Crash(accepted, _) | Self::Request(accepted) => Some(accepted),
+            Self::Records => None,
+        }
+    }
+}
+
 /// `PromptParts` holds the keys of a request's shared parts.
 #[derive(Clone, Debug)]
 pub struct PromptParts {
@@ -84,17 +114,11 @@
             return;
         };
         let run = EngineRun::new(id, *born_ms);
-        let quarantined =
-            self.state
-                .lock()
-                .on_crash(gateway.now(), parts.service, run, &parts.keys);
-        for part in quarantined {
-            let index = parts.keys.iter().position(|key| *key == part);
-            let name = index.and_then(|i| accepted.client.shared_parts.get(i));
-            warn!(gateway.log, "part quarantined"; "id" => &accepted.attempt,
-                "part" => key_text(part), "name" => name.map(|n| n.to_string()),
-                "service" => &*accepted.service, "server" => &**id);
-        }
+        let mut state = self.state.lock();
+        state.on_crash(gateway.now(), parts.service, run, &parts.keys);
+        let quarantined = state.take_quarantined();
+        drop(state);
+        log_quarantined(gateway, &quarantined, Cause::Crash(accepted, id));
         self.changed.notify_one();
     }
 
@@ -111,7 +135,9 @@
         let before = state.quarantined_parts();
         let is_changed = state.merge(now, &records);
         let after = state.quarantined_parts();
+        let quarantined = state.take_quarantined();
         drop(state);
+        log_quarantined(gateway, &quarantined, Cause::Records);
         if before != after {
             info!(gateway.log, "quarantine received from another instance";
                 "parts" => after, "before" => before);
@@ -130,7 +156,9 @@
     let is_on_turn = |part: PartKey, turn: u64| gateway.peers.is_on_turn(&key_text(part), turn);
     let mut state = gateway.quarantine.state.lock();
     let admission = state.admit(now, &accepted.parts.keys, is_on_turn);
+    let quarantined = state.take_quarantined();
     drop(state);
+    log_quarantined(gateway, &quarantined, Cause::Request(accepted));
     to_result(gateway, accepted, admission)
 }
 
@@ -167,6 +195,29 @@
     Err(error)
 }
 
+/// Logs the parts that this instance has quarantined. Their names are known only if they are parts
+/// of the request.
+fn log_quarantined(gateway: &Gateway, parts: &[PartKey], cause: Cause) {
+    for part in parts {
+        let Some(left_out) = gateway.lines.take(gateway.now(), "quarantined") else {
+            continue;
+        };
+        let accepted = cause.request();
+        let name = accepted.and_then(|a| {
+            let index = a.parts.keys.iter().position(|key| key == part)?;
+            a.client.shared_parts.get(index)
+        });
+        let server = match cause {
+            Cause::Crash(_, id) => Some(id),
+            Cause::Records | Cause::Request(_) => None,
+        };
+        warn!(gateway.log, "part quarantined"; "id" => accepted.map(|a| &*a.attempt),
+            "part" => key_text(*part), "name" => name.map(|n| n.to_string()),
+            "service" => accepted.map(|a| &*a.service), "server" => server,
+            "by" => cause.text(), "left_out" => left_out);
+    }
+}
+
 /// Returns the text form of a part's key, for log lines and assignments.
 fn key_text(part: PartKey) -> String {
     format!("{:016x}", part.0)
--- a/crates/state/quarantine/src/quarantine.rs
+++ b/crates/state/quarantine/src/quarantine.rs
@@ -78,6 +78,9 @@
     services: SeededHashMap<ServiceKey, Instant>,
     /// The parts whose records other instances don't have yet.
     changed: Vec<PartKey>,
+    /// The parts that were quarantined here and not returned by
+    /// [`Quarantine::take_quarantined`] yet.
+    quarantined: Vec<PartKey>,
 }
 
 impl Quarantine {
@@ -195,15 +198,14 @@
         }
     }
 
-    /// Records that an engine crashed on which a request with these parts had not begun. Returns
-    /// the parts that are quarantined by that.
+    /// Records that an engine crashed on which a request with these parts had not begun.
     pub fn on_crash(
         &mut self,
         now: Instant,
         service: ServiceKey,
         run: EngineRun,
         parts: &[PartKey],
-    ) -> Vec<PartKey> {
+    ) {
         for (depth, part) in parts.iter().enumerate() {
             self.trials.remove(part);
             let begun_at = self.recent.get(part).copied();
@@ -232,7 +234,7 @@
                 mark(&mut self.changed, *part);
             }
         }
-        self.confirm(now, service)
+        self.confirm(now, service);
     }
 
     /// Adds the records of another instance. Returns whether anything was new.
@@ -269,13 +271,12 @@
         is_changed
     }
 
-    /// Quarantines the parts of a service whose crashes suffice, and returns those that were not
-    /// quarantined before.
+    /// Quarantines the parts of a service whose crashes suffice.
     ///
     /// All parts of a request are recorded for its crash. So the parts are taken in order: those on
     /// which no answer is known to have begun first, and of these the latest in the prompts. A
     /// crash counts for the first quarantined part alone.
-    fn confirm(&mut self, now: Instant, service: ServiceKey) -> Vec<PartKey> {
+    fn confirm(&mut self, now: Instant, service: ServiceKey) {
         let of_service = self.records.values().filter(|r| r.service == service);
         let mut ordered: Vec<&Record> = of_service
             .filter(|r| r.confirmation.is_some() || r.count(&[]) >= CRASHES_TO_CONFIRM)
@@ -313,9 +314,9 @@
                     failed_trials: 0,
                 });
                 mark(&mut self.changed, *part);
+                mark(&mut self.quarantined, *part);
             }
         }
-        confirmed
     }
 
     /// Returns the number of crashes of a record that no quarantined part explains.
@@ -368,6 +369,12 @@
         records.cloned().collect()
     }
 
+    /// Returns the parts that this instance itself has quarantined since the last call: by a crash,
+    /// by records of another instance, or when it admitted a request.
+    pub fn take_quarantined(&mut self) -> Vec<PartKey> {
+        std::mem::take(&mut self.quarantined)
+    }
+
     /// Returns all records.
     pub fn records(&self) -> Vec<Record> {
         self.records.values().cloned().collect()
--- a/crates/state/quarantine/tests/quarantine.rs
+++ b/crates/state/quarantine/tests/quarantine.rs
@@ -28,7 +28,8 @@
 }
 
 fn crash(q: &mut Quarantine, ms: u64, run: u64, parts: &[PartKey]) -> Vec<PartKey> {
-    q.on_crash(at(ms), SERVICE, EngineRun(run), parts)
+    q.on_crash(at(ms), SERVICE, EngineRun(run), parts);
+    q.take_quarantined()
 }
 
 /// Returns the state after three crashes of requests with [`BAD`], at 0, 500 and 1,000 ms, while
