Readiness: an instance is ready once its queue owners have the engines

Cause: an instance said that it was ready when it had routes. Servers are read by another task, and the queue owners get routes and engines after both. In between, requests were refused with 3001 (no path), nothing sent.

Change: the first update of the queue owners that has routes and a listing of the servers makes the instance ready. The listing may be empty. Later changes don't make it unready. An instance pulls from others at the short interval until it has both.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::OnceLock;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
@@ -77,6 +78,8 @@
     pub servers: Servers,
     /// The queue owners, which grant paths to streams.
     pub queue_owners: QueueOwners,
+    /// Set once the queue owners have the listed engines of the routes.
+    pub has_engines: AtomicBool,
     /// The other instances.
     pub peers: Peers,
     /// The objects that were read from the store.
@@ -161,6 +164,7 @@
         Self {
             store: Store::new(settings.store),
             queue_owners: QueueOwners::new(clock),
+            has_engines: AtomicBool::new(false),
             peers: Peers::new(me, &seeds, key),
             store_cache: StoreCache::default(),
             lines: LineBudget::new(clock.now()),
@@ -193,9 +197,10 @@
         self.clock.now()
     }
 
-    /// Whether a balancer should send connections here.
+    /// Whether a balancer should send connections here: requests can be served, as the routes and
+    /// the servers were received. The list of servers may be empty.
     pub fn is_ready(&self) -> bool {
-        !self.stopping.is_cancelled() && self.routes.load().version > 0
+        !self.stopping.is_cancelled() && self.has_engines.load(Ordering::Acquire)
     }
 
     /// Whether a request that may last until `deadline` is to be left to another instance, as
--- a/crates/gateway/src/merge.rs
+++ b/crates/gateway/src/merge.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use slog::info;
 use slog::warn;
@@ -149,10 +150,15 @@
 
 /// Updates the queue owners after a change and wakes the tasks that wait for changes.
 pub fn refresh_queue_owners(gateway: &Gateway) {
+    // Later ones are not in the directory that is read below.
+    let has_servers = gateway.store_cache.version(Kind::Servers) > 0;
     let routes = gateway.routes.load();
     gateway
         .queue_owners
         .update(&routes, &gateway.directory.read());
+    if has_servers && routes.version > 0 {
+        gateway.has_engines.store(true, Ordering::Release);
+    }
     gateway.queue_owners.poll(gateway.now());
     gateway.changed.notify_waiters();
 }
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -29,7 +29,7 @@
 /// Interval of the pulls: a change reaches an instance that missed its message well
 /// within half of the platform's bound, and each request is a message of a few dozen bytes.
 const PULL_INTERVAL: Duration = Duration::from_millis(350);
-/// Interval of the pulls before the first routes arrive.
+/// Interval of the pulls before the first routes and servers arrive.
 const FIRST_PULL_INTERVAL: Duration = Duration::from_millis(50);
 /// How long an instance is not pulled from after it reported that the store does not
 /// serve it.
@@ -41,10 +41,11 @@
         if let Some(other) = gateway.peers.update_source(gateway.now()) {
             pull_from(&gateway, &other).await;
         }
-        // No caller can be served before the first routes arrive.
-        let interval = match gateway.store_cache.version(Kind::Routes) {
-            0 => FIRST_PULL_INTERVAL,
-            _ => PULL_INTERVAL,
+        // No caller can be served before the first routes and servers arrive.
+        let is_missing = |kind| gateway.store_cache.version(kind) == 0;
+        let interval = match is_missing(Kind::Routes) || is_missing(Kind::Servers) {
+            true => FIRST_PULL_INTERVAL,
+            false => PULL_INTERVAL,
         };
         let jitter = 0.75 + rand::random::<f64>() / 2.0;
         sleep(interval.mul_f64(jitter)).await;
