Lease: an object that can't be read as a lease is waited for

Cause: an object at the name of the lease that another writer had put counted as absent. Its creation conflicted, the object was read again at once, and so on without a pause, in a loop that the task for orders never left: no orders, and more than a thousand calls of the store a second. The same after a lease was removed: its absence counted as an older state, which was read again at once.

Change: the holder gets an event of its own for such an object. It counts as held by an unknown holder for the duration of the instance's own leases, as it may be that of another version of the software, and is then replaced, conditional on its version. When there is nothing to read after a conflict, or after a version was known, the next call is made after the retry time. A lease that can't be read, and one that can't be created, are logged, bounded by the budget of lines.

--- a/crates/coordination/lease/src/holder.rs
+++ b/crates/coordination/lease/src/holder.rs
@@ -10,6 +10,7 @@
 use crate::value::FencingToken;
 use crate::value::Nonce;
 use crate::value::Value;
+use crate::value::takeover_wait;
 
 /// A lease is renewed when its duration divided by this has passed.
 const RENEW_DIVISOR: u32 = 3;
@@ -48,6 +49,9 @@
     Candidate(bool),
     /// The answer to [`Action::Get`]; `None` if there is no object.
     Read(Option<(Value, ObjectVersion)>),
+    /// The answer to [`Action::Get`] if the object can't be read as a lease, as another writer
+    /// replaced it.
+    ReadOther(ObjectVersion),
     /// The answer to [`Action::Put`].
     Put {
         /// The write's number.
@@ -108,7 +112,8 @@
     Own,
     /// Another process wrote the object, which may be replaced from `takeover_at` on.
     Other {
-        holder: Arc<str>,
+        /// Unknown if the object can't be read as a lease.
+        holder: Option<Arc<str>>,
         takeover_at: Instant,
     },
 }
@@ -127,6 +132,8 @@
     observed: Observed,
     /// Whether the object has been read and the outcome of each write is known.
     settled: bool,
+    /// Whether the last write had a conflict and the object has not been read since.
+    conflicted: bool,
     term: Option<Term>,
     writes: u64,
     /// The numbers and starts of the writes since the last one known to have taken effect.
@@ -145,6 +152,7 @@
             version: None,
             observed: Observed::Absent,
             settled: false,
+            conflicted: false,
             term: None,
             writes: 0,
             open_writes: Vec::new(),
@@ -172,7 +180,7 @@
     /// Returns the name of the other instance that was last seen holding the lease.
     pub fn other_holder(&self) -> Option<&Arc<str>> {
         match &self.observed {
-            Observed::Other { holder, .. } => Some(holder),
+            Observed::Other { holder, .. } => holder.as_ref(),
             Observed::Absent | Observed::Own => None,
         }
     }
@@ -199,6 +207,10 @@
                 self.call_in_flight = false;
                 self.on_read(now, object);
             }
+            Event::ReadOther(version) => {
+                self.call_in_flight = false;
+                self.on_read_other(now, version);
+            }
             Event::Put { write, outcome } => {
                 self.call_in_flight = false;
                 self.on_put(now, write, outcome);
@@ -219,7 +231,10 @@
     fn on_put(&mut self, now: Instant, write: u64, outcome: Outcome) {
         match outcome {
             Outcome::Done(version) => self.on_own_write(write, version),
-            Outcome::Conflict => self.settled = false,
+            Outcome::Conflict => {
+                self.settled = false;
+                self.conflicted = true;
+            }
             Outcome::Refused => self.on_platform_failure(now),
             Outcome::Unknown => {
                 self.settled = false;
@@ -238,28 +253,46 @@
     }
 
     fn on_read(&mut self, now: Instant, object: Option<(Value, ObjectVersion)>) {
-        let is_older = match &object {
-            Some((_, version)) => self.version.is_some_and(|known| *version < known),
-            None => self.version.is_some(),
-        };
-        if is_older && self.settled {
-            self.next_call_at = now + self.options.retry;
-        }
+        let conflicted = std::mem::take(&mut self.conflicted);
         let Some((value, version)) = object else {
+            // An object is there or was there, and is not read. The next answer would be the same.
+            if conflicted || self.version.is_some() {
+                self.next_call_at = now + self.options.retry;
+            }
             self.settled |= self.version.is_none();
             return;
         };
-        if is_older {
+        if self.is_older(now, version) {
             return;
         }
         self.settled = true;
         if value.nonce.process == self.options.process {
             self.on_own_write(value.nonce.write, version);
         } else {
-            self.on_other_write(now, &value, version);
+            self.on_other_write(now, Some(&value), version);
         }
     }
 
+    /// Handles that the object can't be read as a lease. It may be that of a later version of this
+    /// software, so it counts as held until it has not changed for the time of a lease.
+    fn on_read_other(&mut self, now: Instant, version: ObjectVersion) {
+        self.conflicted = false;
+        if self.is_older(now, version) {
+            return;
+        }
+        self.settled = true;
+        self.on_other_write(now, None, version);
+    }
+
+    /// Whether a state that was read is older than the known one. If so, the next read is delayed.
+    fn is_older(&mut self, now: Instant, version: ObjectVersion) -> bool {
+        let is_older = self.version.is_some_and(|known| version < known);
+        if is_older && self.settled {
+            self.next_call_at = now + self.options.retry;
+        }
+        is_older
+    }
+
     /// Handles that the object contains this process's write number `write`.
     fn on_own_write(&mut self, write: u64, version: ObjectVersion) {
         if self.version.is_some_and(|known| version <= known) {
@@ -285,8 +318,9 @@
         term.renew_at = started_at + self.options.duration / RENEW_DIVISOR;
     }
 
-    /// Handles that the object contains a write of another process.
-    fn on_other_write(&mut self, now: Instant, value: &Value, version: ObjectVersion) {
+    /// Handles that the object contains a write of another process: `value`, or one that can't be
+    /// read.
+    fn on_other_write(&mut self, now: Instant, value: Option<&Value>, version: ObjectVersion) {
         self.term = None;
         self.next_call_at = now + self.options.retry;
         let was_other = matches!(self.observed, Observed::Other { .. });
@@ -294,16 +328,17 @@
             return;
         }
         self.version = Some(version);
-        let is_inherited = self.options.inherits && value.holder == self.options.name;
-        let wait = match is_inherited {
-            true => Duration::ZERO,
-            false => value.takeover_wait(),
+        let is_own_name = value.is_some_and(|v| v.holder == self.options.name);
+        let wait = match value {
+            _ if self.options.inherits && is_own_name => {
+                self.next_call_at = now;
+                Duration::ZERO
+            }
+            Some(value) => value.takeover_wait(),
+            None => takeover_wait(self.options.duration),
         };
-        if is_inherited {
-            self.next_call_at = now;
-        }
         self.observed = Observed::Other {
-            holder: Arc::clone(&value.holder),
+            holder: value.map(|v| Arc::clone(&v.holder)),
             takeover_at: now + wait,
         };
     }
--- a/crates/coordination/lease/src/value.rs
+++ b/crates/coordination/lease/src/value.rs
@@ -41,7 +41,12 @@
     pub fn takeover_wait(&self) -> Duration {
         match self.released {
             true => Duration::ZERO,
-            false => self.duration + self.duration / DRIFT_DIVISOR,
+            false => takeover_wait(self.duration),
         }
     }
 }
+
+/// Returns how long an observer has to wait before it may replace a lease of this duration.
+pub fn takeover_wait(duration: Duration) -> Duration {
+    duration + duration / DRIFT_DIVISOR
+}
--- a/crates/coordination/lease/tests/holder.rs
+++ b/crates/coordination/lease/tests/holder.rs
@@ -402,20 +402,29 @@
     assert_eq!(sim.terms, 2);
 }
 
-/// Returns the action of a new holder after it has read a lease held by `holder`.
-fn after_read(inherits: bool, holder: &str) -> Option<Action> {
+/// The retry period of a new holder.
+const RETRY: Duration = Duration::from_millis(500);
+
+/// Returns a new holder that has requested the object at `now`.
+fn new_holder(now: Instant, inherits: bool) -> Holder {
     let mut new_holder = Holder::new(Options {
         name: "front-1".into(),
         process: 2,
         duration: DURATION,
-        retry: Duration::from_millis(500),
+        retry: RETRY,
         inherits,
     });
-    let now = Instant::from_millis(10_000);
     assert_eq!(
         new_holder.on_event(now, Event::Candidate(true)),
         Some(Action::Get)
     );
+    new_holder
+}
+
+/// Returns the action of a new holder after it has read a lease held by `holder`.
+fn after_read(inherits: bool, holder: &str) -> Option<Action> {
+    let now = Instant::from_millis(10_000);
+    let mut new_holder = new_holder(now, inherits);
     let value = Value {
         holder: holder.into(),
         nonce: Nonce {
@@ -448,3 +457,93 @@
 fn read_waits_for_an_earlier_process_that_may_still_run() {
     assert_eq!(after_read(false, "front-1"), None);
 }
+
+// Guards against calls without a pause: the object read as absent, so its creation conflicted, and
+// the holder read it again at once.
+#[test]
+fn read_of_another_object_counts_as_held() {
+    let now = Instant::from_millis(10_000);
+    let mut holder = new_holder(now, true);
+    let unreadable = || Event::ReadOther(ObjectVersion(9));
+    assert_eq!(holder.on_event(now, unreadable()), None);
+    assert_eq!(holder.other_holder(), None);
+    let mut at = now;
+    while at < now + DURATION {
+        assert_eq!(holder.on_event(at, Event::Tick), None);
+        at = at + RETRY;
+        assert_eq!(holder.on_event(at, Event::Tick), Some(Action::Get));
+        assert_eq!(holder.on_event(at, unreadable()), None);
+    }
+    let taken = holder.on_event(at + RETRY, Event::Tick);
+    let Some(Action::Put { write, when, .. }) = taken else {
+        panic!("{taken:?}");
+    };
+    assert_eq!(when, Precondition::Version(ObjectVersion(9)));
+    let outcome = Outcome::Done(ObjectVersion(10));
+    holder.on_event(at + RETRY, Event::Put { write, outcome });
+    assert!(holder.holds(at + RETRY).is_some());
+}
+
+#[test]
+fn read_of_another_object_ends_the_term() {
+    let now = Instant::from_millis(10_000);
+    let mut holder = new_holder(now, true);
+    let Some(Action::Put { write, .. }) = holder.on_event(now, Event::Read(None)) else {
+        panic!("no write");
+    };
+    let outcome = Outcome::Done(ObjectVersion(1));
+    holder.on_event(now, Event::Put { write, outcome });
+    let later = now + DURATION / 2;
+    let Some(Action::Put { write, .. }) = holder.on_event(later, Event::Tick) else {
+        panic!("no renewal");
+    };
+    let outcome = Outcome::Conflict;
+    let next = holder.on_event(later, Event::Put { write, outcome });
+    assert_eq!(next, Some(Action::Get));
+    let other = Event::ReadOther(ObjectVersion(2));
+    assert_eq!(holder.on_event(later, other), None);
+    assert_eq!(holder.term(), None);
+    assert_eq!(holder.holds(later), None);
+}
+
+// The store may have an object that can't even be decoded, and reads like none.
+#[test]
+fn read_of_nothing_after_a_conflict_is_followed_by_a_pause() {
+    let mut at = Instant::from_millis(10_000);
+    let mut holder = new_holder(at, true);
+    let mut action = holder.on_event(at, Event::Read(None));
+    for _ in 0..5 {
+        let Some(Action::Put { write, .. }) = action else {
+            panic!("{action:?}");
+        };
+        let outcome = Outcome::Conflict;
+        let next = holder.on_event(at, Event::Put { write, outcome });
+        assert_eq!(next, Some(Action::Get));
+        assert_eq!(holder.on_event(at, Event::Read(None)), None);
+        assert_eq!(holder.on_event(at + RETRY / 2, Event::Tick), None);
+        at = at + RETRY;
+        action = holder.on_event(at, Event::Tick);
+    }
+}
+
+// The object was removed by another writer.
+#[test]
+fn read_of_nothing_in_a_term_is_followed_by_a_pause() {
+    let now = Instant::from_millis(10_000);
+    let mut holder = new_holder(now, true);
+    let Some(Action::Put { write, .. }) = holder.on_event(now, Event::Read(None)) else {
+        panic!("no write");
+    };
+    let outcome = Outcome::Done(ObjectVersion(1));
+    holder.on_event(now, Event::Put { write, outcome });
+    let later = now + DURATION / 2;
+    let Some(Action::Put { write, .. }) = holder.on_event(later, Event::Tick) else {
+        panic!("no renewal");
+    };
+    let outcome = Outcome::Conflict;
+    let next = holder.on_event(later, Event::Put { write, outcome });
+    assert_eq!(next, Some(Action::Get));
+    assert_eq!(holder.on_event(later, Event::Read(None)), None);
+    let tick = holder.on_event(later + RETRY, Event::Tick);
+    assert_eq!(tick, Some(Action::Get));
+}
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -18,6 +18,7 @@
 use tokio::time::sleep;
 
 use hemlockwind_core::collections::SeededHashMap;
+use hemlockwind_core::edges::Precondition;
 use hemlockwind_core::edges::PutOutcome;
 use hemlockwind_core::layers::LayerRange;
 use hemlockwind_core::servers::BackendServer;
@@ -31,6 +32,7 @@
 use hemlockwind_placement::Order;
 use hemlockwind_platform::engine;
 use hemlockwind_platform::engine::OrderOutcome;
+use hemlockwind_platform::store::Object;
 use hemlockwind_protocol::peer::store::Kind;
 
 use crate::gateway::Gateway;
@@ -139,10 +141,8 @@
         Action::Get => {
             let object = gateway.store.get(LEASE_KIND, LEASE_NAME, may_be_stale);
             match object.await {
-                Ok(object) => Event::Read(object.and_then(|object| {
-                    let value = serde_json::from_str(object.content.get()).ok()?;
-                    Some((parse_lease(&value)?, object.version))
-                })),
+                Ok(Some(object)) => read_event(gateway, &object),
+                Ok(None) => Event::Read(None),
                 Err(_) => Event::PlatformDown,
             }
         }
@@ -160,7 +160,10 @@
                 .await;
             let outcome = match put {
                 PutOutcome::Done(version) => Outcome::Done(version),
-                PutOutcome::Conflict => Outcome::Conflict,
+                PutOutcome::Conflict => {
+                    log_conflict(gateway, when);
+                    Outcome::Conflict
+                }
                 PutOutcome::Refused(_) => Outcome::Refused,
                 PutOutcome::Unknown(_) => Outcome::Unknown,
             };
@@ -169,6 +172,30 @@
     }
 }
 
+/// Logs that the lease could not be created: another instance was first, or the store has an object
+/// that can't be decoded, which reads like none.
+fn log_conflict(gateway: &Gateway, when: Precondition) {
+    if when == Precondition::Absent
+        && let Some(left_out) = gateway.lines.take(gateway.now(), "lease_exists")
+    {
+        info!(gateway.log, "lease exists already"; "name" => LEASE_NAME, "left_out" => left_out);
+    }
+}
+
+/// Returns the event for an object that was read.
+fn read_event(gateway: &Gateway, object: &Object) -> Event {
+    let value = serde_json::from_str(object.content.get()).ok();
+    let lease: Option<Value> = value.and_then(|value| parse_lease(&value));
+    if let Some(lease) = lease {
+        return Event::Read(Some((lease, object.version)));
+    }
+    if let Some(left_out) = gateway.lines.take(gateway.now(), "lease_unreadable") {
+        warn!(gateway.log, "lease can't be read"; "name" => LEASE_NAME,
+            "object_version" => object.version.0, "left_out" => left_out);
+    }
+    Event::ReadOther(object.version)
+}
+
 /// Returns the lease's value, or `None` if it can't be parsed.
 fn parse_lease(value: &serde_json::Value) -> Option<Value> {
     Some(Value {
