Answers: buffered in pieces, so that freed memory is returned

Cause: an answer was collected in one buffer that grew up to 4 MB. glibc maps blocks of 128 KiB and more; once one is freed, it raises that size to the size of the block and the free memory that each thread's arena keeps to twice that. So the memory of answers that had been refused stayed in use, up to several MB for each thread.

Change: an answer is collected in pieces of 64 KiB (the first one grows up to that) and copied to one buffer when it is complete. Its reservation is what the pieces take and one piece more, as each is freed when it has been copied.

Not covered: complete answers of more than 128 KiB are still freed as one block.

--- a/crates/transport/backend/src/buffer_budget.rs
+++ b/crates/transport/backend/src/buffer_budget.rs
@@ -16,6 +16,11 @@
 /// responses must not keep usual ones of other servers from being read.
 pub const FREE_BYTES: usize = 16 << 10;
 
+/// The size of the pieces in which a response is buffered, in bytes. The allocator of the system maps
+/// blocks of 128 KiB and more. Once one was freed, it keeps as much free memory for each thread as
+/// twice the largest of them, so that responses which were refused would still use memory.
+const PIECE_BYTES: usize = 64 << 10;
+
 /// `BufferBudget` is the number of bytes that all responses may use together.
 #[derive(Clone, Debug)]
 pub struct BufferBudget {
@@ -51,30 +56,26 @@
     /// Returns `Error::BackendAnswer` if the body exceeds `limit` bytes or the budget, and
     /// `Error::BackendFailed` if it breaks off.
     pub async fn read(&self, addr: SocketAddr, mut body: Incoming, limit: usize) -> Result<Bytes> {
-        let mut buf = Vec::new();
+        let mut pieces = Pieces::default();
         let mut reservation = self.reservation();
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|e| Error::backend_failed(format!("{addr}: {e}")))?;
             let Ok(data) = frame.into_data() else {
                 continue;
             };
-            let size = buf.len() + data.len();
+            let size = pieces.size + data.len();
             if size > limit {
                 let error = format!("{addr} responded with more than {limit} bytes");
                 return Err(Error::backend_answer(error));
             }
-            if size > buf.capacity() {
-                // Memory is reserved before it is used.
-                let capacity = size.max(buf.capacity() * 2).min(limit);
-                if !reservation.grow_to(capacity) {
-                    let error = format!("no memory for more than {} bytes of {addr}", buf.len());
-                    return Err(Error::backend_answer(error));
-                }
-                buf.reserve_exact(capacity - buf.len());
+            // Memory is reserved before it is used.
+            if !reservation.grow_to(pieces.capacity_for(size)) {
+                let error = format!("no memory for more than {} bytes of {addr}", pieces.size);
+                return Err(Error::backend_answer(error));
             }
-            buf.extend_from_slice(&data);
+            pieces.append(&data);
         }
-        Ok(buf.into())
+        Ok(pieces.join().into())
     }
 
     /// Returns an empty reservation.
@@ -122,3 +123,65 @@
         reserved.fetch_sub(self.bytes, Ordering::Relaxed);
     }
 }
+
+/// `Pieces` holds the beginning of a response in pieces of [`PIECE_BYTES`]; the first one may be
+/// smaller while it is the only one.
+#[derive(Debug, Default)]
+struct Pieces {
+    pieces: Vec<Vec<u8>>,
+    size: usize,
+}
+
+impl Pieces {
+    /// Returns the number of bytes that are allocated once the response has `size` bytes. That
+    /// includes a piece of its copy, as each piece is freed once it is copied.
+    fn capacity_for(&self, size: usize) -> usize {
+        match size <= PIECE_BYTES {
+            true => self.first_capacity(size),
+            false => size.next_multiple_of(PIECE_BYTES) + PIECE_BYTES,
+        }
+    }
+
+    /// Returns the capacity of the first piece when it has to hold `size` bytes.
+    fn first_capacity(&self, size: usize) -> usize {
+        let capacity = self.pieces.first().map_or(0, Vec::capacity);
+        match size <= capacity {
+            true => capacity,
+            false => size.max(capacity * 2).min(PIECE_BYTES),
+        }
+    }
+
+    fn append(&mut self, data: &[u8]) {
+        let first_capacity = self.first_capacity(self.size + data.len());
+        match self.pieces.first_mut() {
+            None => self.pieces.push(Vec::with_capacity(first_capacity)),
+            Some(first) => first.reserve_exact(first_capacity - first.len()),
+        }
+        self.size += data.len();
+        let mut rest = data;
+        while !rest.is_empty() {
+            let has_room = |piece: &&mut Vec<u8>| piece.len() < piece.capacity();
+            if self.pieces.last_mut().filter(has_room).is_none() {
+                self.pieces.push(Vec::with_capacity(PIECE_BYTES));
+            }
+            let Some(last) = self.pieces.last_mut() else {
+                return;
+            };
+            let (part, after) = rest.split_at(rest.len().min(last.capacity() - last.len()));
+            last.extend_from_slice(part);
+            rest = after;
+        }
+    }
+
+    /// Returns the whole response.
+    fn join(mut self) -> Vec<u8> {
+        if self.pieces.len() <= 1 {
+            return self.pieces.pop().unwrap_or_default();
+        }
+        let mut whole = Vec::with_capacity(self.size);
+        for piece in self.pieces {
+            whole.extend_from_slice(&piece);
+        }
+        whole
+    }
+}
