Tests: streams stay at a leaving server until another one accepts them

This does not occur here: the KV cache is copied while the old server keeps it, a path or copy that fails leads back to the old server, and the old server is released only after the import succeeded. Four tests hold this during a planned stop: the other server of the stage was killed, answers no requests to move KV cache, is full, or leaves as well.

That an engine takes only so many streams was already an option (`--limit`).

--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -107,6 +107,8 @@
     pub delay_ms: u64,
     /// Refuse new streams, as an engine that is leaving does.
     pub leaving: bool,
+    /// Never answer requests to export or import KV cache.
+    pub silent_moves: bool,
     /// Shut down at once and cut all connections.
     pub die: bool,
     /// Shut down as soon as a prompt with this text is to be prefilled.
--- a/crates/standin/src/engine/routes.rs
+++ b/crates/standin/src/engine/routes.rs
@@ -77,7 +77,16 @@
     StatusCode::NO_CONTENT
 }
 
+/// Never returns if the engine answers no requests to move KV cache.
+async fn block_if_moves_are_silent(engine: &Engine) {
+    let silent = engine.faults.borrow().silent_moves;
+    if silent {
+        std::future::pending::<()>().await;
+    }
+}
+
 pub async fn export(State(engine): State<Arc<Engine>>, Json(req): Json<StreamRequest>) -> Response {
+    block_if_moves_are_silent(&engine).await;
     match engine.export(RequestId(req.request)) {
         Some(cache) => Json(KvCache::from(cache)).into_response(),
         None => StatusCode::NOT_FOUND.into_response(),
@@ -88,6 +97,7 @@
     let Ok(cache) = KvExport::try_from(req.cache) else {
         return StatusCode::BAD_REQUEST;
     };
+    block_if_moves_are_silent(&engine).await;
     let request = RequestId(req.request);
     match engine.import(request, Incarnation(req.incarnation), &cache) {
         Ok(()) => StatusCode::NO_CONTENT,
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -10,6 +10,7 @@
 use axum::Json;
 use axum::Router;
 use axum::body::Bytes;
+use axum::extract::DefaultBodyLimit;
 use axum::extract::State;
 use axum::http::HeaderMap;
 use axum::http::Method;
@@ -30,6 +31,8 @@
 
 /// Header of an answer to a call that was refused before it started.
 pub const NOT_STARTED: &str = "x-not-started";
+/// Maximum size of a call's body.
+const MAX_BODY_BYTES: usize = 64 << 20;
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
 /// `Options` configures a service.
@@ -167,6 +170,7 @@
         .route("/_standin/faults", put(set_faults))
         .route("/_standin/ran", get(run_record))
         .fallback(call)
+        .layer(DefaultBodyLimit::max(MAX_BODY_BYTES))
         .with_state(Arc::clone(&state));
     let connections = Arc::default();
     let shutdown = CancellationToken::new();
--- a/programs/tests/process/leaving.rs
+++ b/programs/tests/process/leaving.rs
@@ -2,19 +2,27 @@
 
 use std::collections::HashSet;
 use std::time::Duration;
+use std::time::Instant;
 
 use hemlockwind_standin::caller::StreamEnd;
 use hemlockwind_standin::caller::expected_text;
 use hemlockwind_standin::sample;
+use serde_json::Value;
 use serde_json::json;
 use uuid::Uuid;
 
+use crate::site::Options;
 use crate::site::Site;
+use crate::site::eventually;
 
 /// Maximum time until a leaving server gets no new requests.
 const MAX_LEAVE_TIME: Duration = Duration::from_secs(3);
 /// Maximum number of tokens of the stream that runs while its server leaves.
 const TOKENS: u32 = 100;
+/// How long a planned stop may take. It ends when the answers in progress are complete.
+const STOP_TIMEOUT: Duration = Duration::from_secs(30);
+/// Duration of an iteration of engines whose streams outlast the notice of a leaving server.
+const STAYING_ITERATION_MS: u32 = 12;
 /// Number of requests that are sent after that time.
 const REQUESTS: usize = 24;
 
@@ -95,3 +103,93 @@
 async fn leave_operator_drain() {
     check_leaving("leaving-drain", Source::Configuration).await;
 }
+
+/// What keeps the streams of a leaving engine from moving to its twin.
+#[derive(Clone, Copy, Debug)]
+enum Obstacle {
+    Killed,
+    Silent,
+    Full,
+    Leaving,
+}
+
+// Guards against LOST of the report of issue 41: a stream gave up its place on a leaving server before
+// another server had accepted it.
+async fn check_stays_until_accepted(name: &str, obstacle: Obstacle) {
+    let options = Options {
+        engine_streams: match obstacle {
+            Obstacle::Full => 1,
+            Obstacle::Killed | Obstacle::Silent | Obstacle::Leaving => sample::MAX_IN_FLIGHT,
+        },
+        iteration_ms: STAYING_ITERATION_MS,
+        ..Options::default()
+    };
+    let mut site = Site::start_with(name, options).await;
+    let prompt = sample::long_prompt("kubaki", TOKENS);
+    let mut streams = Vec::new();
+    // Streams of the second instance run on the twin.
+    let instances = match obstacle {
+        Obstacle::Killed => 1,
+        Obstacle::Silent | Obstacle::Full | Obstacle::Leaving => 2,
+    };
+    for index in 0..instances {
+        let caller = site.instances[index].caller.clone();
+        let mut streamed = caller.stream(&prompt, TOKENS).await.unwrap();
+        streamed.read_tokens(2).await.unwrap();
+        streams.push(streamed);
+    }
+    let index = site.engine_in_use(1).await;
+    let twin = (index + sample::STAGES.len()) % site.engines.len();
+    match obstacle {
+        Obstacle::Killed => site.engines[twin].process.kill(),
+        Obstacle::Silent => {
+            let faults = json!({"silent_moves": true});
+            site.engines[twin].set_faults(&faults).await;
+        }
+        Obstacle::Full => {}
+        Obstacle::Leaving => announce_leaving(&site, twin, Source::Report).await,
+    }
+    announce_leaving(&site, index, Source::Report).await;
+    site.instances[0].process.signal("TERM");
+    let name = format!("runner-{index}");
+    let admin = &site.instances[0].admin;
+    eventually("the leaving is noticed", MAX_LEAVE_TIME, || async {
+        let status = admin.json("GET", "/v1/status", vec![]).await.unwrap();
+        let status: Value = serde_json::from_slice(&status).unwrap();
+        let leaving = status["leaving"].as_array().unwrap();
+        leaving.iter().any(|leaving| *leaving == name)
+    })
+    .await;
+    let noticed = Instant::now();
+    for streamed in &mut streams {
+        assert_eq!(streamed.finish().await, StreamEnd::Done, "{obstacle:?}");
+        assert_eq!(streamed.text, expected_text(&prompt, TOKENS));
+        assert!(streamed.token_times.last() > Some(&noticed));
+    }
+    if !matches!(obstacle, Obstacle::Killed) {
+        let runs = site.engines[index].ran().await.runs;
+        assert!(runs.iter().all(|run| run.count == 1), "{obstacle:?}");
+    }
+    let status = site.instances[0].process.wait(STOP_TIMEOUT).await;
+    assert_eq!(status.code(), Some(0));
+}
+
+#[tokio::test]
+async fn leave_other_server_killed_streams_stay() {
+    check_stays_until_accepted("stay-killed", Obstacle::Killed).await;
+}
+
+#[tokio::test]
+async fn leave_other_server_silent_streams_stay() {
+    check_stays_until_accepted("stay-silent", Obstacle::Silent).await;
+}
+
+#[tokio::test]
+async fn leave_other_server_full_streams_stay() {
+    check_stays_until_accepted("stay-full", Obstacle::Full).await;
+}
+
+#[tokio::test]
+async fn leave_other_server_leaves_too_streams_stay() {
+    check_stays_until_accepted("stay-leaving", Obstacle::Leaving).await;
+}
--- a/programs/tests/process/loans.rs
+++ b/programs/tests/process/loans.rs
@@ -18,6 +18,7 @@
 use tokio::task::JoinSet;
 use uuid::Uuid;
 
+use crate::site::Options;
 use crate::site::Site;
 use crate::site::eventually;
 use crate::site::get;
@@ -116,7 +117,11 @@
 
 /// Starts a site and waits until all instances serve loans.
 async fn start(name: &str) -> Site {
-    let site = Site::start_with(name, INSTANCES).await;
+    let options = Options {
+        instances: INSTANCES,
+        ..Options::default()
+    };
+    let site = Site::start_with(name, options).await;
     for (index, instance) in site.instances.iter().enumerate() {
         eventually("loans are served", START_TIMEOUT, || async move {
             let body = format!("first {}", Uuid::new_v4());
--- a/programs/tests/process/services.rs
+++ b/programs/tests/process/services.rs
@@ -12,6 +12,7 @@
 use serde_json::json;
 use uuid::Uuid;
 
+use crate::site::Options;
 use crate::site::Site;
 use crate::site::eventually;
 use crate::site::get;
@@ -62,7 +63,11 @@
 
 /// Starts a site and waits until nearly every slot has an owner that accepts new keys.
 async fn start(name: &str, instances: u8) -> Site {
-    let site = Site::start_with(name, instances).await;
+    let options = Options {
+        instances,
+        ..Options::default()
+    };
+    let site = Site::start_with(name, options).await;
     let caller = site.instances[1].caller.clone();
     eventually(
         "the owners of the slots accept new keys",
--- a/programs/tests/process/site.rs
+++ b/programs/tests/process/site.rs
@@ -29,9 +29,6 @@
 pub const STEP_MS: u64 = 300;
 /// Time after which a prefill is considered lost, in milliseconds.
 pub const PREFILL_MS: u64 = 1_000;
-/// Duration of an iteration of an engine's batch, in milliseconds.
-const ITERATION_MS: &str = "4";
-
 /// Maximum number of instances of one site.
 const MAX_INSTANCES: u8 = 4;
 /// Maximum number of sites at the same time: more would starve each other of processor time.
@@ -42,6 +39,30 @@
 /// Permits to run a site.
 static SITE_PERMITS: Semaphore = Semaphore::const_new(MAX_CONCURRENT_SITES);
 
+/// `Options` configures a site.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The number of instances.
+    pub instances: u8,
+    /// The limits in the settings, besides those of steps and prefills.
+    pub limits: Value,
+    /// Maximum number of streams on each engine.
+    pub engine_streams: u32,
+    /// Duration of an iteration of an engine's batch, in milliseconds.
+    pub iteration_ms: u32,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            instances: 2,
+            limits: json!({}),
+            engine_streams: sample::MAX_IN_FLIGHT,
+            iteration_ms: 4,
+        }
+    }
+}
+
 /// `Engine` holds an engine's process and its description as a backend server.
 pub struct Engine {
     pub process: Process,
@@ -66,6 +87,7 @@
     _service: Process,
     pub service_addr: SocketAddr,
     pub instances: Vec<Instance>,
+    engine_streams: u32,
     dir: PathBuf,
     _permit: SemaphorePermit<'static>,
 }
@@ -74,11 +96,11 @@
     /// Starts all processes, with one instance in each data centre, and waits until the
     /// instances are ready.
     pub async fn start(name: &str) -> Self {
-        Self::start_with(name, 2).await
+        Self::start_with(name, Options::default()).await
     }
 
-    /// As [`Site::start`], with `count` instances.
-    pub async fn start_with(name: &str, count: u8) -> Self {
+    /// As [`Site::start`], with `options`.
+    pub async fn start_with(name: &str, options: Options) -> Self {
         let permit = SITE_PERMITS.acquire().await.unwrap();
         let number = NEXT_SITE.fetch_add(1, Ordering::Relaxed);
         let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
@@ -92,14 +114,16 @@
         for data_centre in sample::DATA_CENTRES {
             for layers in sample::STAGES {
                 let log = log(&format!("engine-{data_centre}-{}", layers.start));
-                engines.push(start_engine(data_centre, layers, &log));
+                engines.push(start_engine(data_centre, layers, &options, &log));
             }
         }
-        let definitions =
-            (0..count).map(|n| define_instance(n, unique_ip(MAX_INSTANCES * number + n)));
+        let definitions = (0..options.instances)
+            .map(|n| define_instance(n, unique_ip(MAX_INSTANCES * number + n)));
         let definitions: Vec<_> = definitions.collect();
         let settings = dir.join("settings.jsonc");
-        let limits = json!({"step_ms": STEP_MS, "prefill_ms": PREFILL_MS});
+        let mut limits = options.limits;
+        limits["step_ms"] = STEP_MS.into();
+        limits["prefill_ms"] = PREFILL_MS.into();
         let text = sample::settings(platform_addr, &definitions, &limits);
         std::fs::write(&settings, text).unwrap();
         let instances = definitions.iter().map(|definition| Instance {
@@ -117,6 +141,7 @@
             engines,
             _service: service,
             service_addr,
+            engine_streams: options.engine_streams,
             dir,
             _permit: permit,
         };
@@ -167,7 +192,11 @@
             addr: self.service_addr,
             layers: None,
         });
-        let document = serde_json::to_vec(&sample::document(&servers)).unwrap();
+        let mut document = sample::document(&servers);
+        for server in &mut document.backend_servers {
+            server.limit = self.engine_streams;
+        }
+        let document = serde_json::to_vec(&document).unwrap();
         let admin = &self.instances[0].admin;
         let put = || admin.json("PUT", "/v1/configuration", document.clone());
         eventually("the configuration is accepted", START_TIMEOUT, || async {
@@ -255,10 +284,12 @@
 fn start_engine(
     data_centre: &'static str,
     layers: std::ops::Range<u16>,
+    options: &Options,
     log: &std::path::Path,
 ) -> Engine {
     let model_layers = sample::MODEL_LAYERS.to_string();
-    let limit = sample::MAX_IN_FLIGHT.to_string();
+    let limit = options.engine_streams.to_string();
+    let iteration_ms = options.iteration_ms.to_string();
     let range = format!("{}-{}", layers.start, layers.end);
     let args = [
         "engine",
@@ -267,7 +298,7 @@
         "--layers",
         &range,
         "--step-ms",
-        ITERATION_MS,
+        &iteration_ms,
         "--limit",
         &limit,
     ];
--- a/programs/tests/process/spread.rs
+++ b/programs/tests/process/spread.rs
@@ -11,6 +11,7 @@
 use tokio::process::Command;
 
 use crate::site::Instance;
+use crate::site::Options;
 use crate::site::Site;
 use crate::site::eventually;
 
@@ -90,7 +91,11 @@
 
 #[tokio::test]
 async fn members_killed_instance_rejoins_without_platform() {
-    let mut site = Site::start_with("members", 4).await;
+    let options = Options {
+        instances: 4,
+        ..Options::default()
+    };
+    let mut site = Site::start_with("members", options).await;
     let is_live = |status: &Value, name: &str| {
         let live = status["live_instances"].as_array().cloned();
         live.unwrap_or_default()
