Stop of hemlockwindd: the log names cut requests, and counts answers on their way

Operators could not see which requests a stop cut, nor what they waited for. The number counted tasks: the freeing of a cache on an engine was a request, and an answer on its way to its caller was not. A stop that cut such an answer logged 0 and ended with 0.

Each request of a caller is now in a table from its arrival until its answer was written to the connection, with one of the states waiting, running, between runs and answering. The line has the count of each state and the ids of the 16 oldest requests. The connection's flush ends an answer, since HTTP/1 flushes only an empty buffer. Over HTTP/2 a long answer may leave the table before its last part is written.

--- a/crates/daemon/src/callers/completions.rs
+++ b/crates/daemon/src/callers/completions.rs
@@ -28,8 +28,10 @@
 use crate::callers::events::Answer;
 use crate::driver;
 use crate::driver::Progress;
+use crate::in_progress::RequestState;
 use crate::instance::Instance;
 use crate::problem::Failure;
+use crate::transmission::Unsent;
 use crate::work::Work;
 
 /// The header with the request's id.
@@ -48,17 +50,20 @@
 /// Answers one request and adds its id in a header.
 async fn answer(instance: Arc<Instance>, req: Request, api: Api) -> Response {
     let id = RequestId(Uuid::now_v7());
+    let unsent = req.extensions().get::<Unsent>().cloned();
+    let entry = instance.in_progress.add(id.0);
     let answer = serve(&instance, req, api, id).await;
     let mut response = answer.unwrap_or_else(|mut failure| {
         failure.request = id.0.to_string();
         slog::info!(instance.log, "a request failed"; "request" => %id.0, "code" => failure.error.code().number(), "error" => %failure.error);
         instance.metrics.count("requests.refused", 1);
+        entry.set(RequestState::Answering);
         failure.into_response()
     });
     if let Ok(value) = id.0.to_string().parse() {
         response.headers_mut().insert(REQUEST_HEADER, value);
     }
-    response
+    unsent.unwrap_or_default().track(response, entry)
 }
 
 /// Reads, validates and runs one request.
--- a/crates/daemon/src/callers/services.rs
+++ b/crates/daemon/src/callers/services.rs
@@ -36,9 +36,12 @@
 use crate::assignments::Member;
 use crate::callers::body;
 use crate::callers::caller::Caller;
+use crate::in_progress::Entry;
+use crate::in_progress::RequestState;
 use crate::instance::Instance;
 use crate::problem::Failure;
 use crate::slots;
+use crate::transmission::Unsent;
 
 /// The header with the request's id.
 const REQUEST_HEADER: &str = "x-request-id";
@@ -71,7 +74,9 @@
     req: Request,
 ) -> Response {
     let id = Uuid::now_v7();
-    let mut response = match serve(&instance, &service, req, id).await {
+    let unsent = req.extensions().get::<Unsent>().cloned();
+    let entry = instance.in_progress.add(id);
+    let mut response = match serve(&instance, &service, req, id, &entry).await {
         Ok(response) => response,
         Err(mut failure) => {
             failure.request = id.to_string();
@@ -82,7 +87,8 @@
     if let Ok(value) = id.to_string().parse() {
         response.headers_mut().insert(REQUEST_HEADER, value);
     }
-    response
+    entry.set(RequestState::Answering);
+    unsent.unwrap_or_default().track(response, entry)
 }
 
 /// Reads, validates and runs a call.
@@ -91,6 +97,7 @@
     service: &str,
     req: Request,
     id: Uuid,
+    entry: &Entry,
 ) -> Result<Response, Failure> {
     if instance.stopping.is_cancelled() {
         return Err(Error::Stopping.into());
@@ -119,9 +126,12 @@
         body: body::read(body, &instance.settings.limits).await?,
     };
     let cx = Arc::clone(instance);
+    let entry = entry.clone();
+    entry.set(RequestState::Running);
     // Runs in a task of its own, so that the call's outcome is recorded even if the caller's
     // connection breaks.
     let reply = instance.requests.spawn(async move {
+        let _entry = entry;
         match key.filter(|_| !target.may_repeat) {
             Some((key, text)) => {
                 let dispatch = dispatch(&caller, &target, &text, call, id);
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -28,6 +28,7 @@
 use hemlockwind_telemetry::histograms::Measure;
 
 use crate::health;
+use crate::in_progress::RequestState;
 use crate::instance::Instance;
 use crate::pool::Slot;
 use crate::work::Work;
@@ -61,6 +62,7 @@
         Ok(slot) => run(instance, work, slot, out).await,
         Err(error) => {
             instance.metrics.count("requests.refused", 1);
+            instance.in_progress.set(work.id.0, RequestState::Answering);
             let ran = Attempts::default().ran();
             // Fails if the caller has disconnected; then the error isn't needed.
             let _ = out.send(Progress::End(Finish::Failed(error, ran)));
@@ -96,6 +98,7 @@
         events: VecDeque::new(),
         counted_on: Vec::new(),
         last_step: None,
+        state: RequestState::Waiting,
     };
     driver.run(rx, actions).await;
 }
@@ -123,6 +126,8 @@
     counted_on: Vec<BackendServerKey>,
     last_step: Option<LastStep>,
     last_token_at: Instant,
+    /// The state that was recorded last.
+    state: RequestState,
 }
 
 impl StreamDriver {
@@ -138,6 +143,7 @@
             if is_over {
                 break;
             }
+            self.record_state();
             let event = match self.events.pop_front() {
                 Some(event) => event,
                 None => {
@@ -307,9 +313,24 @@
         self.instance.metrics.count(key, 1);
         self.instance.metrics.count("tokens", tokens.into());
         debug!(self.instance.log, "a stream ended"; "request" => %self.work.id.0, "finish" => ?finish, "incarnations" => self.stream.incarnation().0);
+        let in_progress = &self.instance.in_progress;
+        in_progress.set(self.work.id.0, RequestState::Answering);
         let _ = self.out.send(Progress::End(finish));
     }
 
+    /// Records whether the stream runs or waits for a path.
+    fn record_state(&mut self) {
+        let state = match (self.stream.waits_for_path(), self.stream.incarnation()) {
+            (true, Incarnation(0)) => RequestState::Waiting,
+            (true, _) => RequestState::BetweenRuns,
+            (false, _) => RequestState::Running,
+        };
+        if state != self.state {
+            self.state = state;
+            self.instance.in_progress.set(self.work.id.0, state);
+        }
+    }
+
     /// Updates the step time and health of the server of the last step from an event.
     fn update_server(&mut self, event: &Event) {
         let Some(last_step) = self.last_step else {
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -37,6 +37,7 @@
 use crate::configuration::ConfigReplica;
 use crate::fleet::Fleet;
 use crate::health::Health;
+use crate::in_progress::InProgress;
 use crate::members::MembershipView;
 use crate::pool::Shards;
 use crate::slots::OwnedSlots;
@@ -116,6 +117,8 @@
     pub stopping: CancellationToken,
     /// The tasks of the requests in progress. A planned stop waits for them.
     pub requests: TaskTracker,
+    /// The requests of callers in progress, until their answers are transmitted.
+    pub in_progress: Arc<InProgress>,
     /// Permits for further completions, which bound the completions in progress.
     pub request_permits: Arc<Semaphore>,
 }
@@ -158,6 +161,7 @@
             ends_at: OnceLock::new(),
             stopping: CancellationToken::new(),
             requests: TaskTracker::new(),
+            in_progress: Arc::default(),
             request_permits: Arc::new(request_permits),
             settings,
             me,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod driver;
 pub mod fleet;
 pub mod health;
+pub mod in_progress;
 pub mod instance;
 pub mod listener;
 pub mod members;
@@ -23,6 +24,7 @@
 pub mod sheet;
 pub mod slots;
 pub mod start;
+pub mod transmission;
 pub mod watch;
 pub mod work;
 
--- a/crates/daemon/src/listener.rs
+++ b/crates/daemon/src/listener.rs
@@ -15,6 +15,9 @@
 use tokio_util::sync::CancellationToken;
 use tower::ServiceExt;
 
+use crate::transmission::TrackedStream;
+use crate::transmission::Unsent;
+
 /// Maximum number of header fields of one request.
 const MAX_HEADER_FIELDS: usize = 100;
 /// Maximum number of concurrent requests on one HTTP/2 connection.
@@ -64,9 +67,12 @@
             continue;
         };
         let _ = tcp.set_nodelay(true);
-        let app = app
-            .clone()
-            .map_request(|req: http::Request<_>| req.map(Body::new));
+        let unsent = Unsent::default();
+        let tcp = TrackedStream::new(tcp, unsent.clone());
+        let app = app.clone().map_request(move |mut req: http::Request<_>| {
+            req.extensions_mut().insert(unsent.clone());
+            req.map(Body::new)
+        });
         let connection = builder
             .serve_connection_with_upgrades(TokioIo::new(tcp), TowerToHyperService::new(app));
         let connection = graceful.watch(connection.into_owned());
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -6,7 +6,6 @@
 
 use slog::Logger;
 use slog::info;
-use slog::warn;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 use tokio::task::JoinHandle;
@@ -126,6 +125,15 @@
     })
 }
 
+/// Logs the requests in progress, which are about to be cut off, and returns their number.
+pub fn log_cut(instance: &Instance) -> usize {
+    let cut = instance.in_progress.snapshot(|_| true);
+    if !cut.is_empty() {
+        cut.warn(&instance.log, "requests were cut");
+    }
+    cut.len()
+}
+
 /// Opens a listening socket whose backlog holds a burst of callers.
 async fn open(addr: SocketAddr) -> Result<(TcpListener, SocketAddr)> {
     let error = |e: std::io::Error| Error::listen(format!("{addr}: {e}"));
@@ -147,7 +155,8 @@
     /// Performs a planned stop. For `notice_ms`, in which the load balancer can notice that
     /// the instance isn't ready, requests are still accepted. After that they are refused as
     /// not run, and those in progress run to their ends. Returns the number of requests that
-    /// were still in progress after the drain time and are cut off.
+    /// were still in progress after the drain time, among them those whose answers were not
+    /// transmitted, and are cut off.
     pub async fn stop(mut self) -> usize {
         let instance = Arc::clone(&self.instance);
         let limits = instance.settings.limits;
@@ -169,11 +178,8 @@
         let time = Duration::from_millis(limits.drain_ms);
         let cut = match tokio::time::timeout(time, drain).await {
             Ok(()) => 0,
-            Err(_) => instance.requests.len(),
+            Err(_) => log_cut(&instance),
         };
-        if cut > 0 {
-            warn!(instance.log, "the drain time passed; the requests in progress are cut off"; "cut" => cut);
-        }
         slots::release(&instance).await;
         self.end_tasks();
         info!(instance.log, "stopped"; "cut" => cut);
@@ -182,7 +188,7 @@
 
     /// Stops at once. Returns the number of requests that this cuts off.
     pub fn abort(self) -> usize {
-        let cut = self.instance.requests.len();
+        let cut = log_cut(&self.instance);
         self.instance.unready.cancel();
         self.instance.stopping.cancel();
         self.callers_task.abort();
--- a/crates/state/stream/src/stream.rs
+++ b/crates/state/stream/src/stream.rs
@@ -143,6 +143,16 @@
         self.incarnation
     }
 
+    /// Returns whether the stream waits for a path on which it can start or start again.
+    pub fn waits_for_path(&self) -> bool {
+        match self.state {
+            State::Choosing | State::Paused { .. } => true,
+            State::Replacing { .. } | State::Importing(_) | State::Running(_) | State::Done => {
+                false
+            }
+        }
+    }
+
     /// Returns the backend servers of the current path.
     pub fn servers(&self) -> impl Iterator<Item = BackendServerKey> {
         self.route.stages().map(|stage| stage.server)
--- a/programs/src/bin/hemlockwindd.rs
+++ b/programs/src/bin/hemlockwindd.rs
@@ -1,10 +1,10 @@
 //! The daemon that every instance runs.
 
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use argh::FromArgs;
 use slog::error;
-use slog::warn;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
@@ -12,6 +12,7 @@
 use hemlockwind::core::Result;
 use hemlockwind::daemon::Running;
 use hemlockwind::daemon::start;
+use hemlockwind::daemon::start::log_cut;
 use hemlockwind::settings::Settings;
 use hemlockwind::settings::faults;
 use hemlockwind::telemetry::logs;
@@ -65,7 +66,7 @@
 /// Either begins a planned stop; a further signal ends the process at once.
 async fn run(running: Running) -> ExitCode {
     let log = running.instance.log.clone();
-    let requests = running.instance.requests.clone();
+    let instance = Arc::clone(&running.instance);
     let (Ok(mut terminate), Ok(mut interrupt)) = (
         signal(SignalKind::terminate()),
         signal(SignalKind::interrupt()),
@@ -80,11 +81,10 @@
     }
     let cut_count = tokio::select! {
         cut_count = running.stop() => cut_count,
-        _ = terminate.recv() => requests.len(),
-        _ = interrupt.recv() => requests.len(),
+        _ = terminate.recv() => log_cut(&instance),
+        _ = interrupt.recv() => log_cut(&instance),
     };
     if cut_count > 0 {
-        warn!(log, "requests were cut"; "cut" => cut_count);
         return ExitCode::from(1);
     }
     ExitCode::SUCCESS
--- a/programs/tests/process/site.rs
+++ b/programs/tests/process/site.rs
@@ -211,6 +211,16 @@
         }
     }
 
+    /// Returns the lines that the instance at `index` has logged.
+    pub fn log_lines(&self, index: usize) -> Vec<Value> {
+        let name = &self.instances[index].definition.name;
+        let text = std::fs::read_to_string(self.dir.join(format!("{name}.log"))).unwrap();
+        let lines = text.lines();
+        lines
+            .filter_map(|line| serde_json::from_str(line).ok())
+            .collect()
+    }
+
     /// Returns the index of an engine of `stage` that currently holds a stream.
     pub async fn engine_in_use(&self, stage: usize) -> usize {
         let layers = &sample::STAGES[stage];
--- a/programs/tests/process/stop.rs
+++ b/programs/tests/process/stop.rs
@@ -5,14 +5,23 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use bytes::Bytes;
+use hemlockwind_standin::caller::Caller;
 use hemlockwind_standin::caller::Failure;
 use hemlockwind_standin::caller::StreamEnd;
 use hemlockwind_standin::caller::completion_request;
 use hemlockwind_standin::caller::expected_text;
 use hemlockwind_standin::sample;
+use http::StatusCode;
 use serde_json::Value;
+use serde_json::json;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
 use tokio::task::JoinSet;
 
+use crate::site::Options;
 use crate::site::Site;
 use crate::site::eventually;
 
@@ -29,6 +38,16 @@
 const MIN_NOTICE_TIME: Duration = Duration::from_millis(100);
 /// How long a planned stop may take. It ends when the answers in progress are complete.
 const STOP_TIMEOUT: Duration = Duration::from_secs(30);
+/// Number of streams that a second signal cuts.
+const NAMED_STREAMS: usize = 20;
+/// Number of requests that the log line about them names.
+const MAX_NAMED_REQUESTS: usize = 16;
+/// Time that requests have to end in the tests of stops that they outlast, in milliseconds.
+const DRAIN_MS: u64 = 3_000;
+/// Header with a deadline after the end of such a stop.
+const LATE_DEADLINE: (&str, &str) = ("x-hemlockwind-deadline-ms", "50000");
+/// Duration of an iteration of engines whose streams outlast such a stop, in milliseconds.
+const SLOW_ITERATION_MS: u32 = 60;
 
 #[tokio::test]
 async fn stop_under_load_cuts_nothing() {
@@ -112,6 +131,129 @@
     assert_eq!(status.code(), Some(0));
 }
 
+/// Returns the options of a site whose streams outlast a stop.
+fn slow_site(engine_streams: u32) -> Options {
+    Options {
+        limits: json!({"notice_ms": 200, "drain_ms": DRAIN_MS, "receive_ms": 60_000}),
+        engine_streams,
+        iteration_ms: SLOW_ITERATION_MS,
+        ..Options::default()
+    }
+}
+
+type Call = JoinHandle<Result<(StatusCode, Bytes), Failure>>;
+
+/// Sends a request for a stream of `TOKENS` tokens.
+fn send_stream(caller: &Caller, prompt: &str) -> Call {
+    let (caller, body) = (caller.clone(), completion_request(prompt, TOKENS, true));
+    tokio::spawn(async move {
+        let headers = [LATE_DEADLINE];
+        let path = "/v1/completions";
+        caller.call("POST", path, &headers, body).await
+    })
+}
+
+// Guards against a stop whose log doesn't show which requests it cut, nor what they waited for.
+#[tokio::test]
+async fn stop_cut_short_names_requests_and_states() {
+    let mut site = Site::start_with("names", slow_site(1)).await;
+    let prompt = sample::long_prompt("majina", TOKENS);
+    let calls: Vec<Call> = (0..NAMED_STREAMS)
+        .map(|_| send_stream(&site.instances[0].caller, &prompt))
+        .collect();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let process = &mut site.instances[0].process;
+    process.signal("TERM");
+    tokio::time::sleep(MIN_NOTICE_TIME).await;
+    process.signal("TERM");
+    let status = process.wait(STOP_TIMEOUT).await;
+    assert_eq!(status.code(), Some(1));
+    for call in calls {
+        assert!(matches!(call.await.unwrap(), Err(Failure::Cut(_))));
+    }
+    let cut = cut_line(&site);
+    assert_eq!(cut["cut"], NAMED_STREAMS, "{cut}");
+    let count = |state: &str| cut[state].as_u64().unwrap();
+    assert!(count("waiting") > 0 && count("running") > 0, "{cut}");
+    let states = ["waiting", "running", "between_runs", "answering"];
+    let sum: u64 = states.into_iter().map(count).sum();
+    assert_eq!(sum, NAMED_STREAMS as u64, "{cut}");
+    let named = cut["requests"].as_str().unwrap().split(' ').count();
+    assert_eq!(named, MAX_NAMED_REQUESTS, "{cut}");
+}
+
+/// Returns the line of the first instance's log about the requests that its stop cut.
+fn cut_line(site: &Site) -> Value {
+    let lines = site.log_lines(0);
+    let cut = lines
+        .into_iter()
+        .find(|line| line["msg"] == "requests were cut");
+    cut.expect("the log says what was cut")
+}
+
+// Guards against a count of requests whose answers their callers had received.
+#[tokio::test]
+async fn stop_cut_short_ignores_answered_requests() {
+    let mut site = Site::start_with("answered", slow_site(sample::MAX_IN_FLIGHT)).await;
+    let instance = &mut site.instances[0];
+    let mut tcp = TcpStream::connect(instance.definition.callers)
+        .await
+        .unwrap();
+    let head = format!(
+        "GET /v1/services/{}/loans HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {}\r\n\r\n",
+        sample::SERVICE,
+        sample::API_KEY
+    );
+    tcp.write_all(head.as_bytes()).await.unwrap();
+    let mut head = [0; 1_024];
+    let len = tcp.read(&mut head).await.unwrap();
+    let head = String::from_utf8_lossy(&head[..len]).into_owned();
+    assert!(head.starts_with("HTTP/1.1 200 "), "{head}");
+    instance.process.signal("TERM");
+    tokio::time::sleep(MIN_NOTICE_TIME).await;
+    instance.process.signal("TERM");
+    let status = instance.process.wait(STOP_TIMEOUT).await;
+    assert_eq!(status.code(), Some(0));
+}
+
+// Guards against a stop that logs no cut request although an answer was on its way to its caller.
+#[tokio::test]
+async fn stop_counts_answers_on_their_way_as_cut() {
+    let mut options = slow_site(sample::MAX_IN_FLIGHT);
+    options.limits["body_bytes"] = (8 << 20).into();
+    let mut site = Site::start_with("way", options).await;
+    let mut tcp = TcpStream::connect(site.instances[0].definition.callers)
+        .await
+        .unwrap();
+    // The service returns the body, which is more than the system buffers for the connection.
+    let body = "x".repeat(7 << 20);
+    let head = format!(
+        "POST /v1/services/{}/echo HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {}\r\n\
+         content-length: {}\r\n\r\n",
+        sample::SERVICE,
+        sample::API_KEY,
+        body.len()
+    );
+    tcp.write_all(head.as_bytes()).await.unwrap();
+    tcp.write_all(body.as_bytes()).await.unwrap();
+    tcp.readable().await.unwrap();
+    let mut head = [0; 1_024];
+    let len = tcp.peek(&mut head).await.unwrap();
+    let head = String::from_utf8_lossy(&head[..len]).into_owned();
+    assert!(head.starts_with("HTTP/1.1 200 "), "{head}");
+    let id = head
+        .lines()
+        .find_map(|line| line.strip_prefix("x-request-id: "));
+    let id = id.expect("the answer has an id").to_string();
+    site.instances[0].process.signal("TERM");
+    let status = site.instances[0].process.wait(STOP_TIMEOUT).await;
+    assert_eq!(status.code(), Some(1));
+    let cut = cut_line(&site);
+    assert_eq!(cut["cut"], 1, "{cut}");
+    assert_eq!(cut["answering"], 1, "{cut}");
+    assert_eq!(cut["requests"], format!("{id}=answering"), "{cut}");
+}
+
 /// Checks that a refusal says that the request did not run.
 fn assert_not_run(body: &[u8]) {
     let problem: Value = serde_json::from_slice(body).unwrap();
