Stop of hemlockwindd: requests that outlast the drain time get whole answers

None of them was bounded by the end of the process.

Shortly before the end of the drain time (one second, at most a quarter of it) the token `Instance::ending` is cancelled, and each of these waits ends with it: with 2005, Retry-After and `ran` "no" if no step or call may have run, else with 3006 and "unknown". A streamed answer that has begun ends with the error event. The rest of the time is for the transmission of the answers. An owner of a slot records the outcome of its call as unknown and replies so to the instance that asked. Calls that may not be repeated are refused from the signal on if their deadlines lie beyond that time, not beyond the end of the process. The line "requests were ended by the stop" has the same fields as "requests were cut"; the exit code is 1 in both cases, as before.

Red before (process stop): stop_answers_streams_that_wait_for_a_slot, stop_ends_streams_between_two_runs, stop_answers_calls_in_progress (connections closed before a whole answer), stop_answers_request_with_incomplete_body (no byte). Green with the change, as are the other tests of stops and of leaving servers, and those of the stream crate, whose simulation stops streams at any time now.

--- a/crates/core/src/errors.rs
+++ b/crates/core/src/errors.rs
@@ -8,6 +8,10 @@
 use strum::EnumDiscriminants;
 use strum::EnumIter;
 
+/// When to retry after a refusal by an instance that is stopping: another one takes the next
+/// connection.
+const OTHER_INSTANCE_RETRY: Duration = Duration::from_millis(100);
+
 /// `Result` is the result of anything that can fail with [`Error`].
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
@@ -281,6 +285,7 @@
             Self::QueueFull(after)
             | Self::DeadlineUnmeetable(after)
             | Self::Quarantined(_, after) => Some(*after),
+            Self::Stopping => Some(OTHER_INSTANCE_RETRY),
             _ => None,
         }
     }
--- a/crates/daemon/src/callers/body.rs
+++ b/crates/daemon/src/callers/body.rs
@@ -13,6 +13,8 @@
 use hemlockwind_core::Result;
 use hemlockwind_settings::settings::Limits;
 
+use crate::instance::Instance;
+
 /// Reads a whole body within the limits.
 ///
 /// # Errors
@@ -34,6 +36,18 @@
     Ok(whole.to_bytes())
 }
 
+/// As [`read`], for the body of a caller's request.
+///
+/// # Errors
+///
+/// Those of [`read`], and `Error::Stopping` when the process is about to end.
+pub async fn receive(instance: &Instance, body: Body) -> Result<Bytes> {
+    tokio::select! {
+        body = read(body, &instance.settings.limits) => body,
+        () = instance.ending.cancelled() => Err(Error::Stopping),
+    }
+}
+
 /// Parses a body as JSON.
 ///
 /// # Errors
--- a/crates/daemon/src/callers/completions.rs
+++ b/crates/daemon/src/callers/completions.rs
@@ -116,7 +116,7 @@
 
 /// Reads and validates the body of a request.
 async fn job(instance: &Instance, req: Body, api: Api) -> Result<Job> {
-    let req = body::read(req, &instance.settings.limits).await?;
+    let req = body::receive(instance, req).await?;
     match api {
         Api::Text => body::json::<CompletionRequest>(&req)?.try_into(),
         Api::Chat => body::json::<ChatRequest>(&req)?.try_into(),
--- a/crates/daemon/src/callers/services.rs
+++ b/crates/daemon/src/callers/services.rs
@@ -123,7 +123,7 @@
         method: parts.method.to_string(),
         path: path.unwrap_or("/").into(),
         headers: forwarded_headers(&parts.headers, id),
-        body: body::read(body, &instance.settings.limits).await?,
+        body: body::receive(instance, body).await?,
     };
     let cx = Arc::clone(instance);
     let entry = entry.clone();
@@ -132,15 +132,21 @@
     // connection breaks.
     let reply = instance.requests.spawn(async move {
         let _entry = entry;
-        match key.filter(|_| !target.may_repeat) {
-            Some((key, text)) => {
-                let dispatch = dispatch(&caller, &target, &text, call, id);
-                Ok(call_through_owner(&cx, &target, &caller, &key, dispatch).await)
-            }
-            None => {
-                let max_attempts = if target.may_repeat { MAX_ATTEMPTS } else { 1 };
-                call_directly(&cx, &target, call, caller.deadline, max_attempts).await
+        let reply = async {
+            match key.filter(|_| !target.may_repeat) {
+                Some((key, text)) => {
+                    let dispatch = dispatch(&caller, &target, &text, call, id);
+                    Ok(call_through_owner(&cx, &target, &caller, &key, dispatch).await)
+                }
+                None => {
+                    let max_attempts = if target.may_repeat { MAX_ATTEMPTS } else { 1 };
+                    call_directly(&cx, &target, call, caller.deadline, max_attempts).await
+                }
             }
+        };
+        tokio::select! {
+            reply = reply => reply,
+            () = cx.ending.cancelled() => Ok(Reply::Unknown(slots::stopped())),
         }
     });
     let reply = reply.await.unwrap_or_else(|e| {
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -9,6 +9,7 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::sleep;
 
+use hemlockwind_core::Error;
 use hemlockwind_core::attempt::Attempt;
 use hemlockwind_core::attempt::Attempts;
 use hemlockwind_core::engine::Incarnation;
@@ -56,6 +57,7 @@
 pub async fn drive(instance: Arc<Instance>, work: Work, out: UnboundedSender<Progress>) {
     let slot = tokio::select! {
         slot = admit(&instance, &work) => slot,
+        () = instance.ending.cancelled() => Err(Error::Stopping),
         () = out.closed() => return,
     };
     match slot {
@@ -152,6 +154,7 @@
                     tokio::select! {
                         Some(event) = rx.recv() => event,
                         Ok(server) = leaving.recv() => Event::Leaving(server),
+                        () = self.instance.ending.cancelled() => Event::Stopping,
                         () = self.out.closed() => Event::Cancel,
                         () = sleep(wait) => Event::Tick,
                     }
@@ -359,6 +362,7 @@
             | Event::Imported { .. }
             | Event::ImportFailed { .. }
             | Event::Cancel
+            | Event::Stopping
             | Event::Tick => {}
         }
     }
--- a/crates/daemon/src/in_progress.rs
+++ b/crates/daemon/src/in_progress.rs
@@ -71,7 +71,7 @@
 }
 
 /// `Snapshot` holds requests with their states at one time, the oldest request first.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Snapshot {
     requests: Vec<(Uuid, RequestState)>,
 }
@@ -82,13 +82,21 @@
         self.requests.len()
     }
 
+    /// Returns the number of requests that are in this or in `other`.
+    pub fn union_len(&self, other: &Self) -> usize {
+        let is_here = |id: Uuid| self.requests.binary_search_by_key(&id, |r| r.0).is_ok();
+        let others = other.requests.iter().filter(|r| !is_here(r.0));
+        self.len() + others.count()
+    }
+
     /// Returns whether there is no request.
     pub fn is_empty(&self) -> bool {
         self.requests.is_empty()
     }
 
-    /// Logs `message` with the numbers of requests by state and the oldest requests.
-    pub fn warn(&self, log: &Logger, message: &str) {
+    /// Logs `message` with the number of requests as `key`, the numbers by state, and the oldest
+    /// requests.
+    pub fn warn(&self, log: &Logger, message: &str, key: &'static str) {
         let count = |state| self.requests.iter().filter(|r| r.1 == state).count();
         let mut named = String::new();
         for (id, state) in self.requests.iter().take(MAX_NAMED_REQUESTS) {
@@ -96,7 +104,7 @@
             // Writing to a string can't fail.
             let _ = write!(named, "{separator}{id}={}", state.name());
         }
-        warn!(log, "{}", message; "cut" => self.len(), "waiting" => count(RequestState::Waiting),
+        warn!(log, "{}", message; key => self.len(), "waiting" => count(RequestState::Waiting),
             "running" => count(RequestState::Running), "between_runs" => count(RequestState::BetweenRuns),
             "answering" => count(RequestState::Answering), "requests" => named);
     }
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -111,10 +111,13 @@
     pub histograms: Histograms,
     /// Cancelled when a planned stop begins: the load balancer should send no more requests.
     pub unready: CancellationToken,
-    /// The latest end of this process, set when a planned stop begins.
+    /// When the requests in progress are ended at the latest, set when a planned stop begins.
     pub ends_at: OnceLock<Instant>,
     /// Cancelled when the instance stops accepting requests.
     pub stopping: CancellationToken,
+    /// Cancelled shortly before the process ends: the requests in progress are answered with
+    /// errors, so that their callers get whole answers.
+    pub ending: CancellationToken,
     /// The tasks of the requests in progress. A planned stop waits for them.
     pub requests: TaskTracker,
     /// The requests of callers in progress, until their answers are transmitted.
@@ -160,6 +163,7 @@
             unready: CancellationToken::new(),
             ends_at: OnceLock::new(),
             stopping: CancellationToken::new(),
+            ending: CancellationToken::new(),
             requests: TaskTracker::new(),
             in_progress: Arc::default(),
             request_permits: Arc::new(request_permits),
--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -262,7 +262,13 @@
             };
             let (dispatch, deadline) = (Arc::clone(&pending.dispatch), pending.deadline);
             instance.requests.spawn(async move {
-                let event = send(&cx, call, &dispatch, deadline).await;
+                let event = tokio::select! {
+                    event = send(&cx, call, &dispatch, deadline) => event,
+                    () = cx.ending.cancelled() => {
+                        warn!(cx.log, "the outcome of a request is unknown"; "request" => %dispatch.request, "error" => %stopped());
+                        Event::Lost(call)
+                    }
+                };
                 on_event(&cx, event);
             });
         }
@@ -275,6 +281,11 @@
     }
 }
 
+/// Returns the error of a request whose outcome is unknown, since the process is about to end.
+pub fn stopped() -> Error {
+    Error::outcome_unknown("the instance stopped before the answer")
+}
+
 /// Sends a request to the service, without retries.
 async fn send(instance: &Instance, call: CallId, dispatch: &Dispatch, deadline: Instant) -> Event {
     let to = {
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -9,6 +9,8 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 use tokio::task::JoinHandle;
+use tokio::time::timeout;
+use tokio::time::timeout_at;
 use tokio_util::sync::CancellationToken;
 
 use hemlockwind_core::Error;
@@ -22,6 +24,8 @@
 use crate::admin;
 use crate::callers;
 use crate::configuration;
+use crate::in_progress::RequestState;
+use crate::in_progress::Snapshot;
 use crate::instance::Edges;
 use crate::instance::Instance;
 use crate::listener;
@@ -35,6 +39,12 @@
 /// and their callers try again only after a second.
 const BACKLOG: u32 = 4_096;
 
+/// Maximum time before the end of the drain time at which the remaining requests are answered
+/// with errors.
+const MAX_ANSWER_TIME: Duration = Duration::from_millis(1_000);
+/// That time is at most the drain time divided by this.
+const ANSWER_TIME_DIVISOR: u32 = 4;
+
 /// `Running` is an instance with open sockets.
 pub struct Running {
     /// The state that its parts share.
@@ -125,13 +135,26 @@
     })
 }
 
-/// Logs the requests in progress, which are about to be cut off, and returns their number.
-pub fn log_cut(instance: &Instance) -> usize {
+/// Has the requests in progress answered with errors, and returns them.
+fn end_requests(instance: &Instance) -> Snapshot {
+    let ended = instance.in_progress.snapshot(|state| match state {
+        RequestState::Waiting | RequestState::Running | RequestState::BetweenRuns => true,
+        RequestState::Answering => false,
+    });
+    if !ended.is_empty() {
+        ended.warn(&instance.log, "requests were ended by the stop", "ended");
+    }
+    instance.ending.cancel();
+    ended
+}
+
+/// Logs the requests in progress, which are about to be cut off, and returns them.
+pub fn log_cut(instance: &Instance) -> Snapshot {
     let cut = instance.in_progress.snapshot(|_| true);
     if !cut.is_empty() {
-        cut.warn(&instance.log, "requests were cut");
+        cut.warn(&instance.log, "requests were cut", "cut");
     }
-    cut.len()
+    cut
 }
 
 /// Opens a listening socket whose backlog holds a burst of callers.
@@ -154,41 +177,59 @@
 impl Running {
     /// Performs a planned stop. For `notice_ms`, in which the load balancer can notice that
     /// the instance isn't ready, requests are still accepted. After that they are refused as
-    /// not run, and those in progress run to their ends. Returns the number of requests that
-    /// were still in progress after the drain time, among them those whose answers were not
-    /// transmitted, and are cut off.
+    /// not run, and those in progress run to their ends. Shortly before the end of the drain
+    /// time, the remaining ones are answered with errors. Returns the number of requests that
+    /// the stop ended in this way or cut off, among them those whose answers were not
+    /// transmitted in time.
     pub async fn stop(mut self) -> usize {
         let instance = Arc::clone(&self.instance);
         let limits = instance.settings.limits;
         info!(instance.log, "stopping"; "requests" => instance.requests.len());
-        let time = Duration::from_millis(limits.notice_ms + limits.drain_ms);
+        let notice_time = Duration::from_millis(limits.notice_ms);
+        let drain_time = Duration::from_millis(limits.drain_ms);
+        let answer_time = MAX_ANSWER_TIME.min(drain_time / ANSWER_TIME_DIVISOR);
+        let work_time = drain_time - answer_time;
         // A process is stopped only once, so the value is not set yet.
-        let _ = instance.ends_at.set(instance.edges.clock.now() + time);
+        let now = instance.edges.clock.now();
+        let _ = instance.ends_at.set(now + notice_time + work_time);
         instance.unready.cancel();
-        tokio::time::sleep(Duration::from_millis(limits.notice_ms)).await;
+        tokio::time::sleep(notice_time).await;
+        let drain_end = tokio::time::Instant::now() + drain_time;
         instance.stopping.cancel();
         members::leave(&instance);
         instance.requests.close();
-        let drain = async {
-            instance.requests.wait().await;
-            // The last answers may not have been sent to their callers yet.
-            self.drained.cancel();
-            let _ = (&mut self.callers_task).await;
-        };
-        let time = Duration::from_millis(limits.drain_ms);
-        let cut = match tokio::time::timeout(time, drain).await {
-            Ok(()) => 0,
-            Err(_) => log_cut(&instance),
-        };
+        let mut ended = Snapshot::default();
+        if timeout(work_time, self.drain()).await.is_err() {
+            ended = end_requests(&instance);
+        }
+        let mut cut = Snapshot::default();
+        if timeout_at(drain_end, self.drain()).await.is_err() {
+            cut = log_cut(&instance);
+        }
         slots::release(&instance).await;
         self.end_tasks();
-        info!(instance.log, "stopped"; "cut" => cut);
-        cut
+        info!(instance.log, "stopped"; "ended" => ended.len(), "cut" => cut.len());
+        ended.union_len(&cut)
+    }
+
+    /// Waits until all requests have ended and their answers are transmitted.
+    async fn drain(&mut self) {
+        let instance = Arc::clone(&self.instance);
+        tokio::select! {
+            () = instance.requests.wait() => {}
+            () = instance.ending.cancelled() => {}
+        }
+        // The last answers may not have been sent to their callers yet.
+        self.drained.cancel();
+        if !self.callers_task.is_finished() {
+            let _ = (&mut self.callers_task).await;
+        }
+        instance.requests.wait().await;
     }
 
     /// Stops at once. Returns the number of requests that this cuts off.
     pub fn abort(self) -> usize {
-        let cut = log_cut(&self.instance);
+        let cut = log_cut(&self.instance).len();
         self.instance.unready.cancel();
         self.instance.stopping.cancel();
         self.callers_task.abort();
--- a/crates/state/stream/src/event.rs
+++ b/crates/state/stream/src/event.rs
@@ -42,6 +42,8 @@
     },
     /// The caller cancelled the request.
     Cancel,
+    /// The process is about to end.
+    Stopping,
     /// Time has passed. Due at `Stream::next_deadline`.
     Tick,
 }
--- a/crates/state/stream/src/stream.rs
+++ b/crates/state/stream/src/stream.rs
@@ -114,6 +114,7 @@
                 self.on_imported(now, to, incarnation, false, &mut actions);
             }
             Event::Cancel => self.on_cancel(&mut actions),
+            Event::Stopping => self.on_stopping(&mut actions),
             Event::Tick => self.on_tick(now, &mut actions),
         }
         actions
@@ -280,6 +281,21 @@
         }
     }
 
+    /// Ends the stream while its caller can still get the error.
+    fn on_stopping(&mut self, actions: &mut Vec<Action>) {
+        if matches!(self.state, State::Done) {
+            return;
+        }
+        let error = match self.dispatches.ran() {
+            Ran::No(_) => Error::Stopping,
+            Ran::Unknown => {
+                let tokens = self.tokens();
+                Error::outcome_unknown(format!("the instance stopped after {tokens} tokens"))
+            }
+        };
+        self.fail(error, actions);
+    }
+
     fn on_tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
         if matches!(self.state, State::Done) {
             return;
--- a/crates/state/stream/tests/recovery.rs
+++ b/crates/state/stream/tests/recovery.rs
@@ -8,6 +8,8 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
+use hemlockwind_core::Error;
+use hemlockwind_core::attempt::Ran;
 use hemlockwind_core::engine::Refusal;
 
 use crate::simulation::LAYOUTS;
@@ -64,7 +66,11 @@
         4 => any::<bool>().prop_map(Op::Import),
         1 => server.prop_map(Op::LoseCache),
         5 => (1..600u64).prop_map(|ms| Op::Advance(Duration::from_millis(ms))),
-        1 => (0..4u8).prop_map(|n| if n == 0 { Op::Cancel } else { Op::Run(0) }),
+        1 => (0..4u8).prop_map(|n| match n {
+            0 => Op::Cancel,
+            1 => Op::Stop,
+            _ => Op::Run(0),
+        }),
     ]
 }
 
@@ -131,3 +137,28 @@
     simulation.drain();
     assert!(simulation.is_complete());
 }
+
+#[test]
+fn stop_before_a_step_not_run() {
+    let mut simulation = Simulation::new(5, 5, 3, 5_000);
+    simulation.apply(&Op::Stop);
+    let (error, ran) = simulation.failure().unwrap();
+    assert_eq!(error, Error::Stopping);
+    assert!(matches!(ran, Ran::No(_)));
+}
+
+#[test]
+fn stop_between_two_runs_outcome_unknown() {
+    let mut simulation = Simulation::new(5, 5, 3, 5_000);
+    simulation.apply(&Op::Path { layout: 0, pick: 0 });
+    simulation.run_token();
+    simulation.apply(&Op::Fail {
+        step: 0,
+        sent: true,
+    });
+    simulation.apply(&Op::NoPath);
+    simulation.apply(&Op::Stop);
+    let (error, ran) = simulation.failure().unwrap();
+    assert_eq!(error.code().number(), 3006);
+    assert_eq!(ran, Ran::Unknown);
+}
--- a/crates/state/stream/tests/simulation/mod.rs
+++ b/crates/state/stream/tests/simulation/mod.rs
@@ -7,6 +7,7 @@
 use slotmap::SlotMap;
 use uuid::Uuid;
 
+use hemlockwind_core::Error;
 use hemlockwind_core::attempt::Attempt;
 use hemlockwind_core::attempt::Ran;
 use hemlockwind_core::engine::Incarnation;
@@ -76,6 +77,7 @@
     LoseCache(usize),
     Advance(Duration),
     Cancel,
+    Stop,
 }
 
 /// `Cache` is an engine's KV cache of the stream.
@@ -213,6 +215,7 @@
             Op::LoseCache(server) => self.caches[*server] = None,
             Op::Advance(by) => self.advance(*by),
             Op::Cancel => self.event(Event::Cancel),
+            Op::Stop => self.event(Event::Stopping),
         }
     }
 
@@ -255,6 +258,14 @@
         matches!(self.finish, Some(Finish::Complete { .. }))
     }
 
+    /// Returns the error with which the stream failed, and whether a step may have run.
+    pub fn failure(&self) -> Option<(Error, Ran)> {
+        match &self.finish {
+            Some(Finish::Failed(error, ran)) => Some((error.clone(), *ran)),
+            Some(Finish::Complete { .. } | Finish::Cancelled) | None => None,
+        }
+    }
+
     pub fn is_choosing(&self) -> bool {
         self.choose.is_some()
     }
--- a/programs/src/bin/hemlockwindd.rs
+++ b/programs/src/bin/hemlockwindd.rs
@@ -19,8 +19,8 @@
 
 /// Routes requests to pipelines of backend servers.
 ///
-/// Exit codes: 0 after a planned stop that cut no request, 1 if requests were
-/// cut, 2 if the settings or the command line have faults.
+/// Exit codes: 0 after a planned stop that ended no request early, 1 if requests were
+/// ended with errors or cut, 2 if the settings or the command line have faults.
 #[derive(Debug)]
 #[derive(FromArgs)]
 struct Args {
@@ -81,8 +81,8 @@
     }
     let cut_count = tokio::select! {
         cut_count = running.stop() => cut_count,
-        _ = terminate.recv() => log_cut(&instance),
-        _ = interrupt.recv() => log_cut(&instance),
+        _ = terminate.recv() => log_cut(&instance).len(),
+        _ = interrupt.recv() => log_cut(&instance).len(),
     };
     if cut_count > 0 {
         return ExitCode::from(1);
--- a/programs/tests/process/stop.rs
+++ b/programs/tests/process/stop.rs
@@ -24,6 +24,7 @@
 use crate::site::Options;
 use crate::site::Site;
 use crate::site::eventually;
+use crate::site::set;
 
 /// Maximum number of tokens of each stream.
 const TOKENS: u32 = 60;
@@ -153,6 +154,157 @@
     })
 }
 
+/// Checks that a whole answer refuses its request as not run, with the time of another try.
+fn assert_refused(status: StatusCode, body: &[u8]) {
+    assert_eq!(status, 503);
+    assert_not_run(body);
+    let problem: Value = serde_json::from_slice(body).unwrap();
+    assert_eq!(problem["code"], 2005, "{problem}");
+    assert!(problem["retry_after_ms"].is_u64(), "{problem}");
+}
+
+/// Checks that an answer says that the outcome of its request is unknown.
+fn assert_outcome_unknown(body: &[u8]) {
+    let problem: Value = serde_json::from_slice(body).unwrap();
+    assert_eq!(problem["code"], 3006, "{problem}");
+    assert_eq!(problem["ran"], "unknown", "{problem}");
+}
+
+/// Checks that a streamed answer ends with the error event of an unknown outcome.
+fn assert_ended_with_error(status: StatusCode, body: &[u8]) {
+    assert_eq!(status, 200);
+    let text = std::str::from_utf8(body).unwrap();
+    let last = text.trim_end().rsplit("data: ").next().unwrap();
+    let last: Value = serde_json::from_str(last).unwrap_or_default();
+    assert_eq!(last["error"]["code"], 3006, "{text}");
+    assert_eq!(last["error"]["ran"], "unknown", "{text}");
+}
+
+// Guards against LOST of the report of issue 41: streams that waited for a slot until the end of the
+// process were cut without an answer.
+#[tokio::test]
+async fn stop_answers_streams_that_wait_for_a_slot() {
+    let mut site = Site::start_with("waiting", slow_site(1)).await;
+    let prompt = sample::long_prompt("kusubiri", TOKENS);
+    let caller = &site.instances[0].caller;
+    let calls: Vec<Call> = (0..STREAMS).map(|_| send_stream(caller, &prompt)).collect();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    site.instances[0].process.signal("TERM");
+    let (mut refused, mut ended) = (0, 0);
+    for call in calls {
+        let (status, body) = call.await.unwrap().expect("the answer is whole");
+        match status {
+            StatusCode::OK => {
+                assert_ended_with_error(status, &body);
+                ended += 1;
+            }
+            // Its first step was on its way.
+            StatusCode::BAD_GATEWAY => assert_outcome_unknown(&body),
+            _ => {
+                assert_refused(status, &body);
+                refused += 1;
+            }
+        }
+    }
+    assert!(refused > 0 && ended > 0, "{refused} {ended}");
+    let status = site.instances[0].process.wait(STOP_TIMEOUT).await;
+    assert_eq!(status.code(), Some(1));
+    let line = log_line(&site, "requests were ended by the stop");
+    assert_eq!(line["ended"], STREAMS, "{line}");
+    assert!(line["waiting"].as_u64() > Some(0), "{line}");
+    assert!(line["running"].as_u64() > Some(0), "{line}");
+}
+
+// Guards against the same cut of streams that had lost their path.
+#[tokio::test]
+async fn stop_ends_streams_between_two_runs() {
+    let mut site = Site::start_with("between", slow_site(sample::MAX_IN_FLIGHT)).await;
+    let prompt = sample::long_prompt("katikati", TOKENS);
+    let mut calls = Vec::new();
+    for _ in 0..STREAMS {
+        calls.push(send_stream(&site.instances[0].caller, &prompt));
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    for engine in &mut site.engines {
+        if engine.server.layers.as_ref() == Some(&sample::STAGES[1]) {
+            engine.process.kill();
+        }
+    }
+    site.instances[0].process.signal("TERM");
+    for call in calls {
+        let (status, body) = call.await.unwrap().expect("the answer is whole");
+        assert_ended_with_error(status, &body);
+    }
+    site.instances[0].process.wait(STOP_TIMEOUT).await;
+}
+
+// Guards against the same cut of calls to a service that doesn't answer before the end.
+#[tokio::test]
+async fn stop_answers_calls_in_progress() {
+    let mut site = Site::start_with("calls", slow_site(sample::MAX_IN_FLIGHT)).await;
+    let path = format!("/v1/services/{}/loans", sample::SERVICE);
+    let key = uuid::Uuid::now_v7().to_string();
+    let caller = site.instances[0].caller.clone();
+    eventually("the key's slot has an owner", START_TIMEOUT, || async {
+        let key = uuid::Uuid::now_v7().to_string();
+        let headers = [("idempotency-key", key.as_str())];
+        let answer = caller.call("POST", &path, &headers, "mkopo".into()).await;
+        answer.unwrap().0.is_success()
+    })
+    .await;
+    set(
+        site.service_addr,
+        "/_standin/faults",
+        &json!({"freeze": true}),
+    )
+    .await;
+    let mut calls = JoinSet::new();
+    for (method, key) in [("GET", None), ("POST", None), ("POST", Some(key))] {
+        let (caller, path) = (caller.clone(), path.clone());
+        calls.spawn(async move {
+            let mut headers = vec![LATE_DEADLINE];
+            headers.extend(key.as_ref().map(|key| ("idempotency-key", key.as_str())));
+            let answer = caller.call(method, &path, &headers, "mkopo".into()).await;
+            (method, key.is_some(), answer)
+        });
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    site.instances[0].process.signal("TERM");
+    for (method, has_key, answer) in calls.join_all().await {
+        let (status, body) = answer.expect("the answer is whole");
+        assert_eq!(status, 502, "{method} {has_key}");
+        assert_outcome_unknown(&body);
+    }
+    site.instances[0].process.wait(STOP_TIMEOUT).await;
+}
+
+// Guards against the same cut of a request whose body has not arrived whole.
+#[tokio::test]
+async fn stop_answers_request_with_incomplete_body() {
+    let mut site = Site::start_with("body", slow_site(sample::MAX_IN_FLIGHT)).await;
+    let instance = &mut site.instances[0];
+    let mut tcp = TcpStream::connect(instance.definition.callers)
+        .await
+        .unwrap();
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {}\r\n\
+         content-length: 1000\r\n\r\n{{",
+        sample::API_KEY
+    );
+    tcp.write_all(head.as_bytes()).await.unwrap();
+    tokio::time::sleep(MIN_NOTICE_TIME).await;
+    instance.process.signal("TERM");
+    let mut answer = String::new();
+    let read = tcp.read_to_string(&mut answer);
+    let read = tokio::time::timeout(STOP_TIMEOUT, read).await.unwrap();
+    read.expect("the answer is whole");
+    let (head, body) = answer.split_once("\r\n\r\n").expect("there is an answer");
+    assert!(head.starts_with("HTTP/1.1 503 "), "{head}");
+    assert!(head.contains("\r\nretry-after: "), "{head}");
+    assert_refused(StatusCode::SERVICE_UNAVAILABLE, body.as_bytes());
+    instance.process.wait(STOP_TIMEOUT).await;
+}
+
 // Guards against a stop whose log doesn't show which requests it cut, nor what they waited for.
 #[tokio::test]
 async fn stop_cut_short_names_requests_and_states() {
@@ -171,7 +323,7 @@
     for call in calls {
         assert!(matches!(call.await.unwrap(), Err(Failure::Cut(_))));
     }
-    let cut = cut_line(&site);
+    let cut = log_line(&site, "requests were cut");
     assert_eq!(cut["cut"], NAMED_STREAMS, "{cut}");
     let count = |state: &str| cut[state].as_u64().unwrap();
     assert!(count("waiting") > 0 && count("running") > 0, "{cut}");
@@ -182,13 +334,11 @@
     assert_eq!(named, MAX_NAMED_REQUESTS, "{cut}");
 }
 
-/// Returns the line of the first instance's log about the requests that its stop cut.
-fn cut_line(site: &Site) -> Value {
-    let lines = site.log_lines(0);
-    let cut = lines
-        .into_iter()
-        .find(|line| line["msg"] == "requests were cut");
-    cut.expect("the log says what was cut")
+/// Returns the line of the first instance's log with this message.
+fn log_line(site: &Site, message: &str) -> Value {
+    let mut lines = site.log_lines(0).into_iter();
+    let line = lines.find(|line| line["msg"] == message);
+    line.expect("the log has the line")
 }
 
 // Guards against a count of requests whose answers their callers had received.
@@ -248,7 +398,7 @@
     site.instances[0].process.signal("TERM");
     let status = site.instances[0].process.wait(STOP_TIMEOUT).await;
     assert_eq!(status.code(), Some(1));
-    let cut = cut_line(&site);
+    let cut = log_line(&site, "requests were cut");
     assert_eq!(cut["cut"], 1, "{cut}");
     assert_eq!(cut["answering"], 1, "{cut}");
     assert_eq!(cut["requests"], format!("{id}=answering"), "{cut}");
