Stop of hemlockwindd: streams that cannot start before its end are refused at once

The deadline of a queue entry is now at most the end of the stop, so that the queue owner refuses by the same estimate as for any deadline. If only the end of the process is the reason, the caller gets 2005 (503, not run, Retry-After), not 2002.

--- a/crates/daemon/src/work.rs
+++ b/crates/daemon/src/work.rs
@@ -59,21 +59,31 @@
 /// # Errors
 ///
 /// `Error::NoPath` when the servers of no data centre form a whole path, and the errors of
-/// [`pool::acquire`].
+/// [`pool::acquire`]. `Error::Stopping` when only the end of this process keeps the request from a
+/// start in time.
 pub async fn admit(instance: &Arc<Instance>, work: &Work) -> Result<Slot> {
     if instance.fleet.centres(work.model).is_empty() {
         return Err(Error::no_path(format!("layers 0..{}", work.model_layers)));
     }
     let layers = u64::from(work.model_layers);
     let tokens = u64::from(work.max_tokens) + work.prompt_tokens();
+    let start_by = work.start_by.min(work.deadline);
+    let ends_at = instance.ends_at.get().copied();
+    let deadline = ends_at.map_or(start_by, |ends_at| start_by.min(ends_at));
     let queue_entry = QueueEntry {
         request: work.id,
         organisation: work.organisation_key,
         share: work.share,
         rank: work.rank,
         cost: tokens * layers,
-        deadline: work.start_by.min(work.deadline),
+        deadline,
         running: false,
     };
-    pool::acquire(instance, work.model, queue_entry).await
+    let slot = pool::acquire(instance, work.model, queue_entry).await;
+    slot.map_err(|error| match error {
+        Error::DeadlineUnmeetable(_) | Error::DeadlinePassed if deadline < start_by => {
+            Error::Stopping
+        }
+        error => error,
+    })
 }
--- a/programs/tests/process/stop.rs
+++ b/programs/tests/process/stop.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use hemlockwind_standin::caller::Caller;
@@ -45,6 +46,10 @@
 const MAX_NAMED_REQUESTS: usize = 16;
 /// Time that requests have to end in the tests of stops that they outlast, in milliseconds.
 const DRAIN_MS: u64 = 3_000;
+/// Number of streams that are before the stream which comes during the notice time.
+const QUEUED_STREAMS: usize = 4;
+/// Notice time of a stop during which requests are sent, in milliseconds.
+const LONG_NOTICE_MS: u64 = 3_000;
 /// Header with a deadline after the end of such a stop.
 const LATE_DEADLINE: (&str, &str) = ("x-hemlockwind-deadline-ms", "50000");
 /// Duration of an iteration of engines whose streams outlast such a stop, in milliseconds.
@@ -215,6 +220,34 @@
     assert!(line["running"].as_u64() > Some(0), "{line}");
 }
 
+// Guards against streams that a stopping instance took although they could not start before its end.
+#[tokio::test]
+async fn stop_refuses_streams_that_cannot_start_before_it() {
+    let mut options = slow_site(1);
+    options.limits["notice_ms"] = LONG_NOTICE_MS.into();
+    let mut site = Site::start_with("late", options).await;
+    let caller = site.instances[0].caller.clone();
+    // The pools measure their speed by requests that ended.
+    let prompt = sample::long_prompt("mwendo", TOKENS);
+    let first = (0..STREAMS).map(|_| caller.complete(&prompt, 4));
+    futures::future::join_all(first).await;
+    // The wait for them is longer than the stop and shorter than the deadline.
+    let calls: Vec<Call> = (0..QUEUED_STREAMS)
+        .map(|_| send_stream(&caller, &prompt))
+        .collect();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    site.instances[0].process.signal("TERM");
+    tokio::time::sleep(MIN_NOTICE_TIME).await;
+    let sent_at = Instant::now();
+    let (status, body) = send_stream(&caller, &prompt).await.unwrap().unwrap();
+    assert_refused(status, &body);
+    assert!(sent_at.elapsed() < Duration::from_millis(LONG_NOTICE_MS / 2));
+    for call in calls {
+        call.await.unwrap().expect("the answer is whole");
+    }
+    site.instances[0].process.wait(STOP_TIMEOUT).await;
+}
+
 // Guards against the same cut of streams that had lost their path.
 #[tokio::test]
 async fn stop_ends_streams_between_two_runs() {
