hemlockwindd: streams stay on a server that is removed from the configuration

Cause: the address for a step, a move or a release was looked up in the configuration in force each time.

The driver of a stream keeps the addresses of the servers that it has used. Streams are notified of a removed server as of a leaving one, so that they move when another server accepts their KV cache, and finish there otherwise.

--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -1,6 +1,7 @@
 //! Drives one stream: performs the actions of its state machine and passes it the events.
 
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use slog::debug;
@@ -12,6 +13,7 @@
 use hemlockwind_core::Error;
 use hemlockwind_core::attempt::Attempt;
 use hemlockwind_core::attempt::Attempts;
+use hemlockwind_core::collections::HashMap;
 use hemlockwind_core::engine::Incarnation;
 use hemlockwind_core::engine::Output;
 use hemlockwind_core::engine::Step;
@@ -98,6 +100,7 @@
         out,
         tx,
         events: VecDeque::new(),
+        addrs: HashMap::default(),
         counted_on: Vec::new(),
         last_step: None,
         state: RequestState::Waiting,
@@ -124,6 +127,9 @@
     out: UnboundedSender<Progress>,
     tx: UnboundedSender<Event>,
     events: VecDeque<Event>,
+    /// The addresses of the servers that this stream has used. A server may be removed from the
+    /// configuration while the stream is still running on it.
+    addrs: HashMap<BackendServerKey, SocketAddr>,
     /// The servers on which the fleet counts this stream.
     counted_on: Vec<BackendServerKey>,
     last_step: Option<LastStep>,
@@ -221,6 +227,15 @@
         }
     }
 
+    /// Returns the address of a server, also of one that this stream used before its removal from
+    /// the configuration.
+    fn addr(&mut self, server: BackendServerKey) -> Option<SocketAddr> {
+        if let Some(endpoint) = self.instance.fleet.endpoint(server) {
+            self.addrs.insert(server, endpoint.addr);
+        }
+        self.addrs.get(&server).copied()
+    }
+
     /// Sends a step to its server, in a batch with steps of other streams.
     fn send(&mut self, server: BackendServerKey, step: Step, deadline: Instant) {
         let id = step.id;
@@ -230,23 +245,19 @@
             prefill: step.prefill,
             sent_at: self.instance.edges.clock.now(),
         });
-        let Some(endpoint) = self.instance.fleet.endpoint(server) else {
+        let Some(addr) = self.addr(server) else {
             let attempt = Attempt::Unsent;
             self.events.push_back(Event::Failed { id, attempt });
             return;
         };
         let step_batcher = &self.instance.step_batcher;
-        step_batcher.send(endpoint.addr, step, deadline, self.tx.clone());
+        step_batcher.send(addr, step, deadline, self.tx.clone());
     }
 
     /// Copies the KV cache of this stream between two servers, in a task of its own.
-    fn transfer(&self, from: BackendServerKey, to: BackendServerKey, incarnation: Incarnation) {
+    fn transfer(&mut self, from: BackendServerKey, to: BackendServerKey, incarnation: Incarnation) {
         let failed = Event::ImportFailed { to, incarnation };
-        let endpoints = (
-            self.instance.fleet.endpoint(from),
-            self.instance.fleet.endpoint(to),
-        );
-        let (Some(source), Some(target)) = endpoints else {
+        let (Some(source), Some(target)) = (self.addr(from), self.addr(to)) else {
             // Can't fail: the receiver lives as long as this driver.
             let _ = self.tx.send(failed);
             return;
@@ -256,10 +267,8 @@
         let tx = self.tx.clone();
         tokio::spawn(async move {
             let moved = async {
-                let cache = engine.export(source.addr, request).await?;
-                engine
-                    .import(target.addr, request, incarnation, cache)
-                    .await
+                let cache = engine.export(source, request).await?;
+                engine.import(target, request, incarnation, cache).await
             };
             let event = match moved.await {
                 Ok(()) => Event::Imported { to, incarnation },
@@ -271,15 +280,15 @@
     }
 
     /// Frees the stream's cache on a server, without waiting for the answer.
-    fn release(&self, server: BackendServerKey) {
-        let Some(endpoint) = self.instance.fleet.endpoint(server) else {
+    fn release(&mut self, server: BackendServerKey) {
+        let Some(addr) = self.addr(server) else {
             return;
         };
         let engine = Arc::clone(&self.instance.edges.engine);
         let request = self.work.id;
         self.instance.requests.spawn(async move {
             // An engine that can't be reached frees the cache itself when it reaches its limits.
-            let _ = engine.cancel(endpoint.addr, request).await;
+            let _ = engine.cancel(addr, request).await;
         });
     }
 
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -87,7 +87,7 @@
     }
 
     /// Applies the backend servers of `config`, and keeps the measurements and reports of
-    /// those that stay.
+    /// those that stay. Streams are notified that removed servers leave.
     pub fn apply(&self, config: &Config) {
         let mut endpoints = HashMap::default();
         for (&key, server) in &config.backend_servers {
@@ -112,7 +112,12 @@
             retain_servers(key, &mut graph.lock(), &endpoints);
         }
         self.graphs.store(Arc::new(graphs));
-        self.servers.store(Arc::new(endpoints));
+        let old = self.servers.swap(Arc::new(endpoints));
+        let servers = self.servers.load();
+        for &removed in old.keys().filter(|key| !servers.contains_key(*key)) {
+            // Fails if no stream is subscribed.
+            let _ = self.leaving_tx.send(removed);
+        }
     }
 
     /// Returns the graphs that `config` needs. Existing graphs are reused if the number of
--- a/programs/tests/process/leaving.rs
+++ b/programs/tests/process/leaving.rs
@@ -193,3 +193,25 @@
 async fn leave_other_server_leaves_too_streams_stay() {
     check_stays_until_accepted("stay-leaving", Obstacle::Leaving).await;
 }
+
+// Guards against the same loss when the leaving server is removed from the configuration.
+#[tokio::test]
+async fn leave_removed_streams_stay() {
+    let options = Options {
+        iteration_ms: STAYING_ITERATION_MS,
+        ..Options::default()
+    };
+    let mut site = Site::start_with("stay-removed", options).await;
+    let caller = site.instances[0].caller.clone();
+    let prompt = sample::long_prompt("kuondolewa", TOKENS);
+    let mut streamed = caller.stream(&prompt, TOKENS).await.unwrap();
+    streamed.read_tokens(2).await.unwrap();
+    let index = site.engine_in_use(1).await;
+    let twin = (index + sample::STAGES.len()) % site.engines.len();
+    site.engines[twin].process.kill();
+    site.remove_engine(index).await;
+    let removed = Instant::now();
+    assert_eq!(streamed.finish().await, StreamEnd::Done);
+    assert_eq!(streamed.text, expected_text(&prompt, TOKENS));
+    assert!(streamed.token_times.last() > Some(&removed));
+}
--- a/programs/tests/process/site.rs
+++ b/programs/tests/process/site.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hemlockwind::protocol::document::Document;
 use hemlockwind_standin::caller::Caller;
 use hemlockwind_standin::engine::RunRecord;
 use hemlockwind_standin::engine::StreamState;
@@ -186,17 +187,7 @@
 
     /// Submits the configuration and waits until it is in force.
     async fn configure(&self) {
-        let mut servers: Vec<_> = self.engines.iter().map(|e| e.server.clone()).collect();
-        servers.push(SampleServer {
-            data_centre: sample::DATA_CENTRES[0],
-            addr: self.service_addr,
-            layers: None,
-        });
-        let mut document = sample::document(&servers);
-        for server in &mut document.backend_servers {
-            server.limit = self.engine_streams;
-        }
-        let document = serde_json::to_vec(&document).unwrap();
+        let document = serde_json::to_vec(&self.document()).unwrap();
         let admin = &self.instances[0].admin;
         let put = || admin.json("PUT", "/v1/configuration", document.clone());
         eventually("the configuration is accepted", START_TIMEOUT, || async {
@@ -211,6 +202,36 @@
         }
     }
 
+    /// Returns the configuration with all servers.
+    fn document(&self) -> Document {
+        let mut servers: Vec<_> = self.engines.iter().map(|e| e.server.clone()).collect();
+        servers.push(SampleServer {
+            data_centre: sample::DATA_CENTRES[0],
+            addr: self.service_addr,
+            layers: None,
+        });
+        let mut document = sample::document(&servers);
+        for server in &mut document.backend_servers {
+            server.limit = self.engine_streams;
+        }
+        document
+    }
+
+    /// Removes the engine at `index` from the configuration.
+    pub async fn remove_engine(&self, index: usize) {
+        let mut document = self.document();
+        document.backend_servers.remove(index);
+        let document = serde_json::to_vec(&document).unwrap();
+        let admin = &self.instances[0].admin;
+        let status = admin.json("GET", "/v1/status", vec![]).await.unwrap();
+        let status: Value = serde_json::from_slice(&status).unwrap();
+        let version = format!("\"{}\"", status["config_version"]);
+        let headers = [("if-match", version.as_str())];
+        let put = admin.call("PUT", "/v1/configuration", &headers, document);
+        let (status, body) = put.await.unwrap();
+        assert!(status.is_success(), "{status} {body:?}");
+    }
+
     /// Returns the lines that the instance at `index` has logged.
     pub fn log_lines(&self, index: usize) -> Vec<Value> {
         let name = &self.instances[index].definition.name;
