--- a/programs/tests/process/leaving.rs
+++ b/programs/tests/process/leaving.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use hemlockwind_standin::caller::StreamEnd;
+use hemlockwind_standin::caller::completion_request;
 use hemlockwind_standin::caller::expected_text;
 use hemlockwind_standin::sample;
 use serde_json::Value;
@@ -12,6 +13,7 @@
 use uuid::Uuid;
 
 use crate::site::Options;
+use crate::site::STEP_MS;
 use crate::site::Site;
 use crate::site::eventually;
 
@@ -23,6 +25,8 @@
 const STOP_TIMEOUT: Duration = Duration::from_secs(30);
 /// Duration of an iteration of engines whose streams outlast the notice of a leaving server.
 const STAYING_ITERATION_MS: u32 = 12;
+/// Header with a deadline that a stream meets unless it waits for a path.
+const LATE_DEADLINE: (&str, &str) = ("x-hemlockwind-deadline-ms", "20000");
 /// Number of requests that are sent after that time.
 const REQUESTS: usize = 24;
 
@@ -215,3 +219,33 @@
     assert_eq!(streamed.text, expected_text(&prompt, TOKENS));
     assert!(streamed.token_times.last() > Some(&removed));
 }
+
+// Guards against the same loss when one answer of the leaving server comes too late: it refuses the
+// prefill of another run, but its KV cache is still there.
+#[tokio::test]
+async fn leave_late_answer_streams_stay() {
+    let options = Options {
+        iteration_ms: STAYING_ITERATION_MS,
+        ..Options::default()
+    };
+    let mut site = Site::start_with("stay-late", options).await;
+    let caller = site.instances[0].caller.clone();
+    let prompt = sample::long_prompt("kuchelewa", TOKENS);
+    let body = completion_request(&prompt, TOKENS, false);
+    let call = tokio::spawn(async move {
+        let headers = [LATE_DEADLINE];
+        let path = "/v1/completions";
+        caller.call("POST", path, &headers, body).await
+    });
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let index = site.engine_in_use(1).await;
+    let twin = (index + sample::STAGES.len()) % site.engines.len();
+    site.engines[twin].process.kill();
+    let late = json!({"every": 60, "delay_ms": 2 * STEP_MS});
+    let faults = json!({"leaving": true, "late": late});
+    site.engines[index].set_faults(&faults).await;
+    let (status, body) = call.await.unwrap().unwrap();
+    let body: Value = serde_json::from_slice(&body).unwrap();
+    assert!(status.is_success(), "{status} {body}");
+    assert_eq!(body["choices"][0]["text"], expected_text(&prompt, TOKENS));
+}
