--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -1,6 +1,7 @@
 //! Drives one stream: performs the actions of its state machine and passes it the events.
 
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use slog::debug;
@@ -9,8 +10,10 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::sleep;
 
+use hemlockwind_core::Error;
 use hemlockwind_core::attempt::Attempt;
 use hemlockwind_core::attempt::Attempts;
+use hemlockwind_core::collections::HashMap;
 use hemlockwind_core::engine::Incarnation;
 use hemlockwind_core::engine::Output;
 use hemlockwind_core::engine::Step;
@@ -28,6 +31,7 @@
 use hemlockwind_telemetry::histograms::Measure;
 
 use crate::health;
+use crate::in_progress::RequestState;
 use crate::instance::Instance;
 use crate::pool::Slot;
 use crate::work::Work;
@@ -55,12 +59,14 @@
 pub async fn drive(instance: Arc<Instance>, work: Work, out: UnboundedSender<Progress>) {
     let slot = tokio::select! {
         slot = admit(&instance, &work) => slot,
+        () = instance.ending.cancelled() => Err(Error::Stopping),
         () = out.closed() => return,
     };
     match slot {
         Ok(slot) => run(instance, work, slot, out).await,
         Err(error) => {
             instance.metrics.count("requests.refused", 1);
+            instance.in_progress.set(work.id.0, RequestState::Answering);
             let ran = Attempts::default().ran();
             // Fails if the caller has disconnected; then the error isn't needed.
             let _ = out.send(Progress::End(Finish::Failed(error, ran)));
@@ -94,8 +100,10 @@
         out,
         tx,
         events: VecDeque::new(),
+        addrs: HashMap::default(),
         counted_on: Vec::new(),
         last_step: None,
+        state: RequestState::Waiting,
     };
     driver.run(rx, actions).await;
 }
@@ -119,10 +127,15 @@
     out: UnboundedSender<Progress>,
     tx: UnboundedSender<Event>,
     events: VecDeque<Event>,
+    /// The addresses of the servers that this stream has used. A server may be removed from the
+    /// configuration while the stream is still running on it.
+    addrs: HashMap<BackendServerKey, SocketAddr>,
     /// The servers on which the fleet counts this stream.
     counted_on: Vec<BackendServerKey>,
     last_step: Option<LastStep>,
     last_token_at: Instant,
+    /// The state that was recorded last.
+    state: RequestState,
 }
 
 impl StreamDriver {
@@ -138,6 +151,7 @@
             if is_over {
                 break;
             }
+            self.record_state();
             let event = match self.events.pop_front() {
                 Some(event) => event,
                 None => {
@@ -146,6 +160,7 @@
                     tokio::select! {
                         Some(event) = rx.recv() => event,
                         Ok(server) = leaving.recv() => Event::Leaving(server),
+                        () = self.instance.ending.cancelled() => Event::Stopping,
                         () = self.out.closed() => Event::Cancel,
                         () = sleep(wait) => Event::Tick,
                     }
@@ -212,6 +227,15 @@
         }
     }
 
+    /// Returns the address of a server, also of one that this stream used before its removal from
+    /// the configuration.
+    fn addr(&mut self, server: BackendServerKey) -> Option<SocketAddr> {
+        if let Some(endpoint) = self.instance.fleet.endpoint(server) {
+            self.addrs.insert(server, endpoint.addr);
+        }
+        self.addrs.get(&server).copied()
+    }
+
     /// Sends a step to its server, in a batch with steps of other streams.
     fn send(&mut self, server: BackendServerKey, step: Step, deadline: Instant) {
         let id = step.id;
@@ -221,23 +245,19 @@
             prefill: step.prefill,
             sent_at: self.instance.edges.clock.now(),
         });
-        let Some(endpoint) = self.instance.fleet.endpoint(server) else {
+        let Some(addr) = self.addr(server) else {
             let attempt = Attempt::Unsent;
             self.events.push_back(Event::Failed { id, attempt });
             return;
         };
         let step_batcher = &self.instance.step_batcher;
-        step_batcher.send(endpoint.addr, step, deadline, self.tx.clone());
+        step_batcher.send(addr, step, deadline, self.tx.clone());
     }
 
     /// Copies the KV cache of this stream between two servers, in a task of its own.
-    fn transfer(&self, from: BackendServerKey, to: BackendServerKey, incarnation: Incarnation) {
+    fn transfer(&mut self, from: BackendServerKey, to: BackendServerKey, incarnation: Incarnation) {
         let failed = Event::ImportFailed { to, incarnation };
-        let endpoints = (
-            self.instance.fleet.endpoint(from),
-            self.instance.fleet.endpoint(to),
-        );
-        let (Some(source), Some(target)) = endpoints else {
+        let (Some(source), Some(target)) = (self.addr(from), self.addr(to)) else {
             // Can't fail: the receiver lives as long as this driver.
             let _ = self.tx.send(failed);
             return;
@@ -247,10 +267,8 @@
         let tx = self.tx.clone();
         tokio::spawn(async move {
             let moved = async {
-                let cache = engine.export(source.addr, request).await?;
-                engine
-                    .import(target.addr, request, incarnation, cache)
-                    .await
+                let cache = engine.export(source, request).await?;
+                engine.import(target, request, incarnation, cache).await
             };
             let event = match moved.await {
                 Ok(()) => Event::Imported { to, incarnation },
@@ -262,15 +280,15 @@
     }
 
     /// Frees the stream's cache on a server, without waiting for the answer.
-    fn release(&self, server: BackendServerKey) {
-        let Some(endpoint) = self.instance.fleet.endpoint(server) else {
+    fn release(&mut self, server: BackendServerKey) {
+        let Some(addr) = self.addr(server) else {
             return;
         };
         let engine = Arc::clone(&self.instance.edges.engine);
         let request = self.work.id;
         self.instance.requests.spawn(async move {
             // An engine that can't be reached frees the cache itself when it reaches its limits.
-            let _ = engine.cancel(endpoint.addr, request).await;
+            let _ = engine.cancel(addr, request).await;
         });
     }
 
@@ -307,9 +325,24 @@
         self.instance.metrics.count(key, 1);
         self.instance.metrics.count("tokens", tokens.into());
         debug!(self.instance.log, "a stream ended"; "request" => %self.work.id.0, "finish" => ?finish, "incarnations" => self.stream.incarnation().0);
+        let in_progress = &self.instance.in_progress;
+        in_progress.set(self.work.id.0, RequestState::Answering);
         let _ = self.out.send(Progress::End(finish));
     }
 
+    /// Records whether the stream runs or waits for a path.
+    fn record_state(&mut self) {
+        let state = match (self.stream.waits_for_path(), self.stream.incarnation()) {
+            (true, Incarnation(0)) => RequestState::Waiting,
+            (true, _) => RequestState::BetweenRuns,
+            (false, _) => RequestState::Running,
+        };
+        if state != self.state {
+            self.state = state;
+            self.instance.in_progress.set(self.work.id.0, state);
+        }
+    }
+
     /// Updates the step time and health of the server of the last step from an event.
     fn update_server(&mut self, event: &Event) {
         let Some(last_step) = self.last_step else {
@@ -338,6 +371,7 @@
             | Event::Imported { .. }
             | Event::ImportFailed { .. }
             | Event::Cancel
+            | Event::Stopping
             | Event::Tick => {}
         }
     }
