Stop of hemlockwindd: a repeated SIGTERM cuts nothing

Callers saw, in a test: all answers in progress were cut when SIGTERM came again during a stop; the same when a supervisor stopped an instance that an operator had drained before.

Evidence: stop::stop_signalled_again_cuts_nothing red before (Cut), green after.

--- a/programs/src/bin/hemlockwindd.rs
+++ b/programs/src/bin/hemlockwindd.rs
@@ -5,6 +5,7 @@
 
 use argh::FromArgs;
 use slog::error;
+use slog::info;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
@@ -63,7 +64,7 @@
 }
 
 /// Runs until a stop signal arrives or an operator drains the instance, and returns the exit code.
-/// Either begins a planned stop; a further signal ends the process at once.
+/// Either begins a planned stop; SIGINT during the stop ends the process at once.
 async fn run(running: Running) -> ExitCode {
     let log = running.instance.log.clone();
     let instance = Arc::clone(&running.instance);
@@ -79,10 +80,15 @@
         _ = interrupt.recv() => {}
         () = running.instance.unready.cancelled() => {}
     }
-    let cut_count = tokio::select! {
-        cut_count = running.stop() => cut_count,
-        _ = terminate.recv() => log_cut(&instance).len(),
-        _ = interrupt.recv() => log_cut(&instance).len(),
+    let stop = running.stop();
+    tokio::pin!(stop);
+    let cut_count = loop {
+        tokio::select! {
+            cut_count = &mut stop => break cut_count,
+            // A supervisor may repeat its signal; it ends the process with SIGKILL.
+            _ = terminate.recv() => info!(log, "already stopping"),
+            _ = interrupt.recv() => break log_cut(&instance).len(),
+        }
     };
     if cut_count > 0 {
         return ExitCode::from(1);
