Stop: a stream without events is answered whatever its relay waits for

Callers would have seen: streams without an answer at the end of a stop, again (LOST).

Cause: the relay looked at the end of the process between its own steps only. A search for another engine is such a step; it may take up to three quarters of the time that the caller waits (1.5 to 3.6 s), the last answers have 400 ms.

Change: the answer's head, which waits for the relay's first event, ends the wait itself; the relay ends with its receiver. A wait for a path ends with the process as well. The line of what was cut is written only when the drain time is over.

--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -157,9 +157,11 @@
         };
         let cut = match timeout_at(deadline, drain).await {
             Ok(()) => 0,
-            Err(_) => gateway.requests.len(),
+            Err(_) => {
+                log_cut(&gateway);
+                gateway.requests.len()
+            }
         };
-        log_cut(&gateway);
         if timeout_at(deadline + DEREGISTER_TIME, instances::deregister(&gateway))
             .await
             .is_err()
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -57,6 +57,8 @@
 /// Expected time from a start to the first event: prefill of the prompt and the first
 /// step.
 const FIRST_EVENT_TIME: Duration = Duration::from_millis(180);
+/// Why a stream without events is ended before the process ends.
+const STOPPING: &str = "this instance is stopping";
 /// Share of an answer's token limit that is expected when the caller gives no estimate.
 const EXPECTED_ANSWER_RATIO: f64 = 0.6;
 /// Largest number of attempts that did not run after which another one is made. Attempts that
@@ -200,7 +202,12 @@
     tokio::spawn(relay.run(exchange));
     // The head is sent with the first event, so that a stream that ends before it can still be
     // answered with an error.
-    let first = rx.recv().await;
+    let first = tokio::select! {
+        biased;
+        first = rx.recv() => first,
+        // The relay ends with its receiver.
+        () = gateway.answers_due() => Some(Err(Error::outcome_unknown(STOPPING))),
+    };
     if let Some(Err(e)) = &first {
         return answers::failure(e, Some(&attempt), None);
     }
@@ -365,6 +372,9 @@
             () = self.gateway.left_to_others(accepted.deadline) => {
                 Err(self.not_started(Error::Stopping, OTHER_INSTANCE_RETRY))
             }
+            () = self.gateway.answers_due() => {
+                Err(self.not_started(Error::Stopping, OTHER_INSTANCE_RETRY))
+            }
         }
     }
 
