Streams: the next run has begun with its first event

What callers saw in tests before: a stream was cut after event 39 since an engine gave the head of an answer and no event; a healthy stream on a leaving engine paused for 1.5 s while another engine did not begin; a stream that paused for 1.9 s and went on was passed on after 3.1 s only, when its caller would have left.

Change: the next run counts as begun with its first event. While it is opened on a doubt, the present run is read on, and its next event ends the try; a planned move, which stops reading, has 800 ms. A search goes to another first engine than the present one, and ends when no attempt is left. A run without progress for as long as callers wait is closed while a search is on. An engine whose answer failed counts as an attempt unless it has not run. A path that an engine refuses is given back to the queue owner. Nothing moves in the last moments of a stop. The phases tell a search from a lost run, and a run with events from one without.

Evidence: stream_stays_on_a_leaving_engine_until_another_one_has_begun, stream_on_a_leaving_engine_pauses_briefly_for_a_move, stream_goes_on_at_once_after_a_pause: each red before, green after.

--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -230,7 +230,7 @@
                 .min(started + accepted.route.target.mul_f64(RETRY_AFTER_SHARE)),
             false => accepted.deadline + DEADLINE_GRACE,
         };
-        accepted.progress.set_phase(Phase::Running);
+        accepted.progress.set_phase(Phase::Starting);
         let http = &self.gateway.http;
         let limit = self.gateway.answer_limit();
         let is_answer = |h: &HeaderMap| headers::may_answer(h, Some(&accepted.attempt));
--- a/crates/gateway/src/in_progress.rs
+++ b/crates/gateway/src/in_progress.rs
@@ -37,6 +37,8 @@
     Starting,
     /// The rest of its answer: a server runs it.
     Running,
+    /// The rest of its answer, or another run: the present one may have failed.
+    Searching,
     /// Another run, as the latest one ended before its last event.
     Resuming,
     /// Its caller, who is still reading the answer.
@@ -51,6 +53,7 @@
             Self::Waiting => "waiting",
             Self::Starting => "starting",
             Self::Running => "running",
+            Self::Searching => "searching",
             Self::Resuming => "resuming",
             Self::Answering => "answering",
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,13 +6,17 @@
 
 mod recover;
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use http::Response;
 use http::header;
 use http_body_util::BodyExt;
 use hyper::body::Frame;
+use hyper::body::Incoming;
 use slog::info;
 use tokio::sync::broadcast;
 use tokio::sync::broadcast::error::RecvError;
@@ -21,6 +25,7 @@
 use tokio::time::sleep_until;
 
 use hemlockwind_backend::http1::Exchange;
+use hemlockwind_backend::http1::Sender;
 use hemlockwind_core::Error;
 use hemlockwind_platform::engine::Report;
 use hemlockwind_platform::headers;
@@ -48,8 +53,6 @@
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Time beyond the deadline after which a stream is broken off.
 const DEADLINE_GRACE: Duration = Duration::from_millis(200);
-/// Why a stream without events ends before the process does.
-const STOPPING: &str = "this instance is stopping";
 /// Streams have moved away from a leaving engine this long before its end.
 const MOVE_MARGIN: Duration = Duration::from_millis(200);
 
@@ -61,12 +64,44 @@
     CallerLeft,
     /// The deadline passed.
     Deadline,
-    /// This process ends soon, and no event was passed on.
-    Stopping,
     /// The connection to the first engine broke.
     Broken(Error),
     /// Another run has begun.
-    Moved(Exchange),
+    Moved(Run),
+}
+
+/// `Run` is a run whose answer has begun.
+struct Run {
+    head: Response<()>,
+    body: Incoming,
+    sender: Sender,
+    /// Frames that were read already.
+    read_ahead: VecDeque<FrameResult>,
+}
+
+/// The next frame of a body, or `None` at its end.
+type FrameResult = Option<Result<Frame<Bytes>, hyper::Error>>;
+
+impl From<Exchange> for Run {
+    fn from(exchange: Exchange) -> Self {
+        let (head, body, sender) = exchange.into_parts();
+        Self {
+            head,
+            body,
+            sender,
+            read_ahead: VecDeque::new(),
+        }
+    }
+}
+
+impl Run {
+    /// Returns the next frame. Nothing is lost if this function is cancelled.
+    async fn frame(&mut self) -> FrameResult {
+        match self.read_ahead.pop_front() {
+            Some(frame) => frame,
+            None => self.body.frame().await,
+        }
+    }
 }
 
 /// `Doubt` says why a run may have failed that has not ended.
@@ -114,6 +149,8 @@
     is_unnumbered: bool,
     /// Number of events that were passed on.
     events: u64,
+    /// Number of events that were passed on before the present run.
+    events_before: u64,
     /// When the stream last made progress: a run began or was rerouted, or an event that
     /// counts as progress arrived.
     progress_at: Instant,
@@ -156,6 +193,7 @@
             sent: sent.times,
             is_unnumbered: false,
             events: 0,
+            events_before: 0,
             progress_at: Instant::now(),
             first_ms: 0,
             passed_at: Instant::now(),
@@ -168,16 +206,12 @@
 
     /// Passes the stream on until it ends.
     pub async fn run(mut self, exchange: Exchange) {
-        let mut exchange = exchange;
+        let mut run = Run::from(exchange);
         let outcome = loop {
-            match self.pass_events(exchange).await {
+            match self.pass_events(run).await {
                 End::Complete => break "complete",
                 End::CallerLeft => break "caller left",
-                End::Stopping => {
-                    self.fail(Error::outcome_unknown(STOPPING)).await;
-                    break "stopping";
-                }
-                End::Moved(next) => exchange = next,
+                End::Moved(next) => run = next,
                 End::Deadline => {
                     self.fail(Error::outcome_unknown("the deadline passed"))
                         .await;
@@ -187,7 +221,7 @@
                     self.log_broken(&e.to_string());
                     self.accepted.progress.set_phase(Phase::Resuming);
                     match self.resume().await {
-                        Ok(next) => exchange = next,
+                        Ok(next) => run = Run::from(next),
                         Err(e) => {
                             self.fail(e).await;
                             break "broken off";
@@ -210,23 +244,24 @@
         self.progress_at = Instant::now();
         self.move_at = None;
         self.search = None;
+        self.events_before = self.events;
         self.set_phase();
     }
 
     /// Records what the stream waits for while a run is read.
     fn set_phase(&self) {
+        let events = self.events - self.events_before;
         self.accepted
             .progress
-            .set_phase(match (self.search, self.events) {
-                (Some(_), _) => Phase::Resuming,
+            .set_phase(match (self.search, events) {
+                (Some(_), _) => Phase::Searching,
                 (None, 0) => Phase::Starting,
                 (None, _) => Phase::Running,
             });
     }
 
     /// Passes events on until this run ends.
-    async fn pass_events(&mut self, exchange: Exchange) -> End {
-        let (head, mut body, sender) = exchange.into_parts();
+    async fn pass_events(&mut self, mut run: Run) -> End {
         self.begin_run();
         let first = self.first_engine();
         let mut splitter = Splitter::default();
@@ -234,10 +269,11 @@
         loop {
             let move_at = self.move_at.map(|(at, _)| at);
             let search_at = self.search.map(|search| search.at);
+            let wait_end = self.wait_end();
             tokio::select! {
                 biased;
                 () = self.tx.closed() => return End::CallerLeft,
-                frame = body.frame() => match frame {
+                frame = run.frame() => match frame {
                     Some(Ok(frame)) => {
                         let Ok(data) = frame.into_data() else { continue };
                         let before = self.progress_at;
@@ -251,7 +287,7 @@
                         }
                     }
                     Some(Err(e)) => return End::Broken(Error::backend_failed(e.to_string())),
-                    None => return self.on_end(splitter, first, sender, &head).await,
+                    None => return self.on_end(splitter, first, run.sender, &run.head).await,
                 },
                 fault = self.faults.recv(), if search_at.is_none() => if let Some(doubt) = self.on_fault(fault) {
                     if !self.try_repath(doubt).await {
@@ -269,7 +305,7 @@
                     }
                 }
                 () = sleep_until(search_at.unwrap_or(check_at)), if search_at.is_some() => {
-                    if let Some(next) = self.continue_search().await {
+                    if let Some(next) = self.continue_search(&mut run).await {
                         return End::Moved(next);
                     }
                 }
@@ -280,7 +316,9 @@
                         return end;
                     }
                 }
-                () = self.gateway.answers_due(), if self.events == 0 => return End::Stopping,
+                () = sleep_until(wait_end), if search_at.is_some() => {
+                    return End::Broken(Error::backend_failed("no event while callers wait"));
+                }
                 () = sleep_until(self.accepted.deadline + DEADLINE_GRACE) => return End::Deadline,
             }
         }
@@ -309,8 +347,10 @@
                     Some(_) | None => {}
                 }
             }
-            if self.events == 0 {
+            if self.events == self.events_before {
                 self.accepted.progress.set_phase(Phase::Running);
+            }
+            if self.events == 0 {
                 self.first_ms = self.accepted.arrived.elapsed().as_millis() as u64;
                 streams::record_first_event(&self.gateway, &self.accepted);
             }
@@ -344,8 +384,8 @@
         &mut self,
         splitter: Splitter,
         first: Option<SocketAddr>,
-        sender: hemlockwind_backend::http1::Sender,
-        head: &http::Response<()>,
+        sender: Sender,
+        head: &Response<()>,
     ) -> End {
         let rest = splitter.rest();
         if !rest.is_empty() {
@@ -387,6 +427,11 @@
         self.path.first().map(|s| s.addr)
     }
 
+    /// Returns when the caller leaves if there is no progress until then.
+    fn wait_end(&self) -> Instant {
+        self.progress_at + streams::wait_limit(&self.accepted)
+    }
+
     /// Returns the time without progress after which the stream counts as stalled.
     fn stall_limit(&self) -> Duration {
         let route = &self.accepted.route;
--- a/crates/gateway/src/relay/recover.rs
+++ b/crates/gateway/src/relay/recover.rs
@@ -5,20 +5,24 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http_body_util::BodyExt;
 use slog::info;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
+use tokio::time::timeout_at;
 
 use hemlockwind_backend::http1::Exchange;
 use hemlockwind_core::Error;
 use hemlockwind_core::Result;
+use hemlockwind_core::attempt::Attempt;
 use hemlockwind_core::routes::Repeat;
 use hemlockwind_paths::queue_owner::Crossing;
 use hemlockwind_paths::queue_owner::Reroute;
 use hemlockwind_platform::engine;
 use hemlockwind_platform::engine::OrderOutcome;
 use hemlockwind_platform::headers;
+use hemlockwind_platform::headers::Stage;
 
 use crate::engine_ends::EndCause;
 use crate::quarantine;
@@ -27,7 +31,7 @@
 use crate::relay::Doubt;
 use crate::relay::End;
 use crate::relay::Relay;
-use crate::relay::STOPPING;
+use crate::relay::Run;
 use crate::streams;
 use crate::streams::OpenError;
 use crate::streams::Start;
@@ -38,6 +42,13 @@
 /// Share of the caller's wait limit after which a stalled stream is continued elsewhere
 /// without a known cause: the rest has to suffice for another start.
 const GIVE_UP_RATIO: f64 = 0.75;
+/// Time limit for the first event of a run that begins away from an engine that leaves: the present
+/// run is not read meanwhile.
+const MOVE_TIMEOUT: Duration = Duration::from_millis(800);
+/// The name of the field that holds an event's data.
+const EVENT_DATA: &[u8] = b"data:";
+/// Number of frames without an event that are kept while another run is opened.
+const MAX_READ_AHEAD: usize = 16;
 /// Time limit for the answer of an engine that is reported to stall a stream.
 const REACHABILITY_TIMEOUT: Duration = Duration::from_millis(150);
 /// Base interval between attempts to find a path away from a leaving engine; each is
@@ -67,8 +78,11 @@
 enum Found {
     /// The queue entry was moved to it.
     Rerouted,
-    /// There is a new queue entry; this was the one before.
-    Replaced(Option<Grant>),
+    /// There is a new queue entry.
+    NewEntry {
+        /// The entry before.
+        previous: Option<Grant>,
+    },
 }
 
 impl Relay {
@@ -115,9 +129,9 @@
     /// where it is if no other run may follow it.
     pub(super) async fn move_away(&mut self, addr: SocketAddr) -> Option<End> {
         let is_moved = match self.first_engine() == Some(addr) {
-            true if !self.may_run_again() => return None,
+            true if !self.may_run_again() || self.gateway.are_answers_due() => return None,
             true => {
-                if let Some(next) = self.begin_next_run(true).await {
+                if let Some(next) = self.open_planned().await {
                     return Some(End::Moved(next));
                 }
                 false
@@ -157,46 +171,83 @@
         self.set_phase();
     }
 
-    /// Tries once to begin the next run, and sets the time of the next try.
-    pub(super) async fn continue_search(&mut self) -> Option<Exchange> {
-        let next = self.begin_next_run(false).await;
-        if let Some(search) = &mut self.search {
+    /// Tries once to begin the next run, and sets the time of the next try. The try ends as soon as
+    /// the present run makes progress.
+    pub(super) async fn continue_search(&mut self, present: &mut Run) -> Option<Run> {
+        let wait_end = self.wait_end();
+        let path = self.path.clone();
+        let found = self.find_path(false).await;
+        if let Some(found) = found {
+            let next = tokio::select! {
+                biased;
+                next = timeout_at(wait_end, self.open_elsewhere()) => next.ok().flatten(),
+                () = read_until_event(present) => None,
+            };
+            if next.is_some() {
+                return next;
+            }
+            self.stay(found, path).await;
+        }
+        if !self.may_run_again() {
+            self.end_search();
+        } else if let Some(search) = &mut self.search {
             search.at = Instant::now() + search.pause;
             search.pause = (search.pause * 2).min(MAX_RESUME_PAUSE);
         }
-        next
+        None
     }
 
-    /// Ends the search for the next run, as the present one makes progress.
-    pub(super) fn end_search(&mut self) {
-        if self.search.take().is_some() {
-            self.gateway.counters.add("streams_recovered");
-            self.set_phase();
+    /// Tries once to begin the next run away from an engine that leaves. The present run is not read
+    /// meanwhile.
+    async fn open_planned(&mut self) -> Option<Run> {
+        let path = self.path.clone();
+        let found = self.find_path(true).await?;
+        let next = timeout(MOVE_TIMEOUT, self.open_elsewhere()).await;
+        if let Ok(Some(next)) = next {
+            return Some(next);
         }
+        self.stay(found, path).await;
+        None
     }
 
-    /// Begins the next run at another first engine. The present run is not read meanwhile, and goes
-    /// on if the other engine does not begin.
-    async fn begin_next_run(&mut self, must_fit: bool) -> Option<Exchange> {
-        let gateway = Arc::clone(&self.gateway);
-        if self.events == 0 && quarantine::recheck(&gateway, &self.accepted).is_err() {
+    /// Opens the next run on the granted path, at another first engine than the present one, and
+    /// waits for its first event.
+    async fn open_elsewhere(&mut self) -> Option<Run> {
+        if self.events == 0 && quarantine::recheck(&self.gateway, &self.accepted).is_err() {
             return None;
         }
-        let found = self.find_path(must_fit).await?;
-        let limit = streams::wait_limit(&self.accepted).mul_f64(GIVE_UP_RATIO);
-        if let Ok(Some(next)) = timeout(limit, self.try_resume()).await {
-            return Some(next);
+        let granted = self.grant.as_ref()?.path.first()?.addr;
+        if self.first_engine() == Some(granted) {
+            return None;
         }
+        let mut next = Run::from(self.try_resume().await?);
+        let first = next.frame().await;
+        match &first {
+            Some(Ok(_)) => next.read_ahead.push_back(first),
+            Some(Err(_)) | None => return None,
+        }
+        Some(next)
+    }
+
+    /// Records that the stream stays on the path of the present run, after another one was found.
+    async fn stay(&mut self, found: Found, path: Vec<Stage>) {
         match found {
-            Found::Replaced(grant) => self.grant = grant,
+            Found::NewEntry { previous } => self.grant = previous,
             Found::Rerouted => {
-                let path = self.path.clone();
+                let gateway = Arc::clone(&self.gateway);
                 if let Some(grant) = self.grant.as_mut() {
                     gateway.queue_owners.restore(&gateway, grant, path).await;
                 }
             }
         }
-        None
+    }
+
+    /// Ends the search for the next run, as the present one makes progress.
+    pub(super) fn end_search(&mut self) {
+        if self.search.take().is_some() {
+            self.gateway.counters.add("streams_recovered");
+            self.set_phase();
+        }
     }
 
     /// Reroutes the stream behind the same first engine after a later one died or became
@@ -252,6 +303,7 @@
     /// read its tokens again. Returns whether the first engine accepted the path.
     async fn repath(&mut self, must_fit: bool, crossing: Crossing) -> bool {
         let gateway = Arc::clone(&self.gateway);
+        let before = self.path.clone();
         let Some(grant) = self.grant.as_mut() else {
             return false;
         };
@@ -260,14 +312,13 @@
             keeps_first: true,
             crossing,
         };
-        let before = headers::path(&grant.path);
         if !gateway.queue_owners.reroute(&gateway, grant, reroute).await {
             return false;
         }
-        let path = headers::path(&grant.path);
-        if path == before {
+        if grant.path == before {
             return false;
         }
+        let path = headers::path(&grant.path);
         let ordered = engine::repath(&gateway.http, &self.accepted.attempt, &grant.path).await;
         gateway.counters.add(match ordered {
             OrderOutcome::Accepted => "streams_repathed",
@@ -278,12 +329,14 @@
         });
         if let Some(left_out) = gateway.lines.take(gateway.now(), "stream_repathed") {
             info!(gateway.log, "stream on another path"; "id" => &self.accepted.attempt,
-                "before" => before, "path" => path, "outcome" => format!("{ordered:?}"),
+                "before" => headers::path(&before), "path" => path, "outcome" => format!("{ordered:?}"),
                 "events" => self.events, "left_out" => left_out);
         }
         let is_accepted = ordered == OrderOutcome::Accepted;
         if is_accepted {
             self.path = grant.path.clone();
+        } else {
+            gateway.queue_owners.restore(&gateway, grant, before).await;
         }
         is_accepted
     }
@@ -305,18 +358,7 @@
         if !self.may_resume() {
             return Err(unknown("the stream broke off"));
         }
-        let gateway = Arc::clone(&self.gateway);
-        let has_begun = self.events > 0;
-        tokio::select! {
-            biased;
-            next = self.begin_again() => next,
-            () = gateway.answers_due(), if !has_begun => Err(unknown(STOPPING)),
-        }
-    }
-
-    /// Tries to begin another run, as long as the caller waits.
-    async fn begin_again(&mut self) -> Result<Exchange> {
-        let unknown = |why: &str| Error::outcome_unknown(why);
+        // The answer is not ended as long as the caller waits.
         let mut pause = RESUME_PAUSE;
         while Instant::now() < self.accepted.deadline && !self.tx.is_closed() {
             if self.find_path(false).await.is_some() {
@@ -407,7 +449,9 @@
             .request_path(&self.gateway, &request)
             .await
         {
-            Ok(grant) => Some(Found::Replaced(self.grant.replace(grant))),
+            Ok(grant) => Some(Found::NewEntry {
+                previous: self.grant.replace(grant),
+            }),
             // The caller of this function tries again after a pause.
             Err(_) => None,
         }
@@ -441,7 +485,14 @@
             () = self.tx.closed() => return None,
             opened = start.open(&path, self.last_event) => opened,
         };
-        if opened.is_err() && is_new {
+        let has_not_run = matches!(
+            opened,
+            Err(OpenError::NotRun(..)
+                | OpenError::NotWanted(..)
+                | OpenError::Malformed(_)
+                | OpenError::Failed(Attempt::Unsent, _))
+        );
+        if is_new && has_not_run {
             self.first_engines.pop();
         }
         match opened {
@@ -474,3 +525,18 @@
         }
     }
 }
+
+/// Reads frames of a run ahead until one may hold an event, the run ends, or many were read.
+async fn read_until_event(run: &mut Run) {
+    loop {
+        let frame = run.body.frame().await;
+        let is_comment = frame.as_ref().is_some_and(|frame| {
+            let data = frame.as_ref().ok().and_then(|f| f.data_ref());
+            data.is_some_and(|data| !data.windows(EVENT_DATA.len()).any(|w| w == EVENT_DATA))
+        });
+        run.read_ahead.push_back(frame);
+        if !is_comment || run.read_ahead.len() >= MAX_READ_AHEAD {
+            return;
+        }
+    }
+}
