--- a/crates/state/limits/tests/fuzz/main.rs
+++ b/crates/state/limits/tests/fuzz/main.rs
@@ -1,5 +1,6 @@
 //! Compares each module of this crate with a simple oracle on random inputs.
 
+mod announced;
 mod ejection;
 mod failure_detector;
 mod limit;
