Servers get no more requests than they announce to take

Cause: the header was not read, and no part of the design bounds the rate of one server over all instances: the queue owner bounds memory and slots, a plain server's load is judged by each instance for itself.

Change: each instance reads the header. For engines it reports a limit to the queue owner and to the next in line; the owner starts no more streams at an engine than its limit allows, and counts new starts, streams that are sent again, and reroutes to another first engine. A grant says whether its first engine is limited, so an instance that did not know ends the limit by an answer without it. For plain servers the owner of the service permits single calls to limited servers; the request for a permit carries what the instance knows and how old that is, so a new owner knows at once. Requests that no server may get in time are refused at once, with the time until a start is allowed, spread at random.

--- a/crates/gateway/src/announcements.rs
+++ b/crates/gateway/src/announcements.rs
@@ -1,5 +1,5 @@
-//! What backend servers announce in their answers: that they leave, and for how long they want no
-//! request from this instance.
+//! What backend servers announce in their answers: that they leave, for how long they want no
+//! request from this instance, and the limit for all instances together.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -15,6 +15,7 @@
 
 use crate::gateway::EngineFault;
 use crate::gateway::Gateway;
+use crate::limits;
 use crate::merge;
 
 /// Number of pauses from which those that are over are removed.
@@ -54,6 +55,7 @@
     if answered.is_leaving {
         record_leaving(gateway, id, addr);
     }
+    limits::record(gateway, (id, addr), answered);
     if let (StatusCode::SERVICE_UNAVAILABLE, Some(time)) = (status, answered.retry_after) {
         let now = gateway.now();
         gateway.pauses.set(now, id, now + time);
--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -17,6 +17,7 @@
 use hemlockwind_core::attempt::Attempts;
 use hemlockwind_core::routes::Repeat;
 use hemlockwind_core::servers::BackendServer;
+use hemlockwind_core::servers::ServerState;
 use hemlockwind_platform::headers;
 use hemlockwind_platform::headers::Dispatch;
 use hemlockwind_platform::headers::ServerHeaders;
@@ -26,6 +27,7 @@
 use crate::answers;
 use crate::answers::Body;
 use crate::gateway::Gateway;
+use crate::limits;
 use crate::requests::Accepted;
 use crate::servers::CallOutcome;
 
@@ -34,6 +36,8 @@
 /// When the caller is to retry after a server refused: queues of servers are short, so this time
 /// is, too.
 const REFUSED_RETRY: Duration = Duration::from_millis(100);
+/// Largest random extension of the time after which to retry when no server's limit allows a call.
+const LIMIT_RETRY_SPREAD: Duration = Duration::from_millis(500);
 /// When to retry if there is no server.
 const NO_SERVER_RETRY: Duration = Duration::from_millis(250);
 /// Share of the target time after which an attempt of an idempotent call is given up and
@@ -124,7 +128,7 @@
                 self.last_error = Some(Error::DeadlinePassed);
                 break;
             }
-            let Some(server) = self.next_server() else {
+            let Some(server) = self.next_server().await else {
                 self.last_error
                     .get_or_insert(Error::no_path(&*accepted.service));
                 break;
@@ -184,7 +188,7 @@
             && self.gateway.may_retry(&accepted.service)
     }
 
-    fn next_server(&mut self) -> Option<Arc<BackendServer>> {
+    async fn next_server(&mut self) -> Option<Arc<BackendServer>> {
         let candidates: Vec<Arc<BackendServer>> = {
             let directory = self.gateway.directory.read();
             directory.of(&self.accepted.service).cloned().collect()
@@ -195,14 +199,37 @@
         let rest = |s: &Arc<BackendServer>| pauses.rest(now, &s.id);
         let (paused, candidates): (Vec<_>, Vec<_>) =
             candidates.into_iter().partition(|s| rest(s).is_some());
-        let Some(server) = self
-            .gateway
-            .servers
-            .begin(now, &candidates, data_centre, &self.tried)
-        else {
-            self.wanted_after = paused.iter().filter_map(rest).min();
+        let servers = &self.gateway.servers;
+        let mut server = servers.begin(now, &candidates, data_centre, &self.tried);
+        if let Some(best) = &server
+            && self.gateway.limits.is_limited(&best.id)
+        {
+            servers.end(now, best.addr, CallOutcome::Abandoned);
+            let (mut limited, others): (Vec<_>, Vec<_>) = candidates
+                .into_iter()
+                .partition(|s| self.gateway.limits.is_limited(&s.id));
+            limited.retain(|s| s.state == ServerState::Ready && !self.tried.contains(&s.addr));
+            limited.sort_by_key(|s| s.addr != best.addr);
+            let permit = limits::request_permit(self.gateway, &self.accepted.service, &limited);
+            server = match permit.await {
+                Ok(permitted) => {
+                    servers.begin_at(permitted.addr);
+                    Some(permitted)
+                }
+                Err(wait) => {
+                    // Callers that are refused together must not retry together.
+                    let spread = LIMIT_RETRY_SPREAD.mul_f64(rand::random());
+                    self.wanted_after = Some(wait.max(NO_SERVER_RETRY) + spread);
+                    servers.begin(now, &others, data_centre, &self.tried)
+                }
+            };
+        }
+        let Some(server) = server else {
+            let rest = paused.iter().filter_map(rest).min();
+            self.wanted_after = self.wanted_after.into_iter().chain(rest).min();
             return None;
         };
+        self.wanted_after = None;
         self.tried.push(server.addr);
         Some(server)
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -35,6 +35,7 @@
 use crate::announcements::Pauses;
 use crate::directory::Directory;
 use crate::engine_ends::EngineEnds;
+use crate::limits::SharedLimits;
 use crate::peers::Instance;
 use crate::peers::Peers;
 use crate::quarantine::SharedQuarantine;
@@ -89,6 +90,8 @@
     pub engine_ends: EngineEnds,
     /// The servers that want no request from this instance for a time.
     pub pauses: Pauses,
+    /// The limits that servers announced.
+    pub limits: SharedLimits,
     /// The parts of prompts that crash engines.
     pub quarantine: SharedQuarantine,
     /// The engines that are slow.
@@ -174,6 +177,7 @@
             reports: Reports::default(),
             engine_ends: EngineEnds::default(),
             pauses: Pauses::default(),
+            limits: SharedLimits::default(),
             quarantine: SharedQuarantine::default(),
             slow: SlowEngines::default(),
             retry_budgets: Mutex::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod follow;
 pub mod gateway;
 pub mod instances;
+pub mod limits;
 pub mod listener;
 pub mod merge;
 pub mod orders;
--- a/crates/gateway/src/queue_owners.rs
+++ b/crates/gateway/src/queue_owners.rs
@@ -254,6 +254,9 @@
                 let path: Option<Vec<Stage>> = path.into_iter().map(stage_from_wire).collect();
                 path.map(Ok)
             }
+            Ok(Reply::Paths(message::Answer::GrantedLimited(path))) => {
+                limited_path(gateway, path).map(Ok)
+            }
             Ok(Reply::Paths(message::Answer::Refused(reason, ms))) => Some(Err((
                 reason_from_wire(reason),
                 Duration::from_millis(ms.into()),
@@ -297,6 +300,7 @@
             Ok(Reply::Paths(message::Answer::Granted(path))) => {
                 path.into_iter().map(stage_from_wire).collect()
             }
+            Ok(Reply::Paths(message::Answer::GrantedLimited(path))) => limited_path(gateway, path),
             // An owner without a record of the stream has no path for it.
             Ok(_) | Err(_) => None,
         }
@@ -386,6 +390,17 @@
     }
 }
 
+/// Returns a granted path whose first engine announced a limit, and records that it did: an
+/// answer without a limit then ends it.
+fn limited_path(gateway: &Gateway, path: Vec<message::Stage>) -> Option<Vec<Stage>> {
+    let path: Option<Vec<Stage>> = path.into_iter().map(stage_from_wire).collect();
+    let path = path?;
+    if let Some(first) = path.first() {
+        gateway.limits.expect(gateway.now(), &first.id);
+    }
+    Some(path)
+}
+
 impl QueueEntryGuard {
     fn begin(&self, tokens: u32, path: &[Stage]) {
         let mut streams = self.streams.lock();
--- a/crates/gateway/src/queue_owners/handler.rs
+++ b/crates/gateway/src/queue_owners/handler.rs
@@ -9,6 +9,7 @@
 use hemlockwind_core::layers::LayerRange;
 use hemlockwind_core::names::Rank;
 use hemlockwind_core::time::Instant;
+use hemlockwind_limits::announced::Rate;
 use hemlockwind_paths::QueueEntry;
 use hemlockwind_paths::QueueEntryId;
 use hemlockwind_paths::queue_entry::Reason;
@@ -20,6 +21,7 @@
 use crate::diagnosis;
 use crate::gateway::EngineFault;
 use crate::gateway::Gateway;
+use crate::limits;
 use crate::queue_owners::NO_OWNER_RETRY;
 use crate::queue_owners::QueueOwnerKey;
 use crate::queue_owners::QueueOwners;
@@ -81,7 +83,7 @@
             message::Message::PathRequest(service, request) => {
                 let key: QueueOwnerKey = service.into();
                 match self.request_local(&key, from, &request).await {
-                    Ok(path) => message::Answer::Granted(path.iter().map(stage_to_wire).collect()),
+                    Ok(path) => self.granted(&key, &path),
                     Err((reason, wait)) => refusal_to_wire(reason, wait),
                 }
             }
@@ -101,9 +103,7 @@
             message::Message::Reroute(service, reroute) => {
                 let key: QueueOwnerKey = service.into();
                 match self.reroute_local(&key, from, reroute) {
-                    Some(path) => {
-                        message::Answer::Granted(path.iter().map(stage_to_wire).collect())
-                    }
+                    Some(path) => self.granted(&key, &path),
                     None => refusal_to_wire(Reason::NoPath, NO_OWNER_RETRY),
                 }
             }
@@ -121,6 +121,14 @@
                 self.exclude_starts_local(&service.into(), addr, time);
                 message::Answer::Done
             }
+            message::Message::Limits(service, announced) => {
+                let key: QueueOwnerKey = service.into();
+                for limit in &announced {
+                    limits::learn(gateway, &key, limit);
+                }
+                message::Answer::Done
+            }
+            message::Message::Permit(_, wanted) => limits::answer_permit(gateway, &wanted),
             message::Message::Dead(addr) => {
                 self.exclude(now, addr);
                 // Sending fails when no stream runs.
@@ -145,6 +153,41 @@
         }
     }
 
+    /// Returns the message that grants a path of a local queue owner.
+    fn granted(&self, key: &QueueOwnerKey, path: &[Stage]) -> message::Answer {
+        let is_limited = path.first().is_some_and(|first| {
+            let queue = self.queue(key);
+            queue.is_some_and(|queue| {
+                let engines = &queue.lock().queue_owner.engines;
+                let key = engines.key(&first.id);
+                key.is_some_and(|key| engines.is_limited(key))
+            })
+        });
+        let path = path.iter().map(stage_to_wire).collect();
+        match is_limited {
+            true => message::Answer::GrantedLimited(path),
+            false => message::Answer::Granted(path),
+        }
+    }
+
+    /// Records the limit of an engine at the local queue owner of its service. Returns whether
+    /// there is one.
+    pub fn observe_limit(
+        &self,
+        key: &QueueOwnerKey,
+        id: &str,
+        rate: Option<Rate>,
+        observed_at: Instant,
+    ) -> bool {
+        let Some(queue) = self.queue(key) else {
+            return false;
+        };
+        let now = self.now();
+        let engines = &mut queue.lock().queue_owner.engines;
+        engines.observe_limit(now, id, rate, observed_at);
+        true
+    }
+
     pub(super) fn id(&self, from: &str, number: u64) -> QueueEntryId {
         QueueEntryId {
             instance: self.names.lock().instances.intern(from),
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -98,6 +98,11 @@
         Some(Arc::clone(best))
     }
 
+    /// Counts a call as in progress at a server that was chosen otherwise.
+    pub fn begin_at(&self, addr: SocketAddr) {
+        self.by_server.lock().entry(addr).or_default().in_progress += 1;
+    }
+
     /// Records the end of a call.
     pub fn end(&self, now: Instant, addr: SocketAddr, outcome: CallOutcome) {
         let mut by_server = self.by_server.lock();
--- a/crates/hemlockwind/benches/decisions/joint.rs
+++ b/crates/hemlockwind/benches/decisions/joint.rs
@@ -136,6 +136,7 @@
         must_fit: true,
         held: None,
         within: None,
+        within_limit: true,
     };
     for size in ENGINE_COUNTS {
         let engines = engines(size);
--- a/crates/protocol/src/peer/paths.rs
+++ b/crates/protocol/src/peer/paths.rs
@@ -80,6 +80,19 @@
     None,
 }
 
+/// `Limit` is what an instance saw a backend server announce.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Limit {
+    /// The id of the backend server.
+    pub server: String,
+    /// Thousandths of a request per second that it takes from all instances together; `None` if it
+    /// announces no limit.
+    pub rate: Option<u64>,
+    /// The age of the observation, in milliseconds.
+    pub age_ms: u32,
+}
+
 /// `Message` is a message to a queue owner. A message about its queue starts with the owner's
 /// key: the name of the service whose engines it manages. Messages about the state of an
 /// engine also go to the instances that may issue orders and, except [`Message::Holds`], to
@@ -119,6 +132,12 @@
     /// Reports that an engine wants no new request for this time, in milliseconds. It goes on as
     /// a later stage of paths.
     NoStarts(String, SocketAddr, u32),
+    /// Reports the limits that backend servers of the service announced, or that they no longer
+    /// announce one.
+    Limits(String, Vec<Limit>),
+    /// Requests to send one request to one of these backend servers of the service, which
+    /// announced limits; those named first are preferred.
+    Permit(String, Vec<Limit>),
 }
 
 /// `Answer` is the answer to a [`Message`].
@@ -134,6 +153,13 @@
     Refused(Reason, u32),
     /// The queue owner has no record of these running streams.
     Unknown(Vec<u64>),
+    /// The stream may run on this path, whose first engine announced a limit.
+    GrantedLimited(Vec<Stage>),
+    /// The request may be sent to the backend server with this id.
+    Permitted(String),
+    /// None of the backend servers may get a request now. One may after this time, in
+    /// milliseconds.
+    NotPermitted(u32),
 }
 
 /// `Reason` is why a stream may not start.
--- a/crates/state/paths/src/choice.rs
+++ b/crates/state/paths/src/choice.rs
@@ -60,6 +60,8 @@
     pub held: Option<&'a [Stage]>,
     /// The only data centre whose engines may be used, if there is one.
     pub within: Option<DataCentreKey>,
+    /// Whether the limit that the first engine announced must allow a start now.
+    pub within_limit: bool,
 }
 
 impl Need<'_> {
@@ -174,6 +176,7 @@
             layer_ms: layer_cost(self.engines, now, engine),
             available: engine.free(now) + overcommit,
             can_start: engine.starts_excluded_until <= now
+                && (!self.need.within_limit || self.engines.may_start(key, now))
                 && (!self.need.must_fit || engine.first_stage_streams < engine.slots),
         });
     }
--- a/crates/state/paths/src/engines.rs
+++ b/crates/state/paths/src/engines.rs
@@ -17,6 +17,8 @@
 use hemlockwind_core::servers::EngineModel;
 use hemlockwind_core::servers::ServerState;
 use hemlockwind_core::time::Instant;
+use hemlockwind_limits::AnnouncedLimit;
+use hemlockwind_limits::announced::Rate;
 
 /// The part of an engine's memory that may be reserved for requests. The rest is for answers
 /// that become longer than estimated; beyond it an engine preempts requests.
@@ -24,6 +26,8 @@
 
 /// How long a report on memory is used: about as long as a request runs.
 const REPORT_LIFETIME: Duration = Duration::from_millis(2_000);
+/// Maximum number of limits that are kept for engines without an entry.
+const MAX_UNLISTED_LIMITS: usize = 1_024;
 /// The typical time that a request runs, in seconds, for the estimate of the load on links.
 const TYPICAL_RUN_S: f64 = 4.0;
 /// The part of a link's capacity that paths may use. Prompts are sent in bursts, one after
@@ -127,6 +131,9 @@
     cut_off: Vec<DataCentreKey>,
     /// How often the paths of running requests cross between two data centres.
     crossings: HashMap<Pair, u32>,
+    /// The limits that engines announced, by their ids. They outlast the entries, as an engine has
+    /// none while it holds no layers.
+    limits: SeededHashMap<Arc<str>, AnnouncedLimit>,
 }
 
 impl Engines {
@@ -139,6 +146,7 @@
             data_centres: Names::default(),
             cut_off: Vec::new(),
             crossings: HashMap::default(),
+            limits: SeededHashMap::default(),
         }
     }
 
@@ -215,6 +223,10 @@
         self.engines.retain(|key, _| seen.contains_key(&key));
         let engines = &self.engines;
         self.ids.retain(|_, key| engines.contains_key(*key));
+        if self.limits.len() > self.ids.len() + MAX_UNLISTED_LIMITS {
+            let ids = &self.ids;
+            self.limits.retain(|id, _| ids.contains_key(id));
+        }
     }
 
     /// Updates or adds one engine. Returns `None` when it holds no layers or its
@@ -309,6 +321,85 @@
         }
     }
 
+    /// Records the limit that the engine `id` was seen to announce at `observed_at`, or that it
+    /// announced none.
+    pub fn observe_limit(
+        &mut self,
+        now: Instant,
+        id: &str,
+        rate: Option<Rate>,
+        observed_at: Instant,
+    ) {
+        let known = self.limits.get_mut(id);
+        match (rate, known) {
+            (Some(rate), Some(limit)) => limit.observe(now, rate, observed_at),
+            (Some(rate), None) => {
+                let limit = AnnouncedLimit::new(now, rate, observed_at);
+                self.limits.insert(id.into(), limit);
+            }
+            (None, Some(limit)) if limit.observed_at() <= observed_at => {
+                self.limits.remove(id);
+            }
+            (None, _) => {}
+        }
+    }
+
+    /// Returns whether the engine announced a limit.
+    pub fn is_limited(&self, key: BackendServerKey) -> bool {
+        self.limit(key).is_some()
+    }
+
+    /// Returns whether the limit of an engine, if it has one, allows a start now.
+    pub fn may_start(&self, key: BackendServerKey, now: Instant) -> bool {
+        self.limit(key).is_none_or(|limit| limit.available(now) > 0)
+    }
+
+    /// Counts a start against the limit of the first engine of a path.
+    pub fn count_start(&mut self, now: Instant, path: &[Stage]) {
+        let first = path.first().and_then(|s| self.engines.get(s.engine));
+        if let Some(limit) = first.and_then(|e| self.limits.get_mut(&e.id)) {
+            limit.try_take(now);
+        }
+    }
+
+    /// Returns the time until the limits of the engines allow the start of a request behind
+    /// `ahead` others; zero if an engine without a limit may start one.
+    pub fn limit_wait(&self, now: Instant, ahead: usize) -> Duration {
+        if self.limits.is_empty() {
+            return Duration::ZERO;
+        }
+        let (mut available, mut per_second) = (0.0, 0.0);
+        let mut next = Duration::ZERO;
+        for (key, engine) in self.iter() {
+            if engine.layers.start() > 0 || !self.is_usable(engine, now) {
+                continue;
+            }
+            let Some(limit) = self.limit(key) else {
+                return Duration::ZERO;
+            };
+            let wait = limit.wait(now);
+            next = if per_second > 0.0 {
+                next.min(wait)
+            } else {
+                wait
+            };
+            available += limit.available(now) as f64;
+            per_second += limit.per_second();
+        }
+        let missing = ahead as f64 + 1.0 - available;
+        if missing <= 0.0 || per_second <= 0.0 {
+            return Duration::ZERO;
+        }
+        next.max(Duration::from_secs_f64(missing / per_second))
+    }
+
+    fn limit(&self, key: BackendServerKey) -> Option<&AnnouncedLimit> {
+        if self.limits.is_empty() {
+            return None;
+        }
+        self.limits.get(&self.engines.get(key)?.id)
+    }
+
     /// Records the report of the engine at `addr` on its memory, in tokens x layers.
     pub fn record_report(&mut self, now: Instant, addr: SocketAddr, capacity: f64, used: f64) {
         for engine in self.engines.values_mut().filter(|e| e.addr == addr) {
--- a/crates/state/paths/src/queue_owner.rs
+++ b/crates/state/paths/src/queue_owner.rs
@@ -148,6 +148,23 @@
             .expected_wait(ahead + f64::from(tokens), self.running_tokens)
     }
 
+    /// Returns the expected wait of a new entry for memory and for the limits that engines
+    /// announced. While memory is free, the entries wait for the limits alone.
+    fn wait_for_start(&self, now: Instant, queue_entry: &QueueEntry) -> Duration {
+        let rank = queue_entry.rank;
+        let ahead = self.waiting.iter().filter(|(_, entry)| entry.rank <= rank);
+        let limit_wait = self.engines.limit_wait(now, ahead.count());
+        let need = Need {
+            within_limit: false,
+            ..need(queue_entry)
+        };
+        if !limit_wait.is_zero() && choice::choose(&self.engines, now, need).is_some() {
+            return limit_wait;
+        }
+        let memory_wait = self.expected_wait(rank, queue_entry.tokens);
+        memory_wait.max(limit_wait)
+    }
+
     /// Decides on a new entry, or adds it to the waiting ones and returns `None`.
     pub fn request_path(&mut self, now: Instant, queue_entry: QueueEntry) -> Option<Decision> {
         let goes_first = !self
@@ -161,7 +178,7 @@
         if !self.has_path(now + EXCLUSION_GRACE) {
             return Some(Decision::Refused(Reason::NoPath, NO_PATH_RETRY));
         }
-        let wait = self.expected_wait(queue_entry.rank, queue_entry.tokens);
+        let wait = self.wait_for_start(now, &queue_entry);
         let max_wait = queue_entry.latest.since(now).mul_f64(WAIT_MARGIN);
         if !queue_entry.may_wait || wait > max_wait {
             let retry = wait.max(MIN_RETRY);
@@ -204,6 +221,7 @@
             within: first
                 .map(|e| e.data_centre)
                 .filter(|_| reroute.crossing == Crossing::None),
+            within_limit: true,
         };
         let overcommitted = Need {
             must_fit: false,
@@ -222,6 +240,10 @@
         });
         let reserved = path.as_ref().unwrap_or(&old);
         self.engines.reserve(reserved, tokens);
+        // The stream is sent again unless its first stage continues it.
+        if let Some(path) = path.as_ref().filter(|_| !reroute.keeps_first) {
+            self.engines.count_start(now, path);
+        }
         if let (Some(path), Some(running)) = (&path, self.running.get_mut(&id)) {
             running.path.clone_from(path);
         }
@@ -354,14 +376,7 @@
 
     /// Returns the cheapest path on which the entry fits.
     fn path(&self, now: Instant, queue_entry: &QueueEntry) -> Option<Vec<Stage>> {
-        let need = Need {
-            tokens: queue_entry.tokens,
-            caller_data_centre: queue_entry.caller_data_centre,
-            must_fit: true,
-            held: None,
-            within: None,
-        };
-        choice::choose(&self.engines, now, need)
+        choice::choose(&self.engines, now, need(queue_entry))
     }
 
     /// Returns whether the usable engines form a whole path, even if their memory is full. An
@@ -373,6 +388,7 @@
             must_fit: false,
             held: None,
             within: None,
+            within_limit: false,
         };
         choice::choose(&self.engines, now, need).is_some()
     }
@@ -389,6 +405,7 @@
             .entry(queue_entry.id.instance)
             .or_insert(now);
         self.insert_running(queue_entry.id, running);
+        self.engines.count_start(now, &path);
         Decision::Granted(path)
     }
 
@@ -422,3 +439,15 @@
         }
     }
 }
+
+/// Returns what the start of an entry requires of a path.
+fn need(queue_entry: &QueueEntry) -> Need<'static> {
+    Need {
+        tokens: queue_entry.tokens,
+        caller_data_centre: queue_entry.caller_data_centre,
+        must_fit: true,
+        held: None,
+        within: None,
+        within_limit: true,
+    }
+}
--- a/crates/state/paths/tests/choice.rs
+++ b/crates/state/paths/tests/choice.rs
@@ -29,6 +29,7 @@
         must_fit: true,
         held: None,
         within: None,
+        within_limit: true,
     }
 }
 
--- a/crates/state/paths/tests/queue_owner.rs
+++ b/crates/state/paths/tests/queue_owner.rs
@@ -15,6 +15,7 @@
 use hemlockwind_core::servers::BackendServer;
 use hemlockwind_core::servers::ServerState;
 use hemlockwind_core::time::Instant;
+use hemlockwind_limits::announced::Rate;
 use hemlockwind_paths::QueueEntry;
 use hemlockwind_paths::QueueEntryId;
 use hemlockwind_paths::QueueOwner;
@@ -101,6 +102,78 @@
     assert!(sim.fill(at(0), 1).len() > 60);
 }
 
+/// Returns a simulation whose only first engine announced that it takes `per_second` requests, at
+/// `at(0)`.
+fn limited_simulation(per_second: u64) -> Simulation {
+    let mut sim = simulation();
+    let rate = Rate {
+        millis: per_second * 1_000,
+    };
+    let engines = &mut sim.queue_owner.engines;
+    engines.observe_limit(at(0), "e000", Some(rate), at(0));
+    sim
+}
+
+#[test]
+fn request_path_starts_within_announced_limit() {
+    let mut sim = limited_simulation(4);
+    assert!(sim.fill(at(0), 1).is_empty());
+    // One request, and those of the time whose requests may be saved up.
+    assert_eq!(sim.fill(at(2_000), 1).len(), 2);
+    assert_eq!(sim.fill(at(2_249), 1).len(), 0);
+    assert_eq!(sim.fill(at(2_250), 1).len(), 1);
+    sim.queue_owner
+        .engines
+        .observe_limit(at(2_300), "e000", None, at(2_300));
+    assert!(sim.fill(at(2_300), 1).len() > 60);
+}
+
+#[test]
+fn request_path_limit_outlasts_the_entry() {
+    let mut sim = limited_simulation(4);
+    sim.queue_owner.engines.update(copy("a", 0)[1..].iter());
+    sim.queue_owner.engines.update(copy("a", 0).iter());
+    assert_eq!(sim.fill(at(2_000), 1).len(), 2);
+}
+
+#[test]
+fn request_path_waits_for_announced_limit() {
+    let mut sim = limited_simulation(4);
+    let entries: Vec<QueueEntry> = (0..4).map(|_| sim.queue_entry(at(0), 1, 0)).collect();
+    for entry in &entries {
+        assert_eq!(sim.queue_owner.request_path(at(0), *entry), None);
+    }
+    // A fifth one would wait for longer than it may.
+    let fifth = sim.queue_entry(at(0), 1, 0);
+    let refused = Decision::Refused(Reason::WaitTooLong, Duration::from_millis(1_250));
+    assert_eq!(sim.queue_owner.request_path(at(0), fifth), Some(refused));
+    for (i, entry) in (1..).zip(&entries) {
+        assert!(granted(&sim.queue_owner.poll(at(i * 250 - 1))).is_empty());
+        assert_eq!(granted(&sim.queue_owner.poll(at(i * 250))), [entry.id]);
+    }
+}
+
+#[test]
+fn reroute_counts_against_announced_limit() {
+    let mut sim = limited_simulation(4);
+    let running = sim.fill(at(2_000), 1);
+    assert_eq!(running.len(), 2);
+    let reroute = |keeps_first| Reroute {
+        must_fit: false,
+        keeps_first,
+        crossing: Crossing::Free,
+    };
+    let queue_owner = &mut sim.queue_owner;
+    let again = queue_owner.reroute(at(2_000), running[0], reroute(false));
+    assert_eq!(again, None);
+    // A stream that its first engine continues is not sent again.
+    let moved = queue_owner.reroute(at(2_000), running[0], reroute(true));
+    assert!(moved.is_some());
+    let again = queue_owner.reroute(at(2_250), running[0], reroute(false));
+    assert!(again.is_some());
+    assert!(sim.fill(at(2_250), 1).is_empty());
+}
+
 #[test]
 fn request_path_urgent_rank_first() {
     let mut sim = simulation();
