A queue owner that knows no limits is informed before it starts streams

Seen in a test: an instance that restarts may own a queue at once, and it started streams at limited engines until the answers' next reports, up to a second later (18 requests in 4 s, 11 allowed).

--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -22,6 +22,7 @@
 use hemlockwind_protocol::peer::paths as message;
 
 use crate::gateway::Gateway;
+use crate::peers::Instance;
 
 /// Interval at which an unchanged limit is reported again, as the queue owner may have changed.
 const REPORT_INTERVAL: Duration = Duration::from_millis(1_000);
@@ -251,6 +252,31 @@
     queue_owners.observe_limit(service, &limit.server, rate, observed_at);
 }
 
+/// Reports the known limits of a service's servers to its queue owner, if the server `first` has
+/// one: the owner started a stream there without knowing. Returns whether the owner knows them now.
+pub async fn inform_owner(gateway: &Gateway, owner: &Instance, service: &str, first: &str) -> bool {
+    let now = gateway.now();
+    if !gateway.limits.is_limited(first) {
+        return false;
+    }
+    let announced: Vec<message::Limit> = {
+        let directory = gateway.directory.read();
+        let known = gateway.limits.known.lock();
+        let limits = directory.of(service).filter_map(|s| {
+            let known = known.get(&*s.id).filter(|k| k.rate.is_some())?;
+            Some(to_wire(now, &s.id, known.rate, known.observed_at))
+        });
+        limits.collect()
+    };
+    if !announced.iter().any(|limit| limit.server == first) {
+        return false;
+    }
+    gateway.counters.add("owners_informed_of_limits");
+    let message = message::Message::Limits(service.to_string(), announced);
+    let reply = gateway.peers.call(owner, Request::Paths(message)).await;
+    reply.is_ok()
+}
+
 /// Requests to send one call to one of `servers`, which announced limits, from the queue owner of
 /// their service. Returns the server, or the time until one of them may get a call.
 pub async fn request_permit(
--- a/crates/gateway/src/queue_owners.rs
+++ b/crates/gateway/src/queue_owners.rs
@@ -42,6 +42,7 @@
 
 use crate::directory::Directory;
 use crate::gateway::Gateway;
+use crate::limits;
 use crate::peers::Instance;
 use crate::queue_owners::local::LocalQueue;
 use crate::queue_owners::local::PathResult;
@@ -252,7 +253,14 @@
         match reply {
             Ok(Reply::Paths(message::Answer::Granted(path))) => {
                 let path: Option<Vec<Stage>> = path.into_iter().map(stage_from_wire).collect();
-                path.map(Ok)
+                let path = path?;
+                let first = path.first().map(|s| Arc::clone(&s.id));
+                if let Some(first) = first
+                    && limits::inform_owner(gateway, owner, key, &first).await
+                {
+                    return None;
+                }
+                Some(Ok(path))
             }
             Ok(Reply::Paths(message::Answer::GrantedLimited(path))) => {
                 limited_path(gateway, path).map(Ok)
--- a/crates/gateway/src/queue_owners/handler.rs
+++ b/crates/gateway/src/queue_owners/handler.rs
@@ -155,14 +155,7 @@
 
     /// Returns the message that grants a path of a local queue owner.
     fn granted(&self, key: &QueueOwnerKey, path: &[Stage]) -> message::Answer {
-        let is_limited = path.first().is_some_and(|first| {
-            let queue = self.queue(key);
-            queue.is_some_and(|queue| {
-                let engines = &queue.lock().queue_owner.engines;
-                let key = engines.key(&first.id);
-                key.is_some_and(|key| engines.is_limited(key))
-            })
-        });
+        let is_limited = self.is_first_limited(key, path);
         let path = path.iter().map(stage_to_wire).collect();
         match is_limited {
             true => message::Answer::GrantedLimited(path),
@@ -170,6 +163,17 @@
         }
     }
 
+    /// Whether the local queue owner knows a limit of the first engine of a path.
+    fn is_first_limited(&self, key: &QueueOwnerKey, path: &[Stage]) -> bool {
+        let queue = self.queue(key);
+        let Some((queue, first)) = queue.zip(path.first()) else {
+            return false;
+        };
+        let engines = &queue.lock().queue_owner.engines;
+        let engine = engines.key(&first.id);
+        engine.is_some_and(|engine| engines.is_limited(engine))
+    }
+
     /// Records the limit of an engine at the local queue owner of its service. Returns whether
     /// there is one.
     pub fn observe_limit(
