A call refused for the limits of its servers says so

Its error said that no path covers all layers. The sentence names the limits and the service; code and status stay (503, nothing ran). Not covered by a test of its own: the tests of limits read status, Retry-After and what servers ran.

--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -220,6 +220,9 @@
                     // Callers that are refused together must not retry together.
                     let spread = LIMIT_RETRY_SPREAD.mul_f64(rand::random());
                     self.wanted_after = Some(wait.max(NO_SERVER_RETRY) + spread);
+                    let service = &self.accepted.service;
+                    let why = format!("the limits of the servers of {service} allow no call now");
+                    self.last_error = Some(Error::backend_refused(why));
                     servers.begin(now, &others, data_centre, &self.tried)
                 }
             };
