--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -38,6 +38,7 @@
 use crate::directory::Directory;
 use crate::engine_ends::EngineEnds;
 use crate::in_progress::InProgress;
+use crate::limits::SharedLimits;
 use crate::peers::Instance;
 use crate::peers::Peers;
 use crate::quarantine::SharedQuarantine;
@@ -94,6 +95,8 @@
     pub engine_ends: EngineEnds,
     /// The servers that want no request from this instance for a time.
     pub pauses: Pauses,
+    /// The limits that servers announced.
+    pub limits: SharedLimits,
     /// The parts of prompts that crash engines.
     pub quarantine: SharedQuarantine,
     /// The engines that are slow.
@@ -182,6 +185,7 @@
             reports: Reports::default(),
             engine_ends: EngineEnds::default(),
             pauses: Pauses::default(),
+            limits: SharedLimits::default(),
             quarantine: SharedQuarantine::default(),
             slow: SlowEngines::default(),
             retry_budgets: Mutex::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod gateway;
 pub mod in_progress;
 pub mod instances;
+pub mod limits;
 pub mod listener;
 pub mod merge;
 pub mod orders;
--- a/crates/gateway/src/queue_owners.rs
+++ b/crates/gateway/src/queue_owners.rs
@@ -42,6 +42,7 @@
 
 use crate::directory::Directory;
 use crate::gateway::Gateway;
+use crate::limits;
 use crate::peers::Instance;
 use crate::queue_owners::local::LocalQueue;
 use crate::queue_owners::local::PathResult;
@@ -252,7 +253,17 @@
         match reply {
             Ok(Reply::Paths(message::Answer::Granted(path))) => {
                 let path: Option<Vec<Stage>> = path.into_iter().map(stage_from_wire).collect();
-                path.map(Ok)
+                let path = path?;
+                let first = path.first().map(|s| Arc::clone(&s.id));
+                if let Some(first) = first
+                    && limits::inform_owner(gateway, owner, key, &first).await
+                {
+                    return None;
+                }
+                Some(Ok(path))
+            }
+            Ok(Reply::Paths(message::Answer::GrantedLimited(path))) => {
+                limited_path(gateway, path).map(Ok)
             }
             Ok(Reply::Paths(message::Answer::Refused(reason, ms))) => Some(Err((
                 reason_from_wire(reason),
@@ -305,6 +316,7 @@
             Ok(Reply::Paths(message::Answer::Granted(path))) => {
                 path.into_iter().map(stage_from_wire).collect()
             }
+            Ok(Reply::Paths(message::Answer::GrantedLimited(path))) => limited_path(gateway, path),
             // An owner without a record of the stream has no path for it.
             Ok(_) | Err(_) => None,
         }
@@ -394,6 +406,17 @@
     }
 }
 
+/// Returns a granted path whose first engine announced a limit, and records that it did: an
+/// answer without a limit then ends it.
+fn limited_path(gateway: &Gateway, path: Vec<message::Stage>) -> Option<Vec<Stage>> {
+    let path: Option<Vec<Stage>> = path.into_iter().map(stage_from_wire).collect();
+    let path = path?;
+    if let Some(first) = path.first() {
+        gateway.limits.expect(gateway.now(), &first.id);
+    }
+    Some(path)
+}
+
 impl QueueEntryGuard {
     fn begin(&self, tokens: u32, path: &[Stage]) {
         let mut streams = self.streams.lock();
