--- a/crates/gateway/src/relay/recover.rs
+++ b/crates/gateway/src/relay/recover.rs
@@ -42,7 +42,7 @@
 /// Share of the caller's wait limit after which a stalled stream is continued elsewhere
 /// without a known cause: the rest has to suffice for another start.
 const GIVE_UP_RATIO: f64 = 0.75;
-/// Time limit for the first event of a run that begins away from an engine that leaves: the present
+/// Time limit for the first bytes of a run that begins away from an engine that leaves: the present
 /// run is not read meanwhile.
 const MOVE_TIMEOUT: Duration = Duration::from_millis(800);
 /// The name of the field that holds an event's data.
@@ -211,7 +211,7 @@
     }
 
     /// Opens the next run on the granted path, at another first engine than the present one, and
-    /// waits for its first event.
+    /// waits for the first bytes of its answer's body.
     async fn open_elsewhere(&mut self) -> Option<Run> {
         if self.events == 0 && quarantine::recheck(&self.gateway, &self.accepted).is_err() {
             return None;
