--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,5 +4,5 @@
 set -e
 cd "$(dirname "$0")"
 for file in standins-2/*.py [0-9]*/case.py; do
-    python3.11 -B -c 'import ast, sys; ast.parse(open(sys.argv[1], encoding="utf-8").read())' "$file"
+    "$(command -v python3.11 || command -v python3)" -B -c 'import ast, sys; ast.parse(open(sys.argv[1], encoding="utf-8").read())' "$file"
 done
