--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,7 @@
-"""After a kill of all processes no instance reads the list of runners any more."""
+"""After a kill of all processes no instance reads the list of runners any more.
+
+With VARIANT=unreadable the name has bytes that are no UTF-8 in place of control characters.
+"""
 
 import asyncio
 import os
@@ -16,7 +19,8 @@
 LOAD = 20
 # Another writer's entry: bytes that can't be read, close to the largest value that the store takes
 # (1,048,576 bytes), so that a page of the list ends with it. Its name sorts before the runners'.
-FOREIGN_NAME = "\x01\x02\x1f\x03"
+FOREIGN_NAME = {"control": "\x01\x02\x1f\x03", "unreadable": "0\udcff\udcfe"}[
+    os.environ.get("VARIANT", "control")]
 FOREIGN_SPEC = "\x04" * 174_720
 
 
--- a/review/standins-2/sim.py
+++ b/review/standins-2/sim.py
@@ -150,7 +150,9 @@
                     # A connection on which an answer is lost returns nothing further.
                     await asyncio.sleep(3600)
                 status, value = answer
-                writer.write(message(status, json.dumps(value).encode(),
+                # A lone surrogate in a text stands for a byte that is no UTF-8, as another writer left it.
+                body = json.dumps(value, ensure_ascii=False).encode("utf-8", "surrogateescape")
+                writer.write(message(status, body,
                                      [("Content-Type", "application/json")]))
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
