--- a/programs/tests/process/main.rs
+++ b/programs/tests/process/main.rs
@@ -6,6 +6,7 @@
 mod gateway_stop;
 mod leaving;
 mod loans;
+mod odd_entries;
 mod orders;
 mod process;
 mod services;
