Store: a list goes on after names that can't be read

Cause: such bytes were replaced before an answer was parsed, so the name was lost, and a page's last readable name had to serve as the cursor. Where a page holds nothing else, there is none: each list failed with "a page of a list has no later entry".

The line "list has gaps" says that entries between the two may be missing; those of other names can't be.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -200,9 +200,7 @@
     is_unavailable: bool,
 ) -> Result<ReadResult> {
     let Some(version) = version else {
-        return Ok(ReadResult::All(
-            gateway.store.list(name(kind), false).await?,
-        ));
+        return Ok(ReadResult::All(list(gateway, kind).await?));
     };
     if is_unavailable {
         return read_newer(gateway, kind, version, false).await;
@@ -235,6 +233,18 @@
     }
 }
 
+/// Reads all objects of a kind.
+async fn list(gateway: &Gateway, kind: Kind) -> Result<Listing> {
+    let listing = gateway.store.list(name(kind), false).await?;
+    if listing.has_gaps
+        && let Some(left_out) = gateway.lines.take(gateway.now(), "list_gaps")
+    {
+        warn!(gateway.log, "list has gaps"; "kind" => name(kind),
+            "version" => listing.version.0, "left_out" => left_out);
+    }
+    Ok(listing)
+}
+
 /// Returns how long a watch waits, and how much later its answer may arrive.
 fn wait_and_grace(gateway: &Gateway, kind: Kind, is_short: bool) -> (Duration, Duration) {
     let bound = match kind {
@@ -259,9 +269,8 @@
     version: ObjectVersion,
     is_late: bool,
 ) -> Result<ReadResult> {
-    let store = &gateway.store;
     if kind == Kind::Routes {
-        let listing = store.list(name(kind), false).await?;
+        let listing = list(gateway, kind).await?;
         if listing.version.era() != version.era() {
             return Ok(ReadResult::All(listing));
         }
@@ -278,6 +287,7 @@
             is_late,
         }));
     }
+    let store = &gateway.store;
     let outcome = store.watch(name(kind), version, Duration::ZERO, WATCH_GRACE);
     Ok(read_result(gateway, kind, version, outcome.await?, is_late))
 }
--- a/programs/tests/process/odd_entries.rs
+++ b/programs/tests/process/odd_entries.rs
@@ -8,6 +8,7 @@
 
 use hemlockwind_emulator::caller;
 use hemlockwind_emulator::store::MAX_PAGE_OBJECTS;
+use hemlockwind_emulator::store::UNREADABLE;
 use serde_json::json;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -89,3 +90,8 @@
     let names = ["x&y", "x+y", "x#y", "x%41", "x y", "x\u{1}y", "é"];
     check_restart("names-of-uris", &names).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn restart_beside_unreadable_names() {
+    check_restart("unreadable-names", &[&format!("x{UNREADABLE}")]).await;
+}
