Routes: an organisation that no header can name is left out

The name of an organisation in the manifest may not fit into a header, or not be ASCII.

Cause: the header with the organisation was left out of a request where its value was refused. A server takes such a request for one without an organisation.

The platform's store accepts only valid manifests, so no such name is expected.

--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -142,6 +142,8 @@
     pub limits: SenderLimits,
     /// Whether requests need an API key unless their route is public.
     pub has_keys: bool,
+    /// The number of organisations that were left out, as no request can name them.
+    pub unusable_organisations: usize,
     hosts: SeededHashMap<Arc<str>, Vec<Arc<Route>>>,
     services: SeededHashMap<Arc<str>, Arc<Service>>,
     keys: SeededHashMap<Arc<str>, Arc<Organisation>>,
--- a/crates/gateway/src/merge.rs
+++ b/crates/gateway/src/merge.rs
@@ -143,6 +143,10 @@
     }
     info!(gateway.log, "routes in force"; "version" => routes.version, "before" => applied,
         "routes" => routes.len(), "object_version" => object.version.0);
+    if routes.unusable_organisations > 0 {
+        warn!(gateway.log, "organisations left out"; "count" => routes.unusable_organisations,
+            "version" => routes.version);
+    }
     gateway.routes.store(Arc::new(routes));
 }
 
