Processes end when a background task panics

Cause: the runtime catches the panic of a task, and nothing waited for the handles of the background tasks. So a process lost the list of servers, the orders, its registration or its listener for good, and only a line on standard error said so.

Fix: background tasks, and those that others wait for in turn (grants of reroutes; steps, failure detectors, ejections and the watch of hemlockwindd), are started by the new crate hemlockwind-tasks, which reports the first panic. The process then logs "task panicked" and stops as on SIGTERM: unready at once, requests in progress are answered, exit code 3. It isn't started again inside the process, as what it shares may be half changed: a cache whose version is recorded but not in force would never be read again. The task of one connection, message or call still ends alone: its caller sees a closed connection, a lost message is repeated.

Evidence: panicked_reports_the_first_panic, panic_of_a_task_stops_the_instance.

--- a/crates/daemon/src/batcher.rs
+++ b/crates/daemon/src/batcher.rs
@@ -17,6 +17,7 @@
 use hemlockwind_core::engine::StepId;
 use hemlockwind_core::time::Instant;
 use hemlockwind_stream::Event;
+use hemlockwind_tasks::Tasks;
 
 /// Maximum number of concurrent calls with decode steps to one engine.
 const MAX_CALLS: usize = 4;
@@ -40,14 +41,16 @@
 /// `StepBatcher` sends steps to engines in batches, with one queue per engine.
 pub struct StepBatcher {
     engine: Arc<dyn Engine>,
+    tasks: Tasks,
     queues: Mutex<HashMap<SocketAddr, Arc<Mutex<EngineQueue>>>>,
 }
 
 impl StepBatcher {
     /// Creates a batcher that sends its calls through `engine`.
-    pub fn new(engine: Arc<dyn Engine>) -> Self {
+    pub fn new(engine: Arc<dyn Engine>, tasks: Tasks) -> Self {
         Self {
             engine,
+            tasks,
             queues: Mutex::default(),
         }
     }
@@ -80,7 +83,9 @@
             queue.calls += 1;
         }
         let engine = Arc::clone(&self.engine);
-        tokio::spawn(async move { drain(&*engine, addr, &queue).await });
+        self.tasks.spawn("steps of an engine", async move {
+            drain(&*engine, addr, &queue).await;
+        });
     }
 }
 
--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -240,7 +240,10 @@
     }
     if should_watch {
         let instance = Arc::clone(instance);
-        *watch = Some(tokio::spawn(async move { watch_head(&instance).await }));
+        let tasks = instance.tasks.clone();
+        *watch = Some(tasks.spawn("watch of the head", async move {
+            watch_head(&instance).await;
+        }));
     }
 }
 
--- a/crates/daemon/src/health.rs
+++ b/crates/daemon/src/health.rs
@@ -76,10 +76,13 @@
         info!(instance.log, "a backend server is ejected"; "backend_server" => &*name, "ms" => until.since(now).as_millis() as u64);
         instance.fleet.set_ejected(server, true);
         let instance = Arc::clone(instance);
-        tokio::spawn(async move {
-            sleep(until.since(now)).await;
-            readmit(&instance, server);
-        });
+        instance
+            .tasks
+            .clone()
+            .spawn("end of an ejection", async move {
+                sleep(until.since(now)).await;
+                readmit(&instance, server);
+            });
     }
 }
 
@@ -140,10 +143,13 @@
     }
     if changed && tick_at != Instant::NEVER {
         let instance = Arc::clone(instance);
-        tokio::spawn(async move {
-            sleep(tick_at.since(now)).await;
-            on_detector_event(&instance, server, Event::Tick);
-        });
+        instance
+            .tasks
+            .clone()
+            .spawn("failure detector", async move {
+                sleep(tick_at.since(now)).await;
+                on_detector_event(&instance, server, Event::Tick);
+            });
     }
 }
 
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -29,6 +29,7 @@
 use hemlockwind_protocol::peer::Peer;
 use hemlockwind_settings::Settings;
 use hemlockwind_settings::settings;
+use hemlockwind_tasks::Tasks;
 use hemlockwind_telemetry::Histograms;
 use hemlockwind_telemetry::Metrics;
 
@@ -84,6 +85,8 @@
     pub data_centre: DataCentreKey,
     /// The logger.
     pub log: Logger,
+    /// The background tasks.
+    pub tasks: Tasks,
     /// The adapters to everything outside the process.
     pub edges: Edges,
     /// The interned names.
@@ -152,11 +155,13 @@
             log.clone(),
             Arc::clone(&metrics),
         );
-        let step_batcher = StepBatcher::new(Arc::clone(&edges.engine));
+        let tasks = Tasks::default();
+        let step_batcher = StepBatcher::new(Arc::clone(&edges.engine), tasks.clone());
         let request_permits = Semaphore::new(settings.limits.requests);
         Ok(Self {
             data_centre,
             log,
+            tasks,
             directory: RwLock::new(directory),
             config: ArcSwap::default(),
             config_replica: ConfigReplica::new(edges.clock.now(), assignments.me()),
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -20,6 +20,7 @@
 use hemlockwind_protocol::peer::Handler;
 use hemlockwind_settings::Settings;
 use hemlockwind_settings::settings;
+use hemlockwind_tasks::Panic;
 
 use crate::admin;
 use crate::callers;
@@ -111,7 +112,7 @@
         options,
         drained.clone(),
     );
-    let callers_task = tokio::spawn(callers_task);
+    let callers_task = instance.tasks.spawn("caller connections", callers_task);
 
     let app = admin::router(Arc::clone(&instance));
     let admin_task = listener::serve(
@@ -127,16 +128,17 @@
     let open_files = instance.settings.limits.open_files;
     let open_files = open_files.unwrap_or_else(machine::max_open_files);
     let peer_task = server::serve(peers_socket, key, handler, open_files, instance.log.clone());
+    let tasks = &instance.tasks;
     let background_tasks = vec![
-        tokio::spawn(admin_task),
-        tokio::spawn(Arc::clone(&instance.callers).run_checks()),
-        tokio::spawn(peer_task),
-        tokio::spawn(configuration::run(Arc::clone(&instance))),
-        tokio::spawn(members::run(Arc::clone(&instance))),
-        tokio::spawn(pool::run(Arc::clone(&instance))),
-        tokio::spawn(slots::run(Arc::clone(&instance))),
-        tokio::spawn(watch::poll_loads(Arc::clone(&instance))),
-        tokio::spawn(watch::poll_list(Arc::clone(&instance))),
+        tasks.spawn("admin", admin_task),
+        tasks.spawn("callers", Arc::clone(&instance.callers).run_checks()),
+        tasks.spawn("peers", peer_task),
+        tasks.spawn("configuration", configuration::run(Arc::clone(&instance))),
+        tasks.spawn("members", members::run(Arc::clone(&instance))),
+        tasks.spawn("pools", pool::run(Arc::clone(&instance))),
+        tasks.spawn("slots", slots::run(Arc::clone(&instance))),
+        tasks.spawn("loads", watch::poll_loads(Arc::clone(&instance))),
+        tasks.spawn("list", watch::poll_list(Arc::clone(&instance))),
     ];
     info!(instance.log, "started"; "callers" => %callers, "peers" => %peers, "admin" => %admin_addr);
     Ok(Running {
@@ -191,6 +193,11 @@
 }
 
 impl Running {
+    /// Waits until a background task has panicked; then the process is to be stopped.
+    pub async fn panicked(&self) -> Panic {
+        self.instance.tasks.panicked().await
+    }
+
     /// Performs a planned stop. For `notice_ms`, in which the load balancer can notice that
     /// the instance isn't ready, requests are still accepted. After that they are refused as
     /// not run, and those in progress run to their ends. Shortly before the end of the drain
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -31,6 +31,7 @@
 use hemlockwind_peer::SharedKey;
 use hemlockwind_platform::settings::Settings;
 use hemlockwind_platform::store::Store;
+use hemlockwind_tasks::Tasks;
 use hemlockwind_telemetry::Histograms;
 use hemlockwind_telemetry::budget::LineBudget;
 
@@ -68,6 +69,8 @@
     pub settings: Settings,
     /// The logger.
     pub log: Logger,
+    /// The background tasks.
+    pub tasks: Tasks,
     /// Bounds the volume of log lines.
     pub lines: LineBudget,
     /// The clock that decisions use.
@@ -190,6 +193,7 @@
             has_engines: AtomicBool::new(false),
             peers: Peers::new(me, &seeds, key),
             store_cache: StoreCache::default(),
+            tasks: Tasks::default(),
             lines: LineBudget::new(clock.now()),
             settings,
             log,
--- a/crates/gateway/src/queue_owners.rs
+++ b/crates/gateway/src/queue_owners.rs
@@ -421,7 +421,10 @@
         let owner = gateway.peers.queue_owner(key);
         if owner.name == gateway.peers.me().name {
             return match is_ordered {
-                true => self.urgent_reroute_local(key, "", reroute, urgency).await,
+                true => {
+                    self.urgent_reroute_local(gateway, key, "", reroute, urgency)
+                        .await
+                }
                 false => self.reroute_local(key, "", reroute),
             };
         }
--- a/crates/gateway/src/queue_owners/handler.rs
+++ b/crates/gateway/src/queue_owners/handler.rs
@@ -134,7 +134,7 @@
             message::Message::UrgentReroute(service, reroute, urgency) => {
                 let key: QueueOwnerKey = service.into();
                 match self
-                    .urgent_reroute_local(&key, from, reroute, urgency)
+                    .urgent_reroute_local(gateway, &key, from, reroute, urgency)
                     .await
                 {
                     Some(path) => self.granted(&key, &path),
@@ -300,6 +300,7 @@
     /// decision on the batch.
     pub(super) async fn urgent_reroute_local(
         &self,
+        gateway: &Gateway,
         key: &QueueOwnerKey,
         from: &str,
         reroute: message::Reroute,
@@ -317,7 +318,7 @@
             ),
             leaves_at: now + Duration::from_millis(urgency.leaves_in_ms.into()),
         };
-        local::reroute_in_batch(&queue, &self.clock, request).await
+        local::reroute_in_batch(&queue, &self.clock, &gateway.tasks, request).await
     }
 
     /// Records that an engine of a local queue owner refused a path. An engine that keeps
--- a/crates/gateway/src/queue_owners/local.rs
+++ b/crates/gateway/src/queue_owners/local.rs
@@ -26,6 +26,7 @@
 use hemlockwind_paths::reroutes::PendingReroute;
 use hemlockwind_platform::headers::Stage;
 use hemlockwind_protocol::peer::paths as wire;
+use hemlockwind_tasks::Tasks;
 
 use crate::queue_owners::Refusal;
 
@@ -247,6 +248,7 @@
 pub async fn reroute_in_batch(
     queue: &SharedQueue,
     clock: &SystemClock,
+    tasks: &Tasks,
     request: PendingReroute,
 ) -> Option<Vec<Stage>> {
     let (tx, rx) = oneshot::channel();
@@ -255,7 +257,7 @@
         local.rerouted.insert(request.id, tx);
         if let Some(due) = local.queue_owner.request_reroute(clock.now(), request) {
             let (queue, clock) = (Arc::clone(queue), *clock);
-            tokio::spawn(async move {
+            tasks.spawn("grants of reroutes", async move {
                 let mut due = Some(due);
                 while let Some(at) = due {
                     tokio::time::sleep(at.since(clock.now())).await;
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -23,6 +23,7 @@
 use hemlockwind_platform::settings::Settings;
 use hemlockwind_protocol::peer::Handler;
 use hemlockwind_protocol::peer::store::Kind;
+use hemlockwind_tasks::Panic;
 
 use crate::callers;
 use crate::follow;
@@ -53,7 +54,7 @@
     pub gateway: Arc<Gateway>,
     callers: JoinHandle<()>,
     ending: CancellationToken,
-    tasks: Vec<JoinHandle<()>>,
+    background_tasks: Vec<JoinHandle<()>>,
 }
 
 /// Opens the sockets and starts the tasks.
@@ -81,31 +82,47 @@
     });
     let serve = listener::serve(Arc::clone(&gateway), listener, ending.clone());
     let (open_files, log) = (gateway.settings.open_files, gateway.log.clone());
-    let tasks = vec![
-        tokio::spawn(readiness::serve(Arc::clone(&gateway), readiness)),
-        tokio::spawn(readiness::serve_metrics(Arc::clone(&gateway), metrics)),
-        tokio::spawn(callers::check(Arc::clone(&gateway))),
-        tokio::spawn(follow::follow(Arc::clone(&gateway), Kind::Routes)),
-        tokio::spawn(follow::follow(Arc::clone(&gateway), Kind::Servers)),
-        tokio::spawn(follow::follow(Arc::clone(&gateway), Kind::Instances)),
-        tokio::spawn(instances::register(Arc::clone(&gateway))),
-        tokio::spawn(updates::pull(Arc::clone(&gateway))),
-        tokio::spawn(server::serve(peers, key, handler, open_files, log)),
-        tokio::spawn(probe(Arc::clone(&gateway))),
-        tokio::spawn(partitions::run(Arc::clone(&gateway))),
-        tokio::spawn(report_ended_streams(Arc::clone(&gateway))),
-        tokio::spawn(report_running_streams(Arc::clone(&gateway))),
-        tokio::spawn(follow::maintain(Arc::clone(&gateway))),
-        tokio::spawn(orders::run(Arc::clone(&gateway))),
-        tokio::spawn(quarantine::exchange(Arc::clone(&gateway))),
+    let tasks = &gateway.tasks;
+    let background_tasks = vec![
+        tasks.spawn(
+            "readiness",
+            readiness::serve(Arc::clone(&gateway), readiness),
+        ),
+        tasks.spawn(
+            "metrics",
+            readiness::serve_metrics(Arc::clone(&gateway), metrics),
+        ),
+        tasks.spawn("callers", callers::check(Arc::clone(&gateway))),
+        tasks.spawn("routes", follow::follow(Arc::clone(&gateway), Kind::Routes)),
+        tasks.spawn(
+            "servers",
+            follow::follow(Arc::clone(&gateway), Kind::Servers),
+        ),
+        tasks.spawn(
+            "instances",
+            follow::follow(Arc::clone(&gateway), Kind::Instances),
+        ),
+        tasks.spawn("registration", instances::register(Arc::clone(&gateway))),
+        tasks.spawn("updates", updates::pull(Arc::clone(&gateway))),
+        tasks.spawn("peers", server::serve(peers, key, handler, open_files, log)),
+        tasks.spawn("probes", probe(Arc::clone(&gateway))),
+        tasks.spawn("partitions", partitions::run(Arc::clone(&gateway))),
+        tasks.spawn("ended streams", report_ended_streams(Arc::clone(&gateway))),
+        tasks.spawn(
+            "running streams",
+            report_running_streams(Arc::clone(&gateway)),
+        ),
+        tasks.spawn("maintenance", follow::maintain(Arc::clone(&gateway))),
+        tasks.spawn("orders", orders::run(Arc::clone(&gateway))),
+        tasks.spawn("quarantine", quarantine::exchange(Arc::clone(&gateway))),
     ];
     info!(gateway.log, "started"; "callers" => %gateway.settings.callers,
         "data_centre" => &gateway.settings.data_centre, "store" => %gateway.settings.store);
     Ok(Running {
-        callers: tokio::spawn(serve),
+        callers: gateway.tasks.spawn("caller connections", serve),
         gateway,
         ending,
-        tasks,
+        background_tasks,
     })
 }
 
@@ -144,11 +161,16 @@
     /// Ends all tasks at once without notice, as if the process were killed.
     pub fn abort(self) {
         self.callers.abort();
-        for task in &self.tasks {
+        for task in &self.background_tasks {
             task.abort();
         }
     }
 
+    /// Waits until a background task has panicked; then the process is to be stopped.
+    pub async fn panicked(&self) -> Panic {
+        self.gateway.tasks.panicked().await
+    }
+
     /// Stops in an orderly way: reports not ready at once, serves until the balancer has
     /// noticed, then accepts no new connection and ends when no request is in progress.
     /// Returns the number of requests that were cut.
@@ -181,7 +203,7 @@
             // The others skip an instance that does not answer, even if it has an entry.
             warn!(gateway.log, "entry not removed"; "error" => "no answer before the end");
         }
-        for task in &self.tasks {
+        for task in &self.background_tasks {
             task.abort();
         }
         info!(gateway.log, "stopped"; "cut" => cut);
--- a/crates/gateway/tests/reroutes.rs
+++ b/crates/gateway/tests/reroutes.rs
@@ -41,6 +41,7 @@
 use hemlockwind_protocol::peer::Reply;
 use hemlockwind_protocol::peer::Request;
 use hemlockwind_protocol::peer::paths as message;
+use hemlockwind_tasks::Tasks;
 use hemlockwind_telemetry::logs;
 
 /// How long an instance waits for the answer of a queue owner.
@@ -123,7 +124,7 @@
             leaves_at: now + Duration::from_secs(2),
         };
         let queue = Arc::clone(&queue);
-        async move { reroute_in_batch(&queue, &clock, request).await }
+        async move { reroute_in_batch(&queue, &clock, &Tasks::default(), request).await }
     });
     let answers = timeout(CALL_TIMEOUT, futures::future::join_all(calls)).await;
     let answers = answers.expect("answers while the instances wait");
@@ -172,7 +173,8 @@
         silent_since: now,
         leaves_at: now + Duration::from_secs(2),
     };
-    let call = reroute_in_batch(&queue, &clock, request);
+    let tasks = Tasks::default();
+    let call = reroute_in_batch(&queue, &clock, &tasks, request);
     // The request is made, and the caller stops waiting before the batch is decided.
     assert_eq!(call.now_or_never(), None);
     tokio::time::sleep(Duration::from_millis(100)).await;
--- a/crates/hemlockwind/src/lib.rs
+++ b/crates/hemlockwind/src/lib.rs
@@ -6,7 +6,7 @@
 //! | Layer        | Crates                                                                      |
 //! |--------------|-----------------------------------------------------------------------------|
 //! | process      | [`daemon`], [`gateway`], [`settings`]                                       |
-//! | transport    | [`peer`], [`backend`], [`platform`], [`telemetry`]                          |
+//! | transport    | [`peer`], [`backend`], [`platform`], [`tasks`], [`telemetry`]               |
 //! | protocol     | [`protocol`]                                                                |
 //! | coordination | [`membership`], [`lease`], [`claims`], [`configuration`], [`sheet`]         |
 //! | state        | [`routing`], [`queueing`], [`limits`], [`quarantine`], [`stream`], [`paths`], [`placement`] |
@@ -32,4 +32,5 @@
 pub use hemlockwind_settings as settings;
 pub use hemlockwind_sheet as sheet;
 pub use hemlockwind_stream as stream;
+pub use hemlockwind_tasks as tasks;
 pub use hemlockwind_telemetry as telemetry;
--- a/programs/src/bin/hemlockwind-gateway.rs
+++ b/programs/src/bin/hemlockwind-gateway.rs
@@ -19,10 +19,14 @@
 use hemlockwind::platform::settings::Settings;
 use hemlockwind::telemetry::logs;
 
+/// The exit code after the panic of a background task. The platform starts the process again.
+const PANICKED: u8 = 3;
+
 /// Routes opaque requests over paths of engines that together hold all layers of a model.
 ///
 /// Exit codes: 0 after a planned stop that cut no request, 1 if requests were
-/// cut, 2 if the settings or the command line have faults.
+/// cut, 2 if the settings or the command line have faults, 3 if a background task
+/// panicked.
 #[derive(Debug)]
 #[derive(FromArgs)]
 struct Args {
@@ -93,8 +97,8 @@
     builder.enable_all().build()
 }
 
-/// Runs until SIGTERM or SIGINT arrives and returns the exit code. The first signal begins a planned
-/// stop; SIGINT during the stop ends the process at once.
+/// Runs until SIGTERM or SIGINT arrives or a background task panics, and returns the exit code. Each
+/// begins a planned stop; SIGINT during the stop ends the process at once.
 async fn run(settings: Settings) -> ExitCode {
     let log = logs::json(std::io::stdout(), &settings.name);
     let (Ok(mut terminate), Ok(mut interrupt), Ok(mut reload)) = (
@@ -112,13 +116,17 @@
             return ExitCode::from(2);
         }
     };
-    loop {
+    let panic = loop {
         tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
+            _ = terminate.recv() => break None,
+            _ = interrupt.recv() => break None,
+            panic = running.panicked() => break Some(panic),
             // Nothing to reload: all that can change while a process runs comes from the store.
             _ = reload.recv() => info!(log, "reload"; "changed" => 0),
         }
+    };
+    if let Some(panic) = &panic {
+        error!(log, "task panicked"; "task" => panic.task, "error" => &panic.message);
     }
     let gateway = Arc::clone(&running.gateway);
     let stop = running.stop();
@@ -131,9 +139,10 @@
             _ = interrupt.recv() => break cut(&gateway),
         }
     };
-    match cut_count {
-        0 => ExitCode::SUCCESS,
-        _ => ExitCode::from(1),
+    match (panic, cut_count) {
+        (Some(_), _) => ExitCode::from(PANICKED),
+        (None, 0) => ExitCode::SUCCESS,
+        (None, _) => ExitCode::from(1),
     }
 }
 
--- a/programs/src/bin/hemlockwindd.rs
+++ b/programs/src/bin/hemlockwindd.rs
@@ -18,10 +18,14 @@
 use hemlockwind::settings::faults;
 use hemlockwind::telemetry::logs;
 
+/// The exit code after the panic of a background task. The supervisor starts the process again.
+const PANICKED: u8 = 3;
+
 /// Routes requests to pipelines of backend servers.
 ///
 /// Exit codes: 0 after a planned stop that ended no request early, 1 if requests were
-/// ended with errors or cut, 2 if the settings or the command line have faults.
+/// ended with errors or cut, 2 if the settings or the command line have faults, 3 if a
+/// background task panicked.
 #[derive(Debug)]
 #[derive(FromArgs)]
 struct Args {
@@ -63,8 +67,8 @@
     Settings::parse(&text).map_err(|found| faults::error(&found))
 }
 
-/// Runs until a stop signal arrives or an operator drains the instance, and returns the exit code.
-/// Either begins a planned stop; SIGINT during the stop ends the process at once.
+/// Runs until a stop signal arrives, an operator drains the instance or a background task panics, and
+/// returns the exit code. Each begins a planned stop; SIGINT during the stop ends the process at once.
 async fn run(running: Running) -> ExitCode {
     let log = running.instance.log.clone();
     let instance = Arc::clone(&running.instance);
@@ -75,10 +79,14 @@
         error!(log, "can't install the signal handlers");
         return ExitCode::from(2);
     };
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-        () = running.instance.unready.cancelled() => {}
+    let panic = tokio::select! {
+        _ = terminate.recv() => None,
+        _ = interrupt.recv() => None,
+        () = running.instance.unready.cancelled() => None,
+        panic = running.panicked() => Some(panic),
+    };
+    if let Some(panic) = &panic {
+        error!(log, "task panicked"; "task" => panic.task, "error" => &panic.message);
     }
     let stop = running.stop();
     tokio::pin!(stop);
@@ -90,8 +98,9 @@
             _ = interrupt.recv() => break log_cut(&instance).len(),
         }
     };
-    if cut_count > 0 {
-        return ExitCode::from(1);
+    match (panic, cut_count) {
+        (Some(_), _) => ExitCode::from(PANICKED),
+        (None, 0) => ExitCode::SUCCESS,
+        (None, _) => ExitCode::from(1),
     }
-    ExitCode::SUCCESS
 }
