Updates: what other writers left is not sent to other instances

While six entries of another writer of 1 MB each stand in the list of servers, most instances miss all later changes of the servers.

Cause: the contents of all objects were cached and sent to the instances that don't watch the store, used or not. A message has a maximum size of 4 MiB; beyond it encode() fails, the answer to each query is an error, and pushed changes are lost.

Fix: of a list, only objects of use are kept: the manifest, and entries that describe a server or an instance. Of the changes, the name stays, as the entry may be one that was of use, and the content goes: it reads as malformed as before.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -233,15 +233,18 @@
     }
 }
 
-/// Reads all objects of a kind.
+/// Reads all objects of a kind that are of use.
 async fn list(gateway: &Gateway, kind: Kind) -> Result<Listing> {
-    let listing = gateway.store.list(name(kind), false).await?;
+    let mut listing = gateway.store.list(name(kind), false).await?;
     if listing.has_gaps
         && let Some(left_out) = gateway.lines.take(gateway.now(), "list_gaps")
     {
         warn!(gateway.log, "list has gaps"; "kind" => name(kind),
             "version" => listing.version.0, "left_out" => left_out);
     }
+    listing
+        .objects
+        .retain(|object| merge::is_used(kind, object));
     Ok(listing)
 }
 
@@ -304,12 +307,21 @@
             info!(gateway.log, "history lost"; "kind" => name(kind), "version" => after.0);
             ReadResult::Lost
         }
-        WatchOutcome::Changes(changes, version) => ReadResult::Changes(Watched {
-            changes: latest(changes),
-            after: after.0,
-            version: version.0,
-            is_late,
-        }),
+        WatchOutcome::Changes(changes, version) => {
+            let mut changes = latest(changes);
+            // Their names stay, as they may be those of objects that were of use.
+            for change in &mut changes {
+                if !change.is_removed && !merge::is_used(kind, &change.object) {
+                    change.object.clear();
+                }
+            }
+            ReadResult::Changes(Watched {
+                changes,
+                after: after.0,
+                version: version.0,
+                is_late,
+            })
+        }
     }
 }
 
--- a/crates/gateway/src/merge.rs
+++ b/crates/gateway/src/merge.rs
@@ -21,6 +21,16 @@
 use crate::gateway::Gateway;
 use crate::instances;
 
+/// Whether an object of a kind is of use. Other writers may leave objects of any content, which are
+/// not cached or sent: a message to other instances has a size limit.
+pub fn is_used(kind: Kind, object: &Object) -> bool {
+    match kind {
+        Kind::Routes => object.name == manifest::NAME,
+        Kind::Servers => servers::parse(object).is_some(),
+        Kind::Instances => instances::parse(object).is_some(),
+    }
+}
+
 /// Records that the store or another instance showed an era. After a restore, everything known from
 /// the store stays in force until it was read again.
 pub fn observe_era(gateway: &Gateway, era: u16) {
