hemlockwindd: names are escaped in calls to the platform

An instance whose data centre has a blank in its name never owns a slot, so that it refuses calls with idempotency keys of these slots.

Cause: as in the store of the gateway: object names and prefixes became part of the path and the query as they were, and json() expected a valid URI. The name of a slot's lease holds that of the data centre, from the settings.

Evidence: objects_of_any_name_are_written_and_read failed on the code before: panic at connection.rs:167, InvalidUri(InvalidUriChar), at the name "slots/a b/1". It passes now, for names with &, ?, #, +, %, control characters and others.

Fix: all but the unreserved characters and "/" are percent-encoded. A request that can't be built is an error.

--- a/crates/standin/tests/fakes/platform.rs
+++ b/crates/standin/tests/fakes/platform.rs
@@ -197,3 +197,29 @@
     let late = put(edges::Precondition::Version(version(1, 2))).await;
     assert!(matches!(late, PutOutcome::Unknown(_)), "{late:?}");
 }
+
+// Names hold those of data centres, which come from the settings.
+#[tokio::test]
+async fn objects_of_any_name_are_written_and_read() {
+    let platform = platform::start(Options::default()).await.unwrap();
+    let client = HttpPlatform::new(platform.addr);
+    for part in [
+        "a b", "a&b", "a?b", "a#b", "a+b", "a%41", "a\u{1}", "é", "a\\\"<>",
+    ] {
+        let name = format!("slots/{part}/1");
+        let value = Bytes::from(part.to_string());
+        let put = client.put(&name, value.clone(), edges::Precondition::Absent);
+        let put = put.await;
+        assert!(matches!(put, PutOutcome::Done(_)), "{name}: {put:?}");
+        let found = client.get(&name).await.unwrap().unwrap();
+        assert_eq!((found.name, found.value), (name.clone(), value));
+        let listed = client.list(&name).await.unwrap();
+        assert_eq!(listed.len(), 1, "{name}");
+        let watch = client.watch(&name, ObjectVersion(0)).await.unwrap();
+        let first = watch.take(1).collect::<Vec<_>>().await;
+        let first = first.into_iter().next().unwrap().unwrap();
+        assert!(matches!(first, edges::WatchEvent::Put(o) if o.name == name));
+    }
+    let long = "x".repeat(70_000);
+    assert_eq!(client.get(&long).await.unwrap_err().code().number(), 1002);
+}
--- a/crates/transport/backend/src/connection.rs
+++ b/crates/transport/backend/src/connection.rs
@@ -20,6 +20,7 @@
 use parking_lot::Mutex;
 
 use hemlockwind_core::Error;
+use hemlockwind_core::Result;
 use hemlockwind_core::attempt::Attempt;
 use hemlockwind_core::collections::HashMap;
 
@@ -158,16 +159,29 @@
 }
 
 /// Returns a request with a JSON body.
-pub fn json(method: Method, addr: SocketAddr, path: &str, body: Vec<u8>) -> Request<Full<Bytes>> {
+///
+/// # Errors
+///
+/// `Error::Header` if the path can't be part of a URI.
+pub fn json(
+    method: Method,
+    addr: SocketAddr,
+    path: &str,
+    body: Vec<u8>,
+) -> Result<Request<Full<Bytes>>> {
     let req = Request::builder()
         .method(method)
         .uri(format!("http://{addr}{path}"))
         .header("content-type", "application/json")
         .body(Full::from(body));
-    req.expect("an address and a path of this crate make a URI")
+    req.map_err(|e| Error::header(e.to_string()))
 }
 
 /// Returns a GET request with an empty body.
-pub fn get(addr: SocketAddr, path: &str) -> Request<Full<Bytes>> {
+///
+/// # Errors
+///
+/// As [`json`].
+pub fn get(addr: SocketAddr, path: &str) -> Result<Request<Full<Bytes>>> {
     json(Method::GET, addr, path, Vec::new())
 }
--- a/crates/transport/backend/src/engine.rs
+++ b/crates/transport/backend/src/engine.rs
@@ -74,7 +74,7 @@
     ) -> Result<Bytes, Failure> {
         let body = serde_json::to_vec(body);
         let body = body.map_err(|e| (Attempt::Unsent, Error::body(e.to_string())))?;
-        let req = json(Method::POST, addr, path, body);
+        let req = json(Method::POST, addr, path, body).map_err(|e| (Attempt::Unsent, e))?;
         self.send(addr, req, timeout).await
     }
 
@@ -159,7 +159,7 @@
     }
 
     async fn load(&self, at: SocketAddr, fresh: bool) -> Result<LoadReport> {
-        let req = get(at, "/v1/load");
+        let req = get(at, "/v1/load")?;
         let answer = if fresh {
             let connections = Connections::new(Protocol::Http2);
             let answer = connections.exchange(at, req, CALL_TIMEOUT).await;
--- a/crates/transport/backend/src/platform.rs
+++ b/crates/transport/backend/src/platform.rs
@@ -15,6 +15,10 @@
 use http::Response;
 use http::StatusCode;
 use http_body_util::BodyExt;
+use percent_encoding::AsciiSet;
+use percent_encoding::NON_ALPHANUMERIC;
+use percent_encoding::PercentEncode;
+use percent_encoding::utf8_percent_encode;
 use serde::de::DeserializeOwned;
 use tokio_stream::Elapsed;
 use tokio_util::codec::FramedRead;
@@ -43,6 +47,13 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time without a line after which a watch ends with an error, so that it is opened anew.
 const WATCH_IDLE_TIMEOUT: Duration = Duration::from_millis(5_000);
+/// The characters of a name that are escaped in a URI: all but the unreserved ones and the slash.
+const ESCAPED: &AsciiSet = &NON_ALPHANUMERIC
+    .remove(b'-')
+    .remove(b'.')
+    .remove(b'/')
+    .remove(b'_')
+    .remove(b'~');
 /// Maximum length of a line of a watch, in bytes.
 const MAX_LINE_BYTES: usize = 2 << 20;
 
@@ -86,7 +97,7 @@
 
     /// Reads `path`; returns `None` if the platform responds with 404, else the content and the era.
     async fn read<T: DeserializeOwned>(&self, path: &str) -> Result<Option<(T, u16)>> {
-        let req = get(self.addr, path);
+        let req = get(self.addr, path)?;
         let response = self.connections.exchange(self.addr, req, CALL_TIMEOUT);
         let response = response.await.map_err(|(_, e)| unavailable(&e))?;
         let era = self.observe(response.status(), response.headers())?;
@@ -100,6 +111,12 @@
     }
 }
 
+/// Returns a name as a part of a path or a query. Names hold those of data centres, which may have any
+/// characters.
+fn escape(name: &str) -> PercentEncode<'_> {
+    utf8_percent_encode(name, ESCAPED)
+}
+
 /// Wraps a connection error as `Error::PlatformUnavailable`.
 fn unavailable(error: &Error) -> Error {
     Error::platform_unavailable(error.to_string())
@@ -166,7 +183,7 @@
 #[async_trait]
 impl Platform for HttpPlatform {
     async fn get(&self, name: &str) -> Result<Option<Object>> {
-        let path = format!("/v1/objects/{name}");
+        let path = format!("/v1/objects/{}", escape(name));
         let found = self.read(&path).await?;
         found.map(|(found, era)| object(found, era)).transpose()
     }
@@ -190,8 +207,11 @@
             Ok(body) => body,
             Err(e) => return PutOutcome::Refused(Error::body(e.to_string())),
         };
-        let path = format!("/v1/objects/{name}");
-        let req = json(Method::PUT, self.addr, &path, body);
+        let path = format!("/v1/objects/{}", escape(name));
+        let req = match json(Method::PUT, self.addr, &path, body) {
+            Ok(req) => req,
+            Err(e) => return PutOutcome::Refused(e),
+        };
         let response = self.connections.exchange(self.addr, req, CALL_TIMEOUT);
         match response.await {
             Ok(response) => match self.observe(response.status(), response.headers()) {
@@ -204,7 +224,7 @@
     }
 
     async fn list(&self, prefix: &str) -> Result<Vec<Object>> {
-        let path = format!("/v1/objects?prefix={prefix}");
+        let path = format!("/v1/objects?prefix={}", escape(prefix));
         let list: Option<(wire::ObjectList, u16)> = self.read(&path).await?;
         let Some((list, era)) = list else {
             return Ok(Vec::new());
@@ -222,8 +242,9 @@
         if is_lost(self.era()) {
             return Err(Error::platform_unavailable("a watch from an older era"));
         }
-        let path = format!("/v1/watch?prefix={prefix}&from={}", from.revision());
-        let req = get(self.addr, &path);
+        let (prefix, from_revision) = (escape(prefix), from.revision());
+        let path = format!("/v1/watch?prefix={prefix}&from={from_revision}");
+        let req = get(self.addr, &path)?;
         let response = self.connections.open(self.addr, req);
         let response = tokio::time::timeout(CALL_TIMEOUT, response).await;
         let response = response
--- a/crates/transport/backend/tests/connection.rs
+++ b/crates/transport/backend/tests/connection.rs
@@ -40,7 +40,7 @@
     let addr = serve().await;
     let connections = Connections::new(Protocol::Http1);
     let exchanges = (0..40).map(|_| async {
-        let response = connections.exchange(addr, get(addr, "/"), Duration::from_secs(4));
+        let response = connections.exchange(addr, get(addr, "/").unwrap(), Duration::from_secs(4));
         response.await.unwrap_err().1.to_string()
     });
     let errors = futures::future::join_all(exchanges).await;
@@ -86,7 +86,7 @@
     let sizes = [0, 1, 8_191, 16_384, 200_000, 3_000_000];
     let sizes = sizes.into_iter().chain(near(piece));
     for length in sizes.chain(near(2 * piece)).chain(near(3 * piece)) {
-        let request = get(addr, &format!("/{length}"));
+        let request = get(addr, &format!("/{length}")).unwrap();
         let response = connections.exchange(addr, request, Duration::from_secs(4));
         let received = response.await.map_err(|e| e.1.to_string()).unwrap();
         assert!(received.body() == &body(length), "{length}");
