hemlockwindd: one odd entry ends no list and no watch

While one entry that can't be read stands in the platform's list, no instance takes anything from it: servers that it shows as leaving stay in use until they say so themselves, and members that only the list knows are not found. A change of another writer below the watched name closed the watch at each opening, so that changes of the configuration came from its replay alone, every 0.5 s.

Malformed entries and lines are skipped.

--- a/crates/transport/backend/src/connection.rs
+++ b/crates/transport/backend/src/connection.rs
@@ -163,7 +163,7 @@
 /// # Errors
 ///
 /// `Error::Header` if the path can't be part of a URI.
-pub fn json(
+pub fn json_request(
     method: Method,
     addr: SocketAddr,
     path: &str,
@@ -181,7 +181,7 @@
 ///
 /// # Errors
 ///
-/// As [`json`].
+/// As [`json_request`].
 pub fn get(addr: SocketAddr, path: &str) -> Result<Request<Full<Bytes>>> {
-    json(Method::GET, addr, path, Vec::new())
+    json_request(Method::GET, addr, path, Vec::new())
 }
--- a/crates/transport/backend/src/engine.rs
+++ b/crates/transport/backend/src/engine.rs
@@ -32,7 +32,7 @@
 use crate::connection::Failure;
 use crate::connection::Protocol;
 use crate::connection::get;
-use crate::connection::json;
+use crate::connection::json_request;
 
 /// Timeout of calls other than steps.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -74,7 +74,7 @@
     ) -> Result<Bytes, Failure> {
         let body = serde_json::to_vec(body);
         let body = body.map_err(|e| (Attempt::Unsent, Error::body(e.to_string())))?;
-        let req = json(Method::POST, addr, path, body).map_err(|e| (Attempt::Unsent, e))?;
+        let req = json_request(Method::POST, addr, path, body).map_err(|e| (Attempt::Unsent, e))?;
         self.send(addr, req, timeout).await
     }
 
--- a/crates/transport/backend/src/platform.rs
+++ b/crates/transport/backend/src/platform.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use futures::StreamExt;
 use futures::TryStreamExt;
+use futures::future::ready;
 use futures::stream::BoxStream;
 use http::HeaderMap;
 use http::Method;
@@ -19,11 +20,13 @@
 use percent_encoding::NON_ALPHANUMERIC;
 use percent_encoding::PercentEncode;
 use percent_encoding::utf8_percent_encode;
+use serde::Deserialize;
 use serde::de::DeserializeOwned;
+use serde_json::value::RawValue;
 use tokio_stream::Elapsed;
+use tokio_util::codec::AnyDelimiterCodec;
+use tokio_util::codec::AnyDelimiterCodecError;
 use tokio_util::codec::FramedRead;
-use tokio_util::codec::LinesCodec;
-use tokio_util::codec::LinesCodecError;
 use tokio_util::io::StreamReader;
 
 use hemlockwind_core::Error;
@@ -41,7 +44,8 @@
 use crate::connection::Connections;
 use crate::connection::Protocol;
 use crate::connection::get;
-use crate::connection::json;
+use crate::connection::json_request;
+use crate::json;
 
 /// Timeout of one call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -57,6 +61,18 @@
 /// Maximum length of a line of a watch, in bytes.
 const MAX_LINE_BYTES: usize = 2 << 20;
 
+/// `Objects` is a list of objects, each decoded by itself.
+#[derive(Deserialize)]
+struct Objects {
+    objects: Vec<Box<RawValue>>,
+}
+
+/// `Entries` is the list of instances and backend servers, each decoded by itself.
+#[derive(Deserialize)]
+struct Entries {
+    instances: Vec<Box<RawValue>>,
+}
+
 /// `HttpPlatform` calls the platform with JSON over HTTP/1.1.
 pub struct HttpPlatform {
     addr: SocketAddr,
@@ -95,7 +111,8 @@
         Ok(era)
     }
 
-    /// Reads `path`; returns `None` if the platform responds with 404, else the content and the era.
+    /// Reads `path`; returns `None` if the platform responds with 404, else the content, split as by
+    /// [`json::split`], and the era.
     async fn read<T: DeserializeOwned>(&self, path: &str) -> Result<Option<(T, u16)>> {
         let req = get(self.addr, path)?;
         let response = self.connections.exchange(self.addr, req, CALL_TIMEOUT);
@@ -107,7 +124,9 @@
         if !response.status().is_success() {
             return Err(unexpected_status(response.status()));
         }
-        Ok(Some((parse(response.body())?, era)))
+        let content = json::split(response.body());
+        let content = content.map_err(|e| Error::platform_answer(e.to_string()))?;
+        Ok(Some((content, era)))
     }
 }
 
@@ -167,25 +186,33 @@
     Ok(object)
 }
 
-/// Parses one line of a watch. A line that doesn't arrive in time is an error.
+/// Parses one line of a watch, `None` if it is malformed. A line that doesn't arrive in time is an
+/// error.
 fn parse_event(
-    line: Result<Result<String, LinesCodecError>, Elapsed>,
+    line: Result<Result<Bytes, AnyDelimiterCodecError>, Elapsed>,
     era: u16,
-) -> Result<WatchEvent> {
-    let line = line.map_err(|_| Error::platform_unavailable("the watch timed out"))?;
-    let line = line.map_err(|e| Error::platform_unavailable(e.to_string()))?;
-    match parse::<wire::WatchLine>(line.as_bytes())? {
-        wire::WatchLine::Put(put) => Ok(WatchEvent::Put(object(put, era)?)),
-        line @ (wire::WatchLine::Delete(_) | wire::WatchLine::Bookmark) => line.try_into(),
-    }
+) -> Option<Result<WatchEvent>> {
+    let line = match line {
+        Ok(Ok(line)) => line,
+        Ok(Err(e)) => return Some(Err(Error::platform_unavailable(e.to_string()))),
+        Err(_) => return Some(Err(Error::platform_unavailable("the watch timed out"))),
+    };
+    let event = match serde_json::from_slice(&line).ok()? {
+        wire::WatchLine::Put(put) => WatchEvent::Put(object(put, era).ok()?),
+        line @ (wire::WatchLine::Delete(_) | wire::WatchLine::Bookmark) => line.try_into().ok()?,
+    };
+    Some(Ok(event))
 }
 
 #[async_trait]
 impl Platform for HttpPlatform {
     async fn get(&self, name: &str) -> Result<Option<Object>> {
         let path = format!("/v1/objects/{}", escape(name));
-        let found = self.read(&path).await?;
-        found.map(|(found, era)| object(found, era)).transpose()
+        let found: Option<(Box<RawValue>, u16)> = self.read(&path).await?;
+        let Some((found, era)) = found else {
+            return Ok(None);
+        };
+        object(parse(&json::bytes(&found))?, era).map(Some)
     }
 
     async fn put(&self, name: &str, value: Bytes, when: Precondition) -> PutOutcome {
@@ -208,7 +235,7 @@
             Err(e) => return PutOutcome::Refused(Error::body(e.to_string())),
         };
         let path = format!("/v1/objects/{}", escape(name));
-        let req = match json(Method::PUT, self.addr, &path, body) {
+        let req = match json_request(Method::PUT, self.addr, &path, body) {
             Ok(req) => req,
             Err(e) => return PutOutcome::Refused(e),
         };
@@ -225,12 +252,13 @@
 
     async fn list(&self, prefix: &str) -> Result<Vec<Object>> {
         let path = format!("/v1/objects?prefix={}", escape(prefix));
-        let list: Option<(wire::ObjectList, u16)> = self.read(&path).await?;
+        let list: Option<(Objects, u16)> = self.read(&path).await?;
         let Some((list, era)) = list else {
             return Ok(Vec::new());
         };
-        let objects = list.objects.into_iter();
-        objects.map(|found| object(found, era)).collect()
+        let objects = list.objects.iter();
+        let objects = objects.filter_map(|found| object(json::decode(found)?, era).ok());
+        Ok(objects.collect())
     }
 
     async fn watch(
@@ -259,9 +287,12 @@
         }
         let body = response.into_body().into_data_stream();
         let reader = StreamReader::new(body.map_err(std::io::Error::other));
-        let lines = FramedRead::new(reader, LinesCodec::new_with_max_length(MAX_LINE_BYTES));
-        let lines = tokio_stream::StreamExt::timeout(lines, WATCH_IDLE_TIMEOUT);
-        Ok(lines.map(move |line| parse_event(line, era)).boxed())
+        let newline = || b"\n".to_vec();
+        let codec = AnyDelimiterCodec::new_with_max_length(newline(), newline(), MAX_LINE_BYTES);
+        let lines =
+            tokio_stream::StreamExt::timeout(FramedRead::new(reader, codec), WATCH_IDLE_TIMEOUT);
+        let events = lines.filter_map(move |line| ready(parse_event(line, era)));
+        Ok(events.boxed())
     }
 
     fn era(&self) -> u16 {
@@ -269,8 +300,9 @@
     }
 
     async fn instances(&self) -> Result<Vec<ListEntry>> {
-        let list: Option<(wire::InstanceList, u16)> = self.read("/v1/instances").await?;
+        let list: Option<(Entries, u16)> = self.read("/v1/instances").await?;
         let list = list.map(|(list, _)| list.instances).unwrap_or_default();
-        Ok(list.into_iter().map(ListEntry::from).collect())
+        let entries = list.iter().filter_map(|entry| json::decode(entry));
+        Ok(entries.map(|entry: wire::ListEntry| entry.into()).collect())
     }
 }
