hemlockwindd: only the head itself is taken for the head

With a copy of the head of the configuration under another name that begins alike, an operator's change is refused: 503, 6001.

Cause: the watch of the head returns all objects whose names begin with that of the head, and the names weren't compared. A copy with a higher version was put in force, and the next change had a base that the platform doesn't have.

Evidence: object_named_like_the_head_is_not_put_in_force failed on the code before: 503, "The platform can't be reached or refuses: nothing changed". It passes now.

Fix: the name of each object that the watch returns is compared with that of the head.

--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -253,7 +253,9 @@
     loop {
         if let Ok(mut events) = platform.watch(HEAD_OBJECT, ObjectVersion(0)).await {
             while let Some(Ok(event)) = events.next().await {
+                // The name of another object may begin with that of the head.
                 if let WatchEvent::Put(object) = event
+                    && object.name == HEAD_OBJECT
                     && let Ok(head) = parse_head(&object)
                 {
                     on_event(instance, Event::Stored(head));
--- a/programs/tests/process/spread.rs
+++ b/programs/tests/process/spread.rs
@@ -5,15 +5,24 @@
 use std::time::Instant;
 use std::time::SystemTime;
 
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
 use hemlockwind::core::time::WallTime;
+use hemlockwind::protocol::peer::configuration::Head;
+use hemlockwind::protocol::peer::decode;
+use hemlockwind::protocol::peer::encode;
 use hemlockwind::sheet::today;
 use serde_json::Value;
+use serde_json::json;
 use tokio::process::Command;
+use tokio::time::sleep;
 
 use crate::site::Instance;
 use crate::site::Options;
 use crate::site::Site;
 use crate::site::eventually;
+use crate::site::get;
+use crate::site::set;
 
 /// Maximum time until an accepted change is in force at all instances, and until a data centre
 /// records that one of its instances is dead or live again. Within the same time the assignments of
@@ -89,6 +98,32 @@
     );
 }
 
+// A watch returns all objects whose names begin with that of the head.
+#[tokio::test]
+async fn object_named_like_the_head_is_not_put_in_force() {
+    let site = Site::start("odd-head").await;
+    let stored: Value = get(site.platform_addr, "/v1/objects/configuration/head").await;
+    let stored = STANDARD.decode(stored["value"].as_str().unwrap()).unwrap();
+    let mut head: Head = decode(&stored).unwrap();
+    let version = head.version;
+    head.version += 1_000;
+    head.recent.last_mut().unwrap().version = head.version;
+    let value = STANDARD.encode(encode(&head).unwrap());
+    let write = json!({ "value": value, "when": "none" });
+    let name = "/v1/objects/configuration/head-copy";
+    set(site.platform_addr, name, &write).await;
+    sleep(Duration::from_secs(1)).await;
+    site.remove_engine(0).await;
+    let accepted_at = Instant::now();
+    for instance in &site.instances {
+        let left = MAX_SPREAD_TIME.saturating_sub(accepted_at.elapsed());
+        eventually("the change is in force", left, || async {
+            status(instance).await["config_version"].as_u64() == Some(version + 1)
+        })
+        .await;
+    }
+}
+
 #[tokio::test]
 async fn members_killed_instance_rejoins_without_platform() {
     let options = Options {
