Peers: an instance of any name is recognised

An instance whose name is not ASCII is refused by all others; one with a control character in its name panics in each task that sends a message.

Cause: an instance names itself in a header of its connections. The receiver read only ASCII, so that both sides computed proofs over different names, and request() expected a valid value.

Evidence: call_from_an_instance_of_any_name failed on the code before: Err((Unsent, PeerKey)) for "ä". It passes now.

Fix: "%", control characters and what is not ASCII are percent-encoded in that header. Other names are sent as before, so that builds can be mixed; an instance with "%" in its name is refused by instances of the code before.

--- a/crates/transport/peer/src/client.rs
+++ b/crates/transport/peer/src/client.rs
@@ -134,7 +134,7 @@
         let nonce = proof::nonce();
         let hello = [
             (proof::VERSION_HEADER, VERSION.to_string()),
-            (proof::FROM_HEADER, self.name.clone()),
+            (proof::FROM_HEADER, proof::escape_name(&self.name)),
             (proof::NONCE_HEADER, nonce.clone()),
         ];
         let (send, answer) = exchange_headers(send, "/hello", &hello).await?;
--- a/crates/transport/peer/src/proof.rs
+++ b/crates/transport/peer/src/proof.rs
@@ -3,6 +3,10 @@
 use hmac::Hmac;
 use hmac::Mac;
 use http::HeaderMap;
+use percent_encoding::AsciiSet;
+use percent_encoding::CONTROLS;
+use percent_encoding::percent_decode_str;
+use percent_encoding::utf8_percent_encode;
 use sha2::Sha256;
 use subtle::ConstantTimeEq;
 
@@ -15,6 +19,9 @@
 /// The header with the sender's proof.
 pub const PROOF_HEADER: &str = "x-hemlockwind-proof";
 
+/// The characters of a name that are escaped in a header, besides those that are not ASCII.
+const ESCAPED: &AsciiSet = &CONTROLS.add(b'%');
+
 /// `Side` names the side that gives a proof. It is part of the proof, so that one side
 /// can't replay the proof of the other.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -71,6 +78,17 @@
     format!("{:032x}", rand::random::<u128>())
 }
 
+/// Returns the name of an instance as a header holds it. The name comes from the settings and may have
+/// any characters.
+pub fn escape_name(name: &str) -> String {
+    utf8_percent_encode(name, ESCAPED).to_string()
+}
+
+/// Returns the name of an instance that a header holds.
+pub fn unescape_name(value: &str) -> String {
+    percent_decode_str(value).decode_utf8_lossy().into_owned()
+}
+
 /// Returns the value of a header, or an empty string if it is missing or not text.
 pub fn header<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
     let value = headers.get(name).and_then(|value| value.to_str().ok());
--- a/crates/transport/peer/src/server.rs
+++ b/crates/transport/peer/src/server.rs
@@ -265,7 +265,7 @@
     let nonce = proof::nonce();
     let (hello, respond) = next_headers(server).await?;
     let version = proof::header(&hello, proof::VERSION_HEADER);
-    let from = proof::header(&hello, proof::FROM_HEADER).to_string();
+    let from = proof::unescape_name(proof::header(&hello, proof::FROM_HEADER));
     let peer_nonce = proof::header(&hello, proof::NONCE_HEADER).to_string();
     let own_proof = key.proof(Side::Server, &from, &peer_nonce, &nonce);
     let answer = Response::builder()
--- a/crates/transport/peer/tests/peers.rs
+++ b/crates/transport/peer/tests/peers.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -35,11 +36,14 @@
 #[derive(Default)]
 struct Echo {
     handled: AtomicUsize,
+    /// The name of the last sender.
+    from: Mutex<String>,
 }
 
 #[async_trait]
 impl Handler for Echo {
-    async fn handle(&self, _from: &str, req: Request) -> Reply {
+    async fn handle(&self, from: &str, req: Request) -> Reply {
+        *self.from.lock().unwrap() = from.to_string();
         self.handled.fetch_add(1, Ordering::SeqCst);
         match req {
             Request::Configuration(message) => Reply::Configuration(message),
@@ -113,6 +117,27 @@
     assert_eq!(echo.handled.load(Ordering::SeqCst), 3);
 }
 
+// Guards against a panic: a sender names itself in a header, and its name comes from its settings.
+#[tokio::test]
+async fn call_from_an_instance_of_any_name() {
+    let (addr, echo) = serve().await;
+    for name in [
+        "front-a-1",
+        "a b",
+        "a%41",
+        "a&+#",
+        "ä",
+        "a\u{1}\n\u{7f}",
+        "\u{1F980}",
+        " a ",
+    ] {
+        let peer = H2Peer::new(name, SharedKey::new("right"));
+        let reply = peer.call(addr, message(1)).await;
+        assert!(reply.is_ok(), "{name:?}: {reply:?}");
+        assert_eq!(*echo.from.lock().unwrap(), name);
+    }
+}
+
 /// Guards against requests for paths that are given up while they may still wait in a queue: the
 /// connection was reset after the 250 ms of other messages, and the queue owner became a suspect.
 #[tokio::test]
