Metrics: names are escaped in labels

The name of a data centre stands in the entries of servers, that of an organisation in the manifest; both are labels of metrics.

Cause: a label held the name as it was. A quote or a line break in it ended the label or the line, and a collector refuses the whole text.

Evidence: render_escapes_labels failed on the code before: of 8 lines, none had the label. It passes now.

Fix: backslashes, quotes and line breaks are escaped as the text format of metrics says.

--- a/crates/gateway/src/queue_owners/handler.rs
+++ b/crates/gateway/src/queue_owners/handler.rs
@@ -19,6 +19,7 @@
 use hemlockwind_platform::engine::Report;
 use hemlockwind_platform::headers::Stage;
 use hemlockwind_protocol::peer::paths as message;
+use hemlockwind_telemetry::histograms::escape_label;
 
 use crate::announcements;
 use crate::diagnosis;
@@ -437,10 +438,8 @@
             let owner = &local.queue_owner;
             reserved += owner.reserved_tokens(now);
             for (from, to, starts) in owner.spilled_starts() {
-                let (from, to) = (
-                    owner.engines.data_centre_name(from),
-                    owner.engines.data_centre_name(to),
-                );
+                let from = escape_label(&owner.engines.data_centre_name(from));
+                let to = escape_label(&owner.engines.data_centre_name(to));
                 text.push_str(&format!(
                     "hemlockwind_starts_spilled_total{{from=\"{from}\",to=\"{to}\"}} {starts}\n"
                 ));
--- a/crates/transport/telemetry/src/histograms.rs
+++ b/crates/transport/telemetry/src/histograms.rs
@@ -83,10 +83,9 @@
         let mut out = String::new();
         for shard in &self.shards {
             for ((measure, organisation, rank), histogram) in shard.lock().iter() {
-                let labels = format!(
-                    "organisation=\"{organisation}\",rank=\"{}\"",
-                    rank_name(*rank)
-                );
+                let (organisation, rank) = (escape_label(organisation), rank_name(*rank));
+                let rank = escape_label(&rank);
+                let labels = format!("organisation=\"{organisation}\",rank=\"{rank}\"");
                 let name = measure.name();
                 for quantile in QUANTILES {
                     let value = histogram.value_at_quantile(quantile);
@@ -105,3 +104,16 @@
     let sum = organisation.bytes().map(usize::from).sum::<usize>();
     sum % SHARDS
 }
+
+/// Returns the value of a label as the text format of metrics holds it. Names may have any characters.
+pub fn escape_label(value: &str) -> String {
+    let mut escaped = String::with_capacity(value.len());
+    for c in value.chars() {
+        match c {
+            '\\' | '"' => escaped.extend(['\\', c]),
+            '\n' => escaped.push_str("\\n"),
+            c => escaped.push(c),
+        }
+    }
+    escaped
+}
--- a/crates/transport/telemetry/tests/histograms.rs
+++ b/crates/transport/telemetry/tests/histograms.rs
@@ -30,6 +30,23 @@
     assert_eq!(value(&text, "hemlockwind_request_ms_count", "agents"), 4);
 }
 
+// Guards against metrics that a collector refuses as a whole.
+#[test]
+fn render_escapes_labels() {
+    let histograms = Histograms::default();
+    let organisation: Arc<str> = "a\"} 1\nb\\".into();
+    histograms.record(
+        Measure::Request,
+        &organisation,
+        Rank(0),
+        Duration::from_millis(1),
+    );
+    let text = histograms.render(|_| "high\"".into());
+    let labels = r#"{organisation="a\"} 1\nb\\",rank="high\""#;
+    let labelled = text.lines().filter(|line| line.contains(labels));
+    assert_eq!(labelled.count(), text.lines().count(), "{text}");
+}
+
 #[test]
 fn record_many_organisations() {
     let histograms = Histograms::default();
