hemlockwindd: one odd result spoils no other of its batch

Cause: the answer to a batch of steps, which are those of several streams, was decoded as a whole. One result that can't be read made the steps of all these streams fail, and their servers count as failing.

Fix: if an answer can't be decoded, its results are decoded one by one. A stream without a result gets a failed step, as if the engine had left it out.

--- a/crates/transport/backend/src/engine.rs
+++ b/crates/transport/backend/src/engine.rs
@@ -10,8 +10,10 @@
 use http::Request;
 use http::StatusCode;
 use http_body_util::Full;
+use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde_json::value::RawValue;
 
 use hemlockwind_core::Error;
 use hemlockwind_core::Result;
@@ -33,6 +35,7 @@
 use crate::connection::Protocol;
 use crate::connection::get;
 use crate::connection::json_request;
+use crate::json;
 
 /// Timeout of calls other than steps.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -103,6 +106,29 @@
     serde_json::from_slice(bytes).map_err(|e| Error::backend_answer(e.to_string()))
 }
 
+/// Returns the results in the answer to a batch of steps. One that is malformed is left out, so that it
+/// affects no other stream.
+fn results(answer: &[u8]) -> Result<Vec<StepResult>> {
+    /// The results, each decoded by itself.
+    #[derive(Deserialize)]
+    struct Results {
+        results: Vec<Box<RawValue>>,
+    }
+
+    let results = match parse::<wire::StepsAnswer>(answer) {
+        Ok(answer) => answer.results,
+        Err(e) => {
+            let answer: Results = json::split(answer).map_err(|_| e)?;
+            let results = answer.results.iter();
+            results.filter_map(|result| json::decode(result)).collect()
+        }
+    };
+    let results = results.into_iter();
+    Ok(results
+        .filter_map(|r| StepResult::try_from(r).ok())
+        .collect())
+}
+
 /// Drops the `Attempt` of a failure, which doesn't matter for a call that may be repeated.
 fn without_attempt<T>(result: Result<T, Failure>) -> Result<T> {
     result.map_err(|(_, error)| error)
@@ -123,10 +149,8 @@
         let body = wire::StepsRequest {
             steps: steps.into_iter().map(wire::Step::from).collect(),
         };
-        let answer: wire::StepsAnswer = self.post(to, "/v1/steps", &body, timeout).await?;
-        let results = answer.results.into_iter().map(StepResult::try_from);
-        let results: Result<Vec<_>> = results.collect();
-        results.map_err(|e| (Attempt::Answered, e))
+        let answer = self.post_raw(to, "/v1/steps", &body, timeout).await?;
+        results(&answer).map_err(|e| (Attempt::Answered, e))
     }
 
     async fn cancel(&self, to: SocketAddr, request: RequestId) -> Result<()> {
