hemlockwindd: an engine's call that panicked is no longer counted

Cause: at most four calls with steps are made at a time to one engine, and the task of a call took its count back at its end. Four panics, and the engine got no more steps.

Fix: the count is taken back when the task unwinds, and the process goes on.

--- a/crates/daemon/src/batcher.rs
+++ b/crates/daemon/src/batcher.rs
@@ -17,7 +17,6 @@
 use hemlockwind_core::engine::StepId;
 use hemlockwind_core::time::Instant;
 use hemlockwind_stream::Event;
-use hemlockwind_tasks::Tasks;
 
 /// Maximum number of concurrent calls with decode steps to one engine.
 const MAX_CALLS: usize = 4;
@@ -41,16 +40,14 @@
 /// `StepBatcher` sends steps to engines in batches, with one queue per engine.
 pub struct StepBatcher {
     engine: Arc<dyn Engine>,
-    tasks: Tasks,
     queues: Mutex<HashMap<SocketAddr, Arc<Mutex<EngineQueue>>>>,
 }
 
 impl StepBatcher {
     /// Creates a batcher that sends its calls through `engine`.
-    pub fn new(engine: Arc<dyn Engine>, tasks: Tasks) -> Self {
+    pub fn new(engine: Arc<dyn Engine>) -> Self {
         Self {
             engine,
-            tasks,
             queues: Mutex::default(),
         }
     }
@@ -83,14 +80,25 @@
             queue.calls += 1;
         }
         let engine = Arc::clone(&self.engine);
-        self.tasks.spawn("steps of an engine", async move {
-            drain(&*engine, addr, &queue).await;
-        });
+        tokio::spawn(async move { drain(&*engine, addr, &queue).await });
+    }
+}
+
+/// `CountedCall` is one of the calls that a queue counts. If its task panics, it is no longer counted:
+/// the steps come from callers, so the process goes on.
+struct CountedCall<'a>(&'a Mutex<EngineQueue>);
+
+impl Drop for CountedCall<'_> {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.0.lock().calls -= 1;
+        }
     }
 }
 
 /// Sends the steps of a queue until it is empty.
 async fn drain(engine: &dyn Engine, addr: SocketAddr, queue: &Mutex<EngineQueue>) {
+    let _call = CountedCall(queue);
     // Lets other tasks that are ready queue their steps first, so that these share a call.
     tokio::task::yield_now().await;
     loop {
--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -239,11 +239,11 @@
         old.abort();
     }
     if should_watch {
-        let instance = Arc::clone(instance);
-        let tasks = instance.tasks.clone();
-        *watch = Some(tasks.spawn("watch of the head", async move {
+        let (tasks, instance) = (&instance.tasks, Arc::clone(instance));
+        let task = tasks.spawn("watch of the head", async move {
             watch_head(&instance).await;
-        }));
+        });
+        *watch = Some(task);
     }
 }
 
--- a/crates/daemon/src/health.rs
+++ b/crates/daemon/src/health.rs
@@ -75,14 +75,11 @@
         let name = instance.directory.read().backend_servers.name(server);
         info!(instance.log, "a backend server is ejected"; "backend_server" => &*name, "ms" => until.since(now).as_millis() as u64);
         instance.fleet.set_ejected(server, true);
-        let instance = Arc::clone(instance);
-        instance
-            .tasks
-            .clone()
-            .spawn("end of an ejection", async move {
-                sleep(until.since(now)).await;
-                readmit(&instance, server);
-            });
+        let (tasks, instance) = (&instance.tasks, Arc::clone(instance));
+        tasks.spawn("end of an ejection", async move {
+            sleep(until.since(now)).await;
+            readmit(&instance, server);
+        });
     }
 }
 
@@ -142,14 +139,11 @@
         perform(instance, server, action);
     }
     if changed && tick_at != Instant::NEVER {
-        let instance = Arc::clone(instance);
-        instance
-            .tasks
-            .clone()
-            .spawn("failure detector", async move {
-                sleep(tick_at.since(now)).await;
-                on_detector_event(&instance, server, Event::Tick);
-            });
+        let (tasks, instance) = (&instance.tasks, Arc::clone(instance));
+        tasks.spawn("failure detector", async move {
+            sleep(tick_at.since(now)).await;
+            on_detector_event(&instance, server, Event::Tick);
+        });
     }
 }
 
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -155,13 +155,12 @@
             log.clone(),
             Arc::clone(&metrics),
         );
-        let tasks = Tasks::default();
-        let step_batcher = StepBatcher::new(Arc::clone(&edges.engine), tasks.clone());
+        let step_batcher = StepBatcher::new(Arc::clone(&edges.engine));
         let request_permits = Semaphore::new(settings.limits.requests);
         Ok(Self {
             data_centre,
             log,
-            tasks,
+            tasks: Tasks::default(),
             directory: RwLock::new(directory),
             config: ArcSwap::default(),
             config_replica: ConfigReplica::new(edges.clock.now(), assignments.me()),
