Soak: odd entries in the list of servers, and all instances killed

Cause: the soak learns each new part. Change: two more faults: another writer fills a page of the list with entries whose names have characters of URIs or can't be read, and all instances are killed and restarted.

--- a/programs/tests/process/soak.rs
+++ b/programs/tests/process/soak.rs
@@ -15,7 +15,9 @@
 use hemlockwind_emulator::caller;
 use hemlockwind_emulator::engine::Engine;
 use hemlockwind_emulator::engine::Fault;
+use hemlockwind_emulator::store::MAX_PAGE_OBJECTS;
 use hemlockwind_emulator::store::Mode;
+use hemlockwind_emulator::store::UNREADABLE;
 use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -25,6 +27,7 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use serde_json::json;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -38,7 +41,7 @@
 /// Number of callers of each kind of request at each instance.
 const CALLERS: usize = 2;
 /// The seeds that CI runs.
-const SEEDS: std::ops::Range<u64> = 1..3;
+const SEEDS: [u64; 3] = [1, 2, 11];
 /// Duration of each seed in CI, in seconds.
 const SECONDS_PER_SEED: u64 = 10;
 /// Number of events in the answer of a stream.
@@ -55,6 +58,9 @@
 /// demand.
 const MAX_RECOVERY_TIME: Duration = Duration::from_secs(12);
 
+/// Characters of names that have a meaning in a URI, that no URI may hold, or that can't be read.
+const ODD_NAMES: [char; 7] = ['&', '+', '#', '%', ' ', '\u{1}', UNREADABLE];
+
 /// `InjectedFault` is a fault that the test injects.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum InjectedFault {
@@ -76,11 +82,17 @@
     ServerConfusesAnswers,
     /// The store discards its history of changes.
     StoreDiscardsHistory,
+    /// All instances are killed and restarted.
+    KillAll,
+    /// Another writer fills a page of the list of servers with entries under odd names. They stay.
+    OddEntries,
 }
 
-const INJECTED_FAULTS: [InjectedFault; 9] = [
+const INJECTED_FAULTS: [InjectedFault; 11] = [
     InjectedFault::Pause,
     InjectedFault::Kill,
+    InjectedFault::KillAll,
+    InjectedFault::OddEntries,
     InjectedFault::Stop,
     InjectedFault::StoreDown,
     InjectedFault::StoreAnswersLost,
@@ -222,6 +234,15 @@
             set_fault_for(server, Fault::WrongAttempt, time).await
         }
         InjectedFault::StoreDiscardsHistory => fleet.site.store.compact(),
+        InjectedFault::KillAll => kill_and_restart_all(fleet, time / 4).await,
+        InjectedFault::OddEntries => {
+            let odd = ODD_NAMES[rng.random_range(0..ODD_NAMES.len())];
+            for i in 0..MAX_PAGE_OBJECTS {
+                // Before the names of the servers.
+                let name = format!("a{odd}{i}");
+                fleet.site.store.write("servers", &name, json!({}));
+            }
+        }
     }
     sleep(Duration::from_millis(rng.random_range(0..600))).await;
 }
@@ -250,6 +271,17 @@
     instance.restart();
 }
 
+/// Kills all instances, waits for `time` and restarts them.
+async fn kill_and_restart_all(fleet: &mut Fleet, time: Duration) {
+    for instance in &mut fleet.instances {
+        instance.process.kill();
+    }
+    sleep(time).await;
+    for instance in &mut fleet.instances {
+        instance.restart();
+    }
+}
+
 /// Returns how often an attempt ran on all servers together.
 fn runs(fleet: &Fleet, attempt: &str) -> u32 {
     let all = fleet.site.engines.iter().chain(&fleet.site.servers);
@@ -344,9 +376,10 @@
 async fn soak_keeps_guarantees() {
     let seconds = std::env::var("SOAK_SECONDS").ok();
     let seconds = seconds.map_or(SECONDS_PER_SEED, |s| s.parse().expect("whole seconds"));
-    let seeds = std::env::var("SOAK_SEEDS").ok().map_or(SEEDS, |s| {
+    let seeds = std::env::var("SOAK_SEEDS").ok();
+    let seeds: Vec<u64> = seeds.map_or(SEEDS.to_vec(), |s| {
         let (from, to) = s.split_once("..").expect("seeds as FROM..TO");
-        from.parse().unwrap()..to.parse().unwrap()
+        (from.parse().unwrap()..to.parse().unwrap()).collect()
     });
     for seed in seeds {
         run_seed(seed, seconds).await;
