Quarantine: two quarantines of one part end at one time

Callers got 503 with code 3009 from one instance while another one admitted the same part, for up to a minute.

Cause: records were merged by the number of failed trials alone. Two instances that had quarantined a part by themselves, as the halves of a partition do, each kept their own time, and with it their own end of the hold. The design says that confirmations are merged by time.

Red before, green with the change: merge_of_confirmations_ends_the_hold_everywhere, merge_of_confirmations_of_one_event_ends_the_hold_everywhere.

With as many failed trials the later quarantine stands now.

--- a/crates/state/quarantine/src/record.rs
+++ b/crates/state/quarantine/src/record.rs
@@ -1,5 +1,6 @@
 //! What is recorded of one part, and how the records of two instances are merged.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use hemlockwind_core::time::Instant;
@@ -50,6 +51,17 @@
     pub fn hold_until(self) -> Instant {
         self.at + FIRST_HOLD * 2u32.pow(self.failed_trials.min(MAX_DOUBLINGS))
     }
+
+    /// Whether this one stands where both are known, in whichever order they are learned.
+    fn supersedes(self, other: Self) -> bool {
+        match self.failed_trials.cmp(&other.failed_trials) {
+            Ordering::Greater => true,
+            Ordering::Less => false,
+            // Each transfer adds its latency, so the earlier time is the exact one.
+            Ordering::Equal if is_same_event(self.at, other.at) => self.at < other.at,
+            Ordering::Equal => self.at > other.at,
+        }
+    }
 }
 
 /// `Record` holds what is known of one part.
@@ -165,7 +177,7 @@
         }
         let is_newer = match (self.confirmation, other.confirmation) {
             (None, Some(_)) => true,
-            (Some(ours), Some(theirs)) => theirs.failed_trials > ours.failed_trials,
+            (Some(ours), Some(theirs)) => theirs.supersedes(ours),
             (_, None) => false,
         };
         if is_newer {
@@ -206,3 +218,8 @@
 fn is_excused(crash: &Crash, begun_at: Instant) -> bool {
     crash.at.since(begun_at) < RECENT_BEGIN
 }
+
+/// Whether two recorded times may be of one event.
+fn is_same_event(a: Instant, b: Instant) -> bool {
+    a.max(b).since(a.min(b)) <= SAME_EVENT
+}
--- a/crates/state/quarantine/tests/quarantine.rs
+++ b/crates/state/quarantine/tests/quarantine.rs
@@ -393,43 +393,94 @@
     ]
 }
 
-proptest! {
-    /// After all have exchanged their records, all withhold the same parts.
-    #[test]
-    fn merge_converges(events in prop::collection::vec((event(), 0..2_000u64), 0..80)) {
-        let mut instances: Vec<Quarantine> = (0..3).map(|_| Quarantine::default()).collect();
-        let mut ms = 0;
-        for (event, pause) in events {
-            ms += pause;
-            match event {
-                Event::Begin(q, part) => instances[q].on_begin(at(ms), SERVICE, &[PartKey(part)]),
-                Event::Crash(q, part, run) => drop(crash(&mut instances[q], ms, run, &[PartKey(part)])),
-                Event::Exchange(from, to) => {
-                    let records = instances[from].records();
-                    instances[to].merge(at(ms), &records);
-                }
+/// Returns three instances after events in series, each with the time in milliseconds before it.
+fn replay(events: &[(Event, u64)]) -> (Vec<Quarantine>, u64) {
+    let mut instances: Vec<Quarantine> = (0..3).map(|_| Quarantine::default()).collect();
+    let mut ms = 0;
+    for (event, pause) in events {
+        ms += pause;
+        match *event {
+            Event::Begin(q, part) => instances[q].on_begin(at(ms), SERVICE, &[PartKey(part)]),
+            Event::Crash(q, part, run) => drop(crash(&mut instances[q], ms, run, &[PartKey(part)])),
+            Event::Exchange(from, to) => {
+                let records = instances[from].records();
+                instances[to].merge(at(ms), &records);
             }
         }
-        for _ in 0..4 {
-            for from in 0..3 {
-                for to in 0..3 {
-                    let records = instances[from].records();
-                    instances[to].merge(at(ms), &records);
-                }
+    }
+    (instances, ms)
+}
+
+/// Returns the parts that each instance withholds after all have exchanged their records.
+fn withheld_after_exchange(instances: &mut [Quarantine], ms: u64) -> Vec<Vec<u64>> {
+    for _ in 0..4 {
+        for from in 0..3 {
+            for to in 0..3 {
+                let records = instances[from].records();
+                instances[to].merge(at(ms), &records);
             }
         }
-        let withheld = |q: &Quarantine| -> Vec<u64> {
-            let is_withheld = |part: &u64| q.recheck(at(ms), &[PartKey(*part)]) != Admission::Admitted;
-            (0..6).filter(is_withheld).collect()
-        };
-        prop_assert_eq!(withheld(&instances[0]), withheld(&instances[1]));
-        prop_assert_eq!(withheld(&instances[0]), withheld(&instances[2]));
+    }
+    let withheld = |q: &Quarantine| -> Vec<u64> {
+        let is_withheld = |part: &u64| q.recheck(at(ms), &[PartKey(*part)]) != Admission::Admitted;
+        (0..6).filter(is_withheld).collect()
+    };
+    instances.iter().map(withheld).collect()
+}
+
+fn assert_converges(events: &[(Event, u64)]) {
+    let (mut instances, ms) = replay(events);
+    let withheld = withheld_after_exchange(&mut instances, ms);
+    assert_eq!(withheld[0], withheld[1]);
+    assert_eq!(withheld[0], withheld[2]);
+}
+
+// Two instances quarantine the part by themselves, the second one 40 s later. The last event is
+// between the ends of the two holds.
+#[test]
+fn merge_of_confirmations_ends_the_hold_everywhere() {
+    assert_converges(&[
+        (Event::Crash(0, 4, 0), 0),
+        (Event::Begin(0, 5), 100),
+        (Event::Crash(0, 4, 1), 400),
+        (Event::Crash(0, 4, 2), 500),
+        (Event::Crash(1, 4, 3), 39_000),
+        (Event::Begin(1, 5), 100),
+        (Event::Crash(1, 4, 4), 400),
+        (Event::Crash(1, 4, 5), 500),
+        (Event::Begin(2, 5), 30_000),
+    ]);
+}
+
+// The same, 300 ms apart.
+#[test]
+fn merge_of_confirmations_of_one_event_ends_the_hold_everywhere() {
+    assert_converges(&[
+        (Event::Crash(0, 4, 0), 0),
+        (Event::Crash(1, 4, 3), 0),
+        (Event::Begin(0, 5), 100),
+        (Event::Begin(1, 5), 0),
+        (Event::Crash(0, 4, 1), 400),
+        (Event::Crash(1, 4, 4), 0),
+        (Event::Crash(0, 4, 2), 500),
+        (Event::Crash(1, 4, 5), 300),
+        (Event::Begin(2, 5), 59_800),
+    ]);
+}
+
+proptest! {
+    /// After all have exchanged their records, all withhold the same parts.
+    #[test]
+    fn merge_converges(events in prop::collection::vec((event(), 0..2_000u64), 0..80)) {
+        let (mut instances, ms) = replay(&events);
+        let withheld = withheld_after_exchange(&mut instances, ms);
+        prop_assert_eq!(&withheld[0], &withheld[1]);
+        prop_assert_eq!(&withheld[0], &withheld[2]);
         for q in &mut instances {
             q.expire(at(ms + 10_000_000));
             prop_assert!(q.records().is_empty());
         }
     }
-
 }
 
 proptest! {
