Quarantine: each known begin excuses crashes and ends a quarantine

Callers got 503 with code 3009 from one instance while another one admitted the same part.

Cause: of two begins within 500 ms an instance kept the one it learned first, as both may be one event, and dropped the other with what it says of the crashes. A crash a second after the first begin, or a quarantine between the two, was over at the instances that had learned the later one only.

Red before, green with the change: merge_of_begins_excuses_crashes_everywhere, merge_of_begins_ends_a_quarantine_everywhere.

A begin that is merged is applied to the crashes and the quarantine whatever its distance from the known one; only the time that the record keeps is still bounded by the 500 ms, so it doesn't grow with the number of transfers.

--- a/crates/state/quarantine/src/record.rs
+++ b/crates/state/quarantine/src/record.rs
@@ -111,11 +111,17 @@
         true
     }
 
-    /// Records that an answer on the part began at `at`, maybe before its crashes. Those that
-    /// the part can't have caused are removed, as is an earlier quarantine.
+    /// Records that an answer on the part began at `at`, maybe before its crashes.
     pub fn add_begin(&mut self, at: Instant) {
         self.begun_at = self.begun_at.max(Some(at));
+        self.apply_begin(at);
+    }
+
+    /// Removes the crashes that a part which began at `at` can't have caused, and an earlier
+    /// quarantine.
+    fn apply_begin(&mut self, at: Instant) {
         self.crashes.retain(|c| !is_excused(c, at));
+        self.confirmation = self.confirmation.filter(|c| at < c.at);
         self.drop_unfounded_confirmation();
     }
 
@@ -165,12 +171,13 @@
     pub fn merge(&mut self, other: &Self) -> bool {
         let before = self.clone();
         self.depth = self.depth.max(other.depth);
-        if let Some(theirs) = other.begun_at
-            && self
-                .begun_at
-                .is_none_or(|ours| theirs.since(ours) > SAME_EVENT)
-        {
-            self.add_begin(theirs);
+        if let Some(theirs) = other.begun_at {
+            self.apply_begin(theirs);
+            // A time that was sent to and fro is later than its event by the messages' latency.
+            let is_newer = |ours| theirs > ours && !is_same_event(ours, theirs);
+            if self.begun_at.is_none_or(is_newer) {
+                self.begun_at = Some(theirs);
+            }
         }
         for crash in &other.crashes {
             self.add_crash(*crash);
--- a/crates/state/quarantine/tests/quarantine.rs
+++ b/crates/state/quarantine/tests/quarantine.rs
@@ -468,6 +468,34 @@
     ]);
 }
 
+// Only the later one of two begins excuses the last crash.
+#[test]
+fn merge_of_begins_excuses_crashes_everywhere() {
+    assert_converges(&[
+        (Event::Crash(0, 1, 0), 0),
+        (Event::Begin(0, 2), 1),
+        (Event::Crash(0, 1, 1), 24),
+        (Event::Begin(1, 1), 0),
+        (Event::Begin(2, 1), 280),
+        (Event::Crash(0, 1, 2), 720),
+    ]);
+}
+
+// Only the later one of two begins comes after the quarantine.
+#[test]
+fn merge_of_begins_ends_a_quarantine_everywhere() {
+    assert_converges(&[
+        (Event::Crash(0, 1, 0), 0),
+        (Event::Crash(0, 1, 4), 25),
+        (Event::Crash(0, 1, 1), 25),
+        (Event::Begin(0, 2), 0),
+        (Event::Begin(1, 1), 0),
+        (Event::Crash(0, 0, 0), 1),
+        (Event::Begin(2, 1), 0),
+        (Event::Crash(0, 1, 2), 1_000),
+    ]);
+}
+
 proptest! {
     /// After all have exchanged their records, all withhold the same parts.
     #[test]
