Quarantine: instances agree on the time of an engine's crash

Callers got 503 with code 3009 from one instance while another one admitted the same part.

Cause: crashes are merged by the run of the engine, and each instance kept the time at which it had learned of one itself. Crashes within 25 ms count as one, so two instances with the same crashes counted them differently, and quarantined different parts.

Red before, green with the change: merge_of_crashes_agrees_on_their_times.

The earlier time stands; a transfer only adds to a time.

--- a/crates/state/quarantine/src/record.rs
+++ b/crates/state/quarantine/src/record.rs
@@ -94,16 +94,20 @@
         }
     }
 
-    /// Adds a crash. Returns whether it was not recorded before.
+    /// Adds a crash, or an earlier time of one. Returns whether it was not recorded before.
     pub fn add_crash(&mut self, crash: Crash) -> bool {
-        let is_known = self.crashes.iter().any(|c| c.run == crash.run);
-        let is_excused = self.begun_at.is_some_and(|at| is_excused(&crash, at));
-        let is_older = self.crashes.first().is_some_and(|c| crash.at <= c.at);
-        let is_full = self.crashes.len() >= MAX_CRASHES;
-        if is_known || is_excused || (is_full && is_older) {
+        if self.begun_at.is_some_and(|at| is_excused(&crash, at)) {
             return false;
         }
-        if is_full {
+        if let Some(known) = self.crashes.iter_mut().find(|c| c.run == crash.run) {
+            known.at = known.at.min(crash.at);
+            self.crashes.sort_by_key(|c| c.at);
+            return false;
+        }
+        if self.crashes.len() >= MAX_CRASHES {
+            if self.crashes.first().is_some_and(|c| crash.at <= c.at) {
+                return false;
+            }
             self.crashes.remove(0);
         }
         self.crashes.push(crash);
--- a/crates/state/quarantine/tests/quarantine.rs
+++ b/crates/state/quarantine/tests/quarantine.rs
@@ -496,7 +496,28 @@
     ]);
 }
 
+// Two instances record run 21 at different times. By one of them its crash and the one before are
+// of one moment.
+#[test]
+fn merge_of_crashes_agrees_on_their_times() {
+    assert_converges(&[
+        (Event::Crash(0, 2, 17), 0),
+        (Event::Begin(0, 1), 0),
+        (Event::Crash(0, 1, 8), 1_000),
+        (Event::Crash(0, 2, 0), 0),
+        (Event::Crash(0, 1, 17), 25),
+        (Event::Crash(0, 2, 1), 0),
+        (Event::Crash(1, 1, 21), 0),
+        (Event::Begin(1, 3), 0),
+        (Event::Crash(0, 1, 2), 25),
+        (Event::Crash(0, 1, 21), 0),
+    ]);
+}
+
 proptest! {
+    // Few sequences have two events of one kind at times that are hard to tell apart.
+    #![proptest_config(ProptestConfig::with_cases(4_096))]
+
     /// After all have exchanged their records, all withhold the same parts.
     #[test]
     fn merge_converges(events in prop::collection::vec((event(), 0..2_000u64), 0..80)) {
