--- a/crates/state/quarantine/src/record.rs
+++ b/crates/state/quarantine/src/record.rs
@@ -178,8 +178,10 @@
         if let Some(theirs) = other.begun_at {
             self.apply_begin(theirs);
             // A time that was sent to and fro is later than its event by the messages' latency.
-            let is_newer = |ours| theirs > ours && !is_same_event(ours, theirs);
-            if self.begun_at.is_none_or(is_newer) {
+            if self
+                .begun_at
+                .is_none_or(|ours| theirs.since(ours) > SAME_EVENT)
+            {
                 self.begun_at = Some(theirs);
             }
         }
