Instances: an entry belongs to one process

Callers: after a planned restart beside one lost answer of the store, two instances acted as the only owner of the same assignments, for good.

Cause: the removal of an ended process's entry named no version, so the store executed it 4.5 s later on the entry of the next process. Nothing noticed that the entry was gone. The version alone would not have helped: the next process at the same address wrote an equal entry, which the store takes for no change.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -22,6 +22,7 @@
 use hemlockwind_backend::http1::Http1;
 use hemlockwind_core::collections::HashMap;
 use hemlockwind_core::edges::Clock;
+use hemlockwind_core::edges::ObjectVersion;
 use hemlockwind_core::names::Rank;
 use hemlockwind_core::routes::Route;
 use hemlockwind_core::routes::Routes;
@@ -91,6 +92,8 @@
     pub has_engines: AtomicBool,
     /// The other instances.
     pub peers: Peers,
+    /// The version of this instance's own entry, once the store has confirmed it.
+    pub registered: Mutex<Option<ObjectVersion>>,
     /// The objects that were read from the store.
     pub store_cache: StoreCache,
     /// The connections to backend servers.
@@ -175,6 +178,7 @@
             data_centre: settings.data_centre.as_str().into(),
             addr: settings.peers,
             processor_share: settings.processor_share,
+            process: rand::random(),
         };
         // All instances receive peer messages on the same port.
         let seeds = settings.seeds.iter();
@@ -192,6 +196,7 @@
             has_manifest_of_peer: AtomicBool::new(false),
             has_engines: AtomicBool::new(false),
             peers: Peers::new(me, &seeds, key),
+            registered: Mutex::default(),
             store_cache: StoreCache::default(),
             tasks: Tasks::default(),
             lines: LineBudget::new(clock.now()),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -65,6 +65,8 @@
     pub addr: SocketAddr,
     /// The processor time that it may use, in cores.
     pub processor_share: f64,
+    /// Distinguishes this process from others of the name; 0 if it is not known.
+    pub process: u64,
 }
 
 /// `Peers` holds the other instances.
@@ -102,6 +104,7 @@
             addr: *addr,
             data_centre: Arc::clone(&me.data_centre),
             processor_share: 0.0,
+            process: 0,
         });
         Self {
             client: H2Peer::new(&*me.name, key),
--- a/crates/gateway/tests/budget.rs
+++ b/crates/gateway/tests/budget.rs
@@ -36,6 +36,7 @@
         data_centre: Arc::from("a"),
         addr: "127.0.0.1:9".parse().unwrap(),
         processor_share: 0.25,
+        process: 1,
     });
     gateway.peers.replace(gateway.now(), others.collect());
     let all = 8.0 * slack(&gateway);
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -29,6 +29,7 @@
         data_centre: data_centre.into(),
         addr,
         processor_share: 0.25,
+        process: 1,
     }
 }
 
--- a/crates/gateway/tests/reroutes.rs
+++ b/crates/gateway/tests/reroutes.rs
@@ -237,6 +237,7 @@
         data_centre: "a".into(),
         addr: listener.local_addr().unwrap(),
         processor_share: 1_000.0,
+        process: 1,
     };
     let owner = Arc::new(LateOwner::default());
     tokio::spawn(server::serve(
