Peers: what is known of an instance is known of one process

Cause: instances that did not answer are kept by name, with the address that is probed. A new entry did not end the record, and a call that failed late began one for the next process.

Change: an entry of another process ends both records of the name; a late failure and a late probe concern their own process.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -69,11 +69,19 @@
     pub process: u64,
 }
 
+impl Instance {
+    /// Whether both are the same process at the same address.
+    fn is_same_process(&self, other: &Self) -> bool {
+        (self.addr, self.process) == (other.addr, other.process)
+    }
+}
+
 /// `Peers` holds the other instances.
 pub struct Peers {
     me: Instance,
     /// Where updates are pulled from as long as no other instance is listed.
     seeds: Vec<Instance>,
+    /// Where both are locked, `suspects` is locked first.
     others: RwLock<SeededHashMap<Arc<str>, Instance>>,
     /// Instances that did not answer; they are skipped until they answer a probe.
     suspects: Mutex<SeededHashMap<Arc<str>, Instance>>,
@@ -123,15 +131,24 @@
         &self.me
     }
 
-    /// Adds or replaces an instance as registered in the store.
+    /// Adds or replaces an instance as registered in the store. What is known of an earlier process of
+    /// the name does not apply to a later one.
     pub fn put(&self, instance: Instance) {
-        if instance.name != self.me.name {
-            let name = Arc::clone(&instance.name);
-            if let Some(settling) = &mut *self.settling.lock() {
-                settling.missing.retain(|missing| *missing != name);
-            }
-            self.others.write().insert(name, instance);
+        let name = Arc::clone(&instance.name);
+        if let Some(settling) = &mut *self.settling.lock() {
+            settling.missing.retain(|missing| *missing != name);
         }
+        if name == self.me.name {
+            return;
+        }
+        let mut suspects = self.suspects.lock();
+        let mut others = self.others.write();
+        let known = others.get(&name);
+        if known.is_some_and(|known| !known.is_same_process(&instance)) {
+            suspects.remove(&name);
+            self.unserved.lock().remove(&name);
+        }
+        others.insert(name, instance);
     }
 
     /// Records that the store was restored from a snapshot: the instances write their entries again
@@ -408,12 +425,20 @@
             Err((Attempt::Sent, error))
         });
         if reply.is_err() {
-            let mut suspects = self.suspects.lock();
-            suspects.insert(Arc::clone(&to.name), to.clone());
+            self.suspect(to);
         }
         reply
     }
 
+    /// Skips an instance until it answers a probe, unless a later process has its name by now.
+    fn suspect(&self, instance: &Instance) {
+        let mut suspects = self.suspects.lock();
+        let current = self.get(&instance.name);
+        if current.is_some_and(|i| i.is_same_process(instance)) {
+            suspects.insert(Arc::clone(&instance.name), instance.clone());
+        }
+    }
+
     /// Probes one instance of each other data centre, and all instances of those data
     /// centres where it did not answer.
     pub async fn probe_data_centres(&self) {
@@ -449,7 +474,10 @@
             let probes = suspects.iter().map(|instance| async move {
                 let probe = self.client.call(instance.addr, probe_message());
                 if let Ok(Ok(_)) = timeout(CALL_TIMEOUT, probe).await {
-                    self.suspects.lock().remove(&instance.name);
+                    let mut suspects = self.suspects.lock();
+                    if suspects.get(&instance.name) == Some(instance) {
+                        suspects.remove(&instance.name);
+                    }
                 }
             });
             futures::future::join_all(probes).await;
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -224,3 +224,43 @@
     peers.expire(at(6_300));
     assert_eq!(peers.count(), Some(2));
 }
+
+/// Returns the names of the other instances that are used.
+fn used(peers: &Peers) -> Vec<Arc<str>> {
+    let mut names: Vec<Arc<str>> = peers.all().into_iter().map(|i| i.name).collect();
+    names.sort_unstable();
+    names
+}
+
+/// Another process of the instance `name`, at another address.
+fn next_process(name: &str, data_centre: &str) -> Instance {
+    Instance {
+        addr: "127.0.0.1:10".parse().unwrap(),
+        process: 2,
+        ..instance(name, data_centre)
+    }
+}
+
+/// Guards against skipping an instance for good that registered again at another address: only the
+/// former address was probed.
+#[tokio::test]
+async fn put_next_process_of_one_that_did_not_answer() {
+    let peers = peers();
+    let former = instance("front-4", "east");
+    assert!(peers.call(&former, urgent_reroute()).await.is_err());
+    assert_eq!(used(&peers), ["front-2".into(), "front-3".into()]);
+    peers.put(former);
+    assert_eq!(used(&peers).len(), 2, "the same process");
+    peers.put(next_process("front-4", "east"));
+    assert_eq!(used(&peers).len(), 3);
+}
+
+/// The same if a call to the former process fails after the next one has registered.
+#[tokio::test]
+async fn call_that_fails_late_concerns_the_former_process() {
+    let peers = peers();
+    peers.put(next_process("front-4", "east"));
+    let former = instance("front-4", "east");
+    assert!(peers.call(&former, urgent_reroute()).await.is_err());
+    assert_eq!(used(&peers).len(), 3);
+}
