Peers: an instance that the others don't know owns nothing

Cause: an instance counted itself among those that an assignment may fall to, also without an entry, or with that of an earlier process at another address.

Change: it counts itself once the list shows its entry, or if no other instance is eligible. In a restore it counts as listed for as long as the others keep a missing entry.

Evidence: peers queue_owner_without_an_own_entry and ..._after_a_restore red before (owner of some of 64 services, now none).

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -83,6 +83,8 @@
     seeds: Vec<Instance>,
     /// Where both are locked, `suspects` is locked first.
     others: RwLock<SeededHashMap<Arc<str>, Instance>>,
+    /// Whether the others know this instance, as the store lists its entry.
+    is_listed: AtomicBool,
     /// Instances that did not answer; they are skipped until they answer a probe.
     suspects: Mutex<SeededHashMap<Arc<str>, Instance>>,
     /// Instances that the store does not serve, and until when that is valid.
@@ -120,6 +122,7 @@
             unserved: Mutex::default(),
             me,
             others: RwLock::default(),
+            is_listed: AtomicBool::new(false),
             suspects: Mutex::default(),
             has_list: AtomicBool::new(false),
             settling: Mutex::default(),
@@ -139,6 +142,9 @@
             settling.missing.retain(|missing| *missing != name);
         }
         if name == self.me.name {
+            // An entry with the address of an earlier process leads the others elsewhere.
+            let leads_here = instance.addr == self.me.addr;
+            self.is_listed.store(leads_here, Ordering::Relaxed);
             return;
         }
         let mut suspects = self.suspects.lock();
@@ -173,6 +179,7 @@
     /// time after the first list since the store was restored.
     pub fn replace(&self, now: Instant, listed: Vec<Instance>) {
         let mut missing: Vec<Arc<str>> = self.others.read().keys().cloned().collect();
+        missing.push(Arc::clone(&self.me.name));
         missing.retain(|name| !listed.iter().any(|i| i.name == *name));
         if let Some(settling) = &mut *self.settling.lock() {
             settling.missing = std::mem::take(&mut missing);
@@ -191,6 +198,10 @@
 
     /// Removes an instance that has left.
     pub fn remove(&self, name: &str) {
+        if *name == *self.me.name {
+            self.is_listed.store(false, Ordering::Relaxed);
+            return;
+        }
         self.others.write().remove(name);
         self.suspects.lock().remove(name);
     }
@@ -210,16 +221,19 @@
 
     /// Returns the eligible instances that answer, including this one, in the order of
     /// rendezvous hashing for an assignment. An assignment costs the same on each
-    /// instance, so weak instances are left out unless there are no others.
+    /// instance, so weak instances are left out unless there are no others. While the others don't
+    /// know this instance, it is left out too: they give its assignments to another one.
     fn ranked(&self, assignment: &str, is_eligible: impl Fn(&Instance) -> bool) -> Vec<Instance> {
         let suspects = self.suspects.lock();
         let others = self.others.read();
         let live = others
             .values()
             .filter(|i| !suspects.contains_key(&i.name))
-            .chain([&self.me])
             .filter(|i| is_eligible(i));
         let mut live: Vec<&Instance> = live.collect();
+        if is_eligible(&self.me) && (live.is_empty() || self.is_listed.load(Ordering::Relaxed)) {
+            live.push(&self.me);
+        }
         let strongest = live.iter().map(|i| i.processor_share).fold(0.0, f64::max);
         live.retain(|i| i.processor_share >= strongest * STRONG_SHARE);
         live.sort_by_cached_key(|i| std::cmp::Reverse(weight(i, assignment)));
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -264,3 +264,57 @@
     assert!(peers.call(&former, urgent_reroute()).await.is_err());
     assert_eq!(used(&peers).len(), 3);
 }
+
+/// Guards against two owners of one assignment: an instance whose entry is missing, or that of an
+/// earlier process at another address, counted itself while the others could not.
+#[test]
+fn queue_owner_without_an_own_entry() {
+    let own = instance("front-1", "east");
+    let owned = |peers: &Peers| {
+        let services = (0..64).map(|i| format!("service-{i}"));
+        let owners = services.map(|service| peers.queue_owner(&service).name);
+        owners.filter(|owner| **owner == *own.name).count()
+    };
+    let peers = peers();
+    assert_eq!(owned(&peers), 0, "not registered yet");
+    peers.put(own.clone());
+    assert!(owned(&peers) > 0);
+    peers.remove("front-1");
+    assert_eq!(owned(&peers), 0);
+    peers.put(own.clone());
+    peers.put(next_process("front-1", "east"));
+    assert_eq!(owned(&peers), 0, "the others know another address");
+    let others = ["front-2", "front-3", "front-4"].map(|name| instance(name, "east"));
+    let at = Instant::from_millis;
+    peers.replace(at(0), [others.to_vec(), vec![own.clone()]].concat());
+    assert!(owned(&peers) > 0);
+    peers.replace(at(0), others.to_vec());
+    assert_eq!(owned(&peers), 0);
+    peers.replace(at(0), Vec::new());
+    assert_eq!(owned(&peers), 64, "no other instance is known");
+}
+
+/// Guards against giving assignments up in a restore, in which the others keep the missing entry.
+#[test]
+fn queue_owner_without_an_own_entry_after_a_restore() {
+    let peers = peers();
+    let own = instance("front-1", "east");
+    peers.put(own.clone());
+    let before = peers.queue_owner("service-1");
+    let others = ["front-2", "front-3", "front-4"].map(|name| instance(name, "east"));
+    let at = Instant::from_millis;
+    let service = |owner: &str| {
+        let mut services = (0..64).map(|i| format!("service-{i}"));
+        services
+            .find(|s| *peers.queue_owner(s).name == *owner)
+            .unwrap()
+    };
+    let own_service = service("front-1");
+    peers.mark_store_restored();
+    peers.replace(at(1_000), others.to_vec());
+    assert_eq!(peers.queue_owner(&own_service).name, own.name);
+    peers.expire(at(3_300));
+    assert_ne!(peers.queue_owner(&own_service).name, own.name);
+    peers.put(own);
+    assert_eq!(peers.queue_owner("service-1").name, before.name);
+}
