Directory: an entry hides no server of another process or service

Cause: whichever entry was taken last removed all others with its address, and nothing brought them back. In a list the order is that of the names.

Change: all entries are kept, and one for each address is in use: of a service of the routes, not denied by its server (421), of the latest process, still listed. The choice depends on the entries and the routes alone. A removed entry whose address another ready server has moves no streams. Lookups by address use the index.

--- a/crates/gateway/src/announcements.rs
+++ b/crates/gateway/src/announcements.rs
@@ -10,6 +10,7 @@
 use slog::info;
 
 use hemlockwind_core::collections::SeededHashMap;
+use hemlockwind_core::servers::BackendServer;
 use hemlockwind_core::time::Instant;
 use hemlockwind_platform::headers::ServerHeaders;
 
@@ -67,6 +68,20 @@
     }
 }
 
+/// Records that the server at the address of `server` is another one, as it answered 421.
+pub fn record_misdirected(gateway: &Gateway, server: &BackendServer) {
+    gateway.counters.add("servers_misdirected");
+    let is_superseded = gateway.directory.write().refute(server);
+    if let Some(left_out) = gateway.lines.take(gateway.now(), "misdirected") {
+        info!(gateway.log, "another server at this address"; "server" => &*server.id,
+            "engine" => %server.addr, "born" => server.born_ms,
+            "is_superseded" => is_superseded, "left_out" => left_out);
+    }
+    if is_superseded {
+        merge::refresh_queue_owners(gateway);
+    }
+}
+
 /// Records that a server leaves, and notifies the streams of this instance and the other
 /// instances.
 fn record_leaving(gateway: &Arc<Gateway>, id: &str, addr: SocketAddr) {
--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -8,6 +8,7 @@
 use http::HeaderMap;
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use http_body_util::Full;
 use slog::info;
 use tokio::time::Instant;
@@ -273,7 +274,13 @@
         if let Ok(answer) = &answer {
             let answered = ServerHeaders::read(answer.headers());
             let from = (&*server.id, server.addr);
-            announcements::record(self.gateway, from, answer.status(), &answered);
+            match answer.status() {
+                // Another server answered, whose announcements are not those of this one.
+                StatusCode::MISDIRECTED_REQUEST => {
+                    announcements::record_misdirected(self.gateway, server);
+                }
+                status => announcements::record(self.gateway, from, status, &answered),
+            }
         }
         let result = match answer {
             Ok(answer) => check(server.addr, &accepted.attempt, answer),
@@ -311,14 +318,14 @@
             self.gateway.counters.add("calls_not_run");
             let error = Error::backend_unreachable(last_error.to_string());
             let mut response = answers::failure(&error, attempt, Some(retry));
-            *response.status_mut() = http::StatusCode::SERVICE_UNAVAILABLE;
+            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
             return response;
         }
         self.gateway.counters.add("calls_unknown");
         let error = Error::outcome_unknown(last_error.to_string());
         let mut response = answers::failure(&error, attempt, None);
         if self.accepted.time_left().is_zero() {
-            *response.status_mut() = http::StatusCode::GATEWAY_TIMEOUT;
+            *response.status_mut() = StatusCode::GATEWAY_TIMEOUT;
         }
         response
     }
@@ -358,7 +365,7 @@
         return DispatchResult::Failed(Attempt::Sent, e);
     }
     let status = answer.status();
-    if answered.is_not_run || status == http::StatusCode::MISDIRECTED_REQUEST {
+    if answered.is_not_run || status == StatusCode::MISDIRECTED_REQUEST {
         return DispatchResult::NotRun(Error::backend_refused(format!("{addr}: {status}")));
     }
     if answered.is_encoded || !answered.is_sealed {
--- a/crates/gateway/src/diagnosis.rs
+++ b/crates/gateway/src/diagnosis.rs
@@ -36,7 +36,7 @@
         "layers" => report.layers.map(|l| l.to_string()), "is_full" => is_full);
     let entry = {
         let directory = gateway.directory.read();
-        directory.iter().find(|s| s.addr == addr).cloned()
+        directory.at(addr).cloned()
     };
     let Some(entry) = entry else { return };
     if report.layers != entry.layers {
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -3,10 +3,18 @@
 //! Entries may expire while the store is unavailable although their servers are alive.
 //! They reappear within a bounded time after its recovery; until then a removal is only
 //! recorded.
+//!
+//! Several entries may name one address: that of a server that crashed there stands until it
+//! expires, and other writers may leave entries of their own. One of them is in use; the others are
+//! kept, as any of them may be the one that remains. The choice depends on the entries alone, not on
+//! the order in which they were received.
 
+use std::cmp::Reverse;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use hemlockwind_core::collections::HashMap;
 use hemlockwind_core::collections::SeededHashMap;
 use hemlockwind_core::layers::LayerRange;
 use hemlockwind_core::servers::BackendServer;
@@ -29,12 +37,20 @@
     server: Arc<BackendServer>,
     /// When the entry is removed, unless it reappears before.
     remove_at: Instant,
+    /// Whether another entry with the same address is in use instead.
+    is_superseded: bool,
+    /// Whether the server at the address answered that it is another one.
+    is_refuted: bool,
 }
 
 /// `Directory` holds the listed backend servers.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     entries: SeededHashMap<Arc<str>, Entry>,
+    /// The ids of the entries with each address.
+    by_addr: HashMap<SocketAddr, Vec<Arc<str>>>,
+    /// The names of the services that the routes in force use.
+    services: SeededHashMap<Arc<str>, ()>,
     is_store_lost: bool,
     /// Until this time, removed entries may reappear.
     settled_at: Instant,
@@ -116,16 +132,95 @@
             None => {}
         }
         self.removed.remove(&server.id);
-        self.skipped
-            .retain(|id, s| s.addr != server.addr && *id != server.id);
-        // An address belongs to one server; an older entry for it is out of date.
-        self.entries
-            .retain(|id, e| e.server.addr != server.addr || *id == server.id);
+        self.skipped.remove(&server.id);
+        let before = self.entries.get(&server.id);
+        let is_unchanged = before.is_some_and(|e| *e.server == server);
         let entry = Entry {
             remove_at: Instant::NEVER,
+            is_superseded: false,
+            // A server that writes another entry runs.
+            is_refuted: is_unchanged && before.is_some_and(|e| e.is_refuted),
             server: Arc::new(server),
         };
-        self.entries.insert(Arc::clone(&entry.server.id), entry);
+        self.drop_entry(&entry.server.id);
+        let (id, addr) = (Arc::clone(&entry.server.id), entry.server.addr);
+        self.by_addr.entry(addr).or_default().push(Arc::clone(&id));
+        self.entries.insert(id, entry);
+        self.choose(addr);
+    }
+
+    /// Removes an entry and returns its server.
+    fn drop_entry(&mut self, id: &str) -> Option<Arc<BackendServer>> {
+        let server = self.entries.remove(id)?.server;
+        if let Some(ids) = self.by_addr.get_mut(&server.addr) {
+            ids.retain(|other| **other != *id);
+            if ids.is_empty() {
+                self.by_addr.remove(&server.addr);
+            }
+        }
+        self.choose(server.addr);
+        Some(server)
+    }
+
+    /// Chooses the entry of an address that is in use.
+    fn choose(&mut self, addr: SocketAddr) {
+        let Some(ids) = self.by_addr.get(&addr) else {
+            return;
+        };
+        // Most addresses have one entry.
+        let chosen = match &ids[..] {
+            [id] => Some(id),
+            ids => ids.iter().max_by_key(|id| {
+                let entry = self.entries.get(*id);
+                entry.map(|e| (self.precedence(e), Reverse(Arc::clone(id))))
+            }),
+        };
+        let chosen = chosen.cloned();
+        for id in ids.clone() {
+            if let Some(entry) = self.entries.get_mut(&id) {
+                entry.is_superseded = Some(&id) != chosen.as_ref();
+            }
+        }
+    }
+
+    /// Returns a value that is higher for the entry that is more likely to describe the server at its
+    /// address: that of a service that is in use, of a server that has not denied it, of the latest
+    /// process, and one that the store still lists.
+    fn precedence(&self, entry: &Entry) -> (bool, bool, u64, bool) {
+        (
+            self.services.contains_key(&entry.server.service),
+            !entry.is_refuted,
+            entry.server.born_ms,
+            entry.remove_at == Instant::NEVER,
+        )
+    }
+
+    /// Sets the names of the services that the routes in force use.
+    pub fn set_services<'a>(&mut self, names: impl Iterator<Item = &'a Arc<str>>) {
+        let services: SeededHashMap<Arc<str>, ()> = names.map(|n| (Arc::clone(n), ())).collect();
+        if services == self.services {
+            return;
+        }
+        self.services = services;
+        let shared = self.by_addr.iter().filter(|(_, ids)| ids.len() > 1);
+        let shared: Vec<SocketAddr> = shared.map(|(addr, _)| *addr).collect();
+        for addr in shared {
+            self.choose(addr);
+        }
+    }
+
+    /// Records that the server at the address of an entry answered that it is not this one. Returns
+    /// whether another entry is in use from now on.
+    pub fn refute(&mut self, server: &BackendServer) -> bool {
+        let Some(entry) = self.entries.get_mut(&server.id) else {
+            return false;
+        };
+        if (entry.server.addr, entry.server.born_ms) != (server.addr, server.born_ms) {
+            return false;
+        }
+        entry.is_refuted = true;
+        self.choose(server.addr);
+        self.get(&server.id).is_none()
     }
 
     /// Records that a server announced that it leaves. Returns whether that was not known.
@@ -166,11 +261,13 @@
     pub fn remove(&mut self, now: Instant, id: &str) {
         self.skipped.remove(id);
         if self.settled_at <= now {
-            if let Some(entry) = self.entries.remove(id) {
-                self.remember_removed(now, &entry.server);
+            if let Some(server) = self.drop_entry(id) {
+                self.remember_removed(now, &server);
             }
         } else if let Some(entry) = self.entries.get_mut(id) {
             entry.remove_at = entry.remove_at.min(self.settled_at);
+            let addr = entry.server.addr;
+            self.choose(addr);
         }
     }
 
@@ -192,12 +289,9 @@
     /// Replaces all entries; those that are not listed are removed.
     pub fn replace(&mut self, now: Instant, listed: Vec<BackendServer>) {
         self.is_list_pending = false;
-        let missing: Vec<Arc<str>> = self
-            .entries
-            .keys()
-            .filter(|id| !listed.iter().any(|s| s.id == **id))
-            .cloned()
-            .collect();
+        let names: SeededHashMap<&str, ()> = listed.iter().map(|s| (&*s.id, ())).collect();
+        let missing = self.entries.keys().filter(|id| !names.contains_key(&***id));
+        let missing: Vec<Arc<str>> = missing.cloned().collect();
         for id in missing {
             self.remove(now, &id);
         }
@@ -219,16 +313,18 @@
         let due = self.entries.values().filter(|e| e.remove_at <= now);
         let due: Vec<Arc<BackendServer>> = due.map(|e| Arc::clone(&e.server)).collect();
         for server in &due {
-            self.entries.remove(&server.id);
+            self.drop_entry(&server.id);
             self.remember_removed(now, server);
         }
         let mut skipped = Vec::new();
         if self.restored_until <= now {
             skipped.extend(std::mem::take(&mut self.skipped).into_values());
         }
-        let is_changed = !due.is_empty() || !skipped.is_empty();
+        let mut is_changed = !due.is_empty();
         for server in skipped {
+            let id = Arc::clone(&server.id);
             self.put(server);
+            is_changed |= self.get(&id).is_some();
         }
         is_changed
     }
@@ -243,9 +339,11 @@
         }
     }
 
-    /// Returns all listed backend servers, also those that may still reappear.
+    /// Returns the listed backend servers, also those that may still reappear. No two of them have the
+    /// same address.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<BackendServer>> {
-        self.entries.values().map(|e| &e.server)
+        let in_use = self.entries.values().filter(|e| !e.is_superseded);
+        in_use.map(|e| &e.server)
     }
 
     /// Returns the servers of one service.
@@ -253,8 +351,20 @@
         self.iter().filter(move |s| *s.service == *service)
     }
 
-    /// Returns the server with this id.
+    /// Returns the server with this id, unless another one is in use at its address.
     pub fn get(&self, id: &str) -> Option<&Arc<BackendServer>> {
-        self.entries.get(id).map(|e| &e.server)
+        let entry = self.entries.get(id).filter(|e| !e.is_superseded);
+        entry.map(|e| &e.server)
+    }
+
+    /// Returns the server at this address.
+    pub fn at(&self, addr: SocketAddr) -> Option<&Arc<BackendServer>> {
+        self.by_addr.get(&addr)?.iter().find_map(|id| self.get(id))
+    }
+
+    /// Returns the servers that are not used, each with the one that is in use at its address.
+    pub fn superseded(&self) -> impl Iterator<Item = (&Arc<BackendServer>, &Arc<BackendServer>)> {
+        let superseded = self.entries.values().filter(|e| e.is_superseded);
+        superseded.filter_map(|e| Some((&e.server, self.at(e.server.addr)?)))
     }
 }
--- a/crates/gateway/src/engine_ends.rs
+++ b/crates/gateway/src/engine_ends.rs
@@ -88,7 +88,7 @@
 async fn examine_now(gateway: &Gateway, addr: SocketAddr) -> EngineEnd {
     let entry = {
         let directory = gateway.directory.read();
-        directory.iter().find(|s| s.addr == addr).cloned()
+        directory.at(addr).cloned()
     };
     let born_ms = entry.as_ref().map(|s| s.born_ms);
     let deadline = Instant::now() + EXAMINATION_TIMEOUT;
--- a/crates/gateway/src/merge.rs
+++ b/crates/gateway/src/merge.rs
@@ -1,7 +1,6 @@
 //! Merges changes of the store's objects, whichever way they came, into the cache and puts them in
 //! force: routes, backend servers and instances.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -17,6 +16,7 @@
 use hemlockwind_platform::store::Object;
 use hemlockwind_protocol::peer::store::Kind;
 
+use crate::directory::Directory;
 use crate::gateway::EngineFault;
 use crate::gateway::Gateway;
 use crate::instances;
@@ -106,19 +106,40 @@
 fn apply_servers(gateway: &Gateway, objects: &[Object]) {
     let now = gateway.now();
     let listed: Vec<BackendServer> = objects.iter().filter_map(servers::parse).collect();
-    let leaving: Vec<SocketAddr> = {
-        let directory = gateway.directory.read();
+    let mut directory = gateway.directory.write();
+    let leaving: Vec<Arc<BackendServer>> = {
         let leaves = |s: &BackendServer| {
             let current = listed.iter().find(|l| l.id == s.id);
             current.is_none_or(|l| l.state == ServerState::Leaving)
         };
         let ready = directory.iter().filter(|s| s.state == ServerState::Ready);
-        ready.filter(|s| leaves(s)).map(|s| s.addr).collect()
+        ready.filter(|s| leaves(s)).cloned().collect()
     };
-    gateway.directory.write().replace(now, listed);
-    for addr in leaving {
+    directory.replace(now, listed);
+    for (server, used) in directory.superseded() {
+        log_superseded(gateway, server, used);
+    }
+    for server in leaving.iter().filter(|s| !is_succeeded(&directory, s)) {
         // Sending fails when no stream runs.
-        let _ = gateway.faults.send(EngineFault::Leaving(addr));
+        let _ = gateway.faults.send(EngineFault::Leaving(server.addr));
+    }
+}
+
+/// Whether another server is in use at the address of one that is gone: then the streams there are
+/// those of the other one.
+fn is_succeeded(directory: &Directory, gone: &BackendServer) -> bool {
+    let current = directory.at(gone.addr);
+    current.is_some_and(|s| s.id != gone.id && s.state == ServerState::Ready)
+}
+
+/// Logs that the entry of a server is not used, as that of `used` names the same address.
+fn log_superseded(gateway: &Gateway, server: &BackendServer, used: &BackendServer) {
+    gateway.counters.add("server_entries_superseded");
+    if let Some(left_out) = gateway.lines.take(gateway.now(), "server_superseded") {
+        info!(gateway.log, "server entry not used"; "server" => &*server.id,
+            "service" => &*server.service, "born" => server.born_ms, "addr" => %server.addr,
+            "used" => &*used.id, "used_service" => &*used.service, "used_born" => used.born_ms,
+            "left_out" => left_out);
     }
 }
 
@@ -157,6 +178,8 @@
         warn!(gateway.log, "organisations left out"; "count" => routes.unusable_organisations,
             "version" => routes.version);
     }
+    let services = routes.services().map(|service| &service.name);
+    gateway.directory.write().set_services(services);
     gateway.routes.store(Arc::new(routes));
 }
 
@@ -184,10 +207,18 @@
             "object_version" => change.object.version.0, "left_out" => left_out);
     }
     match after {
-        Some(server) => directory.put(server),
+        Some(server) => {
+            let addr = server.addr;
+            directory.put(server);
+            for (server, used) in directory.superseded().filter(|(s, _)| s.addr == addr) {
+                log_superseded(gateway, server, used);
+            }
+        }
         None => directory.remove(now, &change.object.name),
     }
-    if let (true, Some(before)) = (leaves, before) {
+    if let (true, Some(before)) = (leaves, before)
+        && !is_succeeded(&directory, &before)
+    {
         // Sending fails when no stream runs.
         let _ = gateway.faults.send(EngineFault::Leaving(before.addr));
     }
--- a/crates/gateway/src/queue_owners/notify.rs
+++ b/crates/gateway/src/queue_owners/notify.rs
@@ -171,7 +171,7 @@
     ) {
         let server = {
             let directory = gateway.directory.read();
-            directory.iter().find(|s| s.addr == addr).cloned()
+            directory.at(addr).cloned()
         };
         let Some(server) = server else { return };
         let owner = gateway.peers.queue_owner(&server.service);
