Updates: one at a time to an instance, compressed

Cause: each manifest went at once to all instances of a data centre. 49 times 258 KB take 0.5 s of a link of 200 Mbit/s, a call has 250 ms, so all of them failed (0 of 41, 44, 49 received), and each receiver counted as unreachable. The assignment to watch went on to the next instances, which sent the same. Updates on their way had no bound: links and memory (134 MB) were full.

Change: one update of a kind at a time to each instance, followed by the newest; messages from 4 KiB on are compressed where the receiver accepts that; a large update has 700 ms and is no reason to skip its receiver; a kind that was just pushed is not pulled. flate2 is new. Instances of an older build exchange uncompressed messages.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -50,6 +50,7 @@
 use crate::servers::Servers;
 use crate::slow::SlowEngines;
 use crate::store_cache::StoreCache;
+use crate::updates::Pushes;
 
 /// Number of faults that a slow stream may lag behind before it misses one.
 const FAULT_BACKLOG: usize = 256;
@@ -92,6 +93,8 @@
     pub has_engines: AtomicBool,
     /// The other instances.
     pub peers: Peers,
+    /// The updates that are sent to other instances.
+    pub pushes: Pushes,
     /// The version of this instance's own entry, once the store has confirmed it.
     pub registered: Mutex<Option<ObjectVersion>>,
     /// The objects that were read from the store.
@@ -196,6 +199,7 @@
             has_manifest_of_peer: AtomicBool::new(false),
             has_engines: AtomicBool::new(false),
             peers: Peers::new(me, &seeds, key),
+            pushes: Pushes::default(),
             registered: Mutex::default(),
             store_cache: StoreCache::default(),
             tasks: Tasks::default(),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -23,6 +23,7 @@
 use hemlockwind_core::attempt::Attempt;
 use hemlockwind_core::collections::SeededHashMap;
 use hemlockwind_core::time::Instant;
+use hemlockwind_peer::Frame;
 use hemlockwind_peer::H2Peer;
 use hemlockwind_peer::SharedKey;
 use hemlockwind_protocol::peer::Handler;
@@ -50,6 +51,12 @@
 /// wait.
 const CALL_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// The size from which an update is large, in bytes: the slowest links take some 30 ms for it.
+const MAX_SMALL_UPDATE_BYTES: usize = 48 << 10;
+/// Time limit of a large update. It is shorter than that of [`H2Peer`], which closes the connection
+/// that all messages to the instance use.
+const LARGE_UPDATE_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// Time in which the instances write their entries again after the store was restored: each of them
 /// receives the list of the new era within a second and then writes.
 const REAPPEAR_TIME: Duration = Duration::from_millis(2_300);
@@ -444,6 +451,34 @@
         reply
     }
 
+    /// Sends an encoded update and waits for the reply. An instance that does not reply is skipped as
+    /// after [`Peers::call`], unless the update is large: then it or the link to it may be slow.
+    ///
+    /// # Errors
+    ///
+    /// Returns the peer's error, and whether it may have read the update.
+    pub async fn push(&self, to: &Instance, frame: &Frame) -> Result<Reply, (Attempt, Error)> {
+        let is_large = frame.len() > MAX_SMALL_UPDATE_BYTES;
+        let limit = match is_large {
+            true => LARGE_UPDATE_TIMEOUT,
+            false => CALL_TIMEOUT,
+        };
+        match timeout(limit, self.client.call_frame(to.addr, frame)).await {
+            Ok(Ok(reply)) => Ok(reply),
+            Ok(Err(e)) => {
+                self.suspect(to);
+                Err(e)
+            }
+            Err(_) => {
+                if !is_large {
+                    self.suspect(to);
+                }
+                let error = Error::peer_unreachable(format!("{} gave no answer", to.name));
+                Err((Attempt::Sent, error))
+            }
+        }
+    }
+
     /// Skips an instance until it answers a probe, unless a later process has its name by now.
     fn suspect(&self, instance: &Instance) {
         let mut suspects = self.suspects.lock();
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -3,17 +3,27 @@
 //! In each data centre a few instances watch the store and push its changes to the others
 //! there at once. In addition, each instance pulls from one of them a few times a second,
 //! and these pull from each other: an instance that the store refuses, that missed a
-//! message or whose watch is stuck is behind by one such interval at most. So the calls
+//! message or whose watch is stuck is behind by two such intervals at most. So the calls
 //! to the store grow with the data centres, not with the instances.
+//!
+//! Each instance is sent one update of a kind at a time. What changes meanwhile follows as one
+//! update with the newest state: large manifests in quick succession would else take the links of the
+//! instances for longer than the time in which their other messages must be answered.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use parking_lot::Mutex;
 use slog::info;
+use slog::warn;
 use tokio::time::sleep;
 
+use hemlockwind_core::collections::SeededHashMap;
 use hemlockwind_core::edges::ObjectVersion;
+use hemlockwind_core::time::Instant;
+use hemlockwind_peer::Frame;
+use hemlockwind_platform::manifest;
 use hemlockwind_platform::store::Change;
 use hemlockwind_platform::store::Object;
 use hemlockwind_protocol::peer::Reply;
@@ -40,8 +50,11 @@
 /// Pulls newer objects from other instances, until the task is ended.
 pub async fn pull(gateway: Arc<Gateway>) {
     loop {
-        if let Some(other) = gateway.peers.update_source(gateway.now()) {
-            pull_from(&gateway, &other).await;
+        let now = gateway.now();
+        if let Some(other) = gateway.peers.update_source(now) {
+            let mut versions = gateway.store_cache.versions();
+            versions.retain(|(kind, _)| !gateway.pushes.is_fresh(now, *kind));
+            pull_from(&gateway, &other, versions).await;
         }
         // No caller can be served before the first routes and servers arrive.
         let is_missing = |kind| gateway.store_cache.version(kind) == 0;
@@ -54,8 +67,9 @@
     }
 }
 
-async fn pull_from(gateway: &Arc<Gateway>, other: &Instance) {
-    let mut versions = gateway.store_cache.versions();
+/// Requests what is newer than these versions.
+async fn pull_from(gateway: &Arc<Gateway>, other: &Instance, versions: Vec<(Kind, u64)>) {
+    let mut versions = versions;
     if needs_manifest(gateway) {
         versions.retain(|(kind, _)| *kind != Kind::Routes);
         versions.push((Kind::Routes, 0));
@@ -126,6 +140,12 @@
     changes: &[Change],
 ) {
     let settling = gateway.directory.read().settling(gateway.now());
+    let is_manifest = |change: &Change| change.object.name == manifest::NAME && !change.is_removed;
+    // The manifest is all that is used of its kind, so no earlier change is missed.
+    let after = match kind == Kind::Routes && changes.iter().any(is_manifest) {
+        true => 0,
+        false => after,
+    };
     let objects = changes.iter().map(|change| Changed {
         name: change.object.name.clone(),
         content: (!change.is_removed).then(|| change.object.content.get().to_string()),
@@ -140,16 +160,105 @@
     send(gateway, receivers, changes);
 }
 
+/// `Push` is an encoded update.
+#[derive(Debug)]
+struct Push {
+    version: u64,
+    frame: Frame,
+}
+
+/// `Receiver` is a kind and the name of an instance that is sent updates of it.
+type Receiver = (Kind, Arc<str>);
+
+/// `Pushes` holds the updates that are sent to other instances, and when some were last received.
+#[derive(Default)]
+pub struct Pushes {
+    /// The instances to which an update of a kind is being sent, each with the one that follows.
+    open: Mutex<SeededHashMap<Receiver, Option<Arc<Push>>>>,
+    received_at: Mutex<SeededHashMap<Kind, Instant>>,
+}
+
+impl Pushes {
+    /// Begins to send an update to an instance. Returns false if one is being sent: then the newest
+    /// one follows it.
+    fn begin(&self, kind: Kind, to: &Arc<str>, push: &Arc<Push>) -> bool {
+        let mut open = self.open.lock();
+        match open.get_mut(&(kind, Arc::clone(to))) {
+            Some(next) => {
+                if next.as_ref().is_none_or(|n| n.version < push.version) {
+                    *next = Some(Arc::clone(push));
+                }
+                false
+            }
+            None => {
+                open.insert((kind, Arc::clone(to)), None);
+                true
+            }
+        }
+    }
+
+    /// Ends an update. Returns the one that follows, if any.
+    fn end(&self, kind: Kind, to: &Arc<str>) -> Option<Arc<Push>> {
+        let mut open = self.open.lock();
+        let key = (kind, Arc::clone(to));
+        let next = open.get_mut(&key).and_then(Option::take);
+        if next.is_none() {
+            open.remove(&key);
+        }
+        next
+    }
+
+    /// Records that an update of a kind was received.
+    fn record_received(&self, now: Instant, kind: Kind) {
+        self.received_at.lock().insert(kind, now);
+    }
+
+    /// Whether an update of a kind was received so recently that the kind need not be requested.
+    fn is_fresh(&self, now: Instant, kind: Kind) -> bool {
+        let received_at = self.received_at.lock().get(&kind).copied();
+        received_at.is_some_and(|at| now.since(at) < PULL_INTERVAL)
+    }
+}
+
 fn send(gateway: &Arc<Gateway>, receivers: Vec<Instance>, changes: Changes) {
-    let gateway = Arc::clone(gateway);
-    tokio::spawn(async move {
-        let calls = receivers.iter().map(|other| {
-            let message = Message::Update(changes.clone());
-            gateway.peers.call(other, Request::Store(message))
-        });
+    let (kind, version) = (changes.kind, changes.version);
+    let frame = match Frame::new(&Request::Store(Message::Update(changes))) {
+        Ok(frame) => frame,
+        Err(e) => {
+            warn!(gateway.log, "update not sent"; "kind" => ?kind, "version" => version,
+                "code" => e.code().number(), "error" => %e);
+            return;
+        }
+    };
+    let bytes = frame.len();
+    let push = Arc::new(Push { version, frame });
+    let count = receivers.len();
+    let (free, busy): (Vec<_>, Vec<_>) = receivers
+        .into_iter()
+        .partition(|to| gateway.pushes.begin(kind, &to.name, &push));
+    for to in free {
+        let (gateway, push) = (Arc::clone(gateway), Arc::clone(&push));
+        tokio::spawn(async move { send_to(&gateway, kind, &to, push).await });
+    }
+    if let Some(left_out) = gateway.lines.take(gateway.now(), "pushed") {
+        info!(gateway.log, "updates pushed"; "kind" => ?kind, "version" => version, "bytes" => bytes,
+            "receivers" => count, "busy" => busy.len(), "left_out" => left_out);
+    }
+}
+
+/// Sends an update to an instance, and then those that followed meanwhile.
+async fn send_to(gateway: &Gateway, kind: Kind, to: &Instance, push: Arc<Push>) {
+    let mut push = push;
+    loop {
         // An instance that is not reached pulls the changes later.
-        futures::future::join_all(calls).await;
-    });
+        if gateway.peers.push(to, &push.frame).await.is_err() {
+            gateway.counters.add("updates_not_delivered");
+        }
+        match gateway.pushes.end(kind, &to.name) {
+            Some(next) => push = next,
+            None => return,
+        }
+    }
 }
 
 /// Answers a message of another instance.
@@ -182,13 +291,15 @@
         // An earlier change was missed, or the store was restored.
         if let Some(other) = gateway.peers.get(from) {
             let gateway = Arc::clone(gateway);
-            tokio::spawn(async move { pull_from(&gateway, &other).await });
+            let versions = gateway.store_cache.versions();
+            tokio::spawn(async move { pull_from(&gateway, &other, versions).await });
         }
         return;
     }
     let objects = changes.objects.iter().cloned().filter_map(parse_change);
     let objects: Vec<Change> = objects.collect();
     let is_applied = merge::apply_changes(gateway, changes.kind, changes.version, &objects);
+    gateway.pushes.record_received(gateway.now(), changes.kind);
     let sender = gateway.peers.get(from);
     let is_remote = sender.is_some_and(|i| i.data_centre != gateway.peers.me().data_centre);
     if is_applied && is_remote {
--- a/crates/transport/peer/src/body.rs
+++ b/crates/transport/peer/src/body.rs
@@ -9,8 +9,10 @@
 use hemlockwind_core::Result;
 use hemlockwind_protocol::peer::MAX_FRAME_BYTES;
 
-/// Reads a whole body of at most `MAX_FRAME_BYTES` bytes.
-pub async fn read(mut body: RecvStream) -> Result<Bytes> {
+use crate::compression;
+
+/// Reads a whole message of at most `MAX_FRAME_BYTES` bytes, before and after its decompression.
+pub async fn read(mut body: RecvStream, is_compressed: bool) -> Result<Bytes> {
     let mut buf = BytesMut::new();
     while let Some(chunk) = body.data().await {
         let chunk = chunk.map_err(|e| Error::peer_unreachable(e.to_string()))?;
@@ -21,7 +23,10 @@
         let _ = body.flow_control().release_capacity(chunk.len());
         buf.extend_from_slice(&chunk);
     }
-    Ok(buf.freeze())
+    match is_compressed {
+        true => compression::decompress(&buf),
+        false => Ok(buf.freeze()),
+    }
 }
 
 /// Writes a whole body as the receiver's flow-control window allows.
--- a/crates/transport/peer/src/client.rs
+++ b/crates/transport/peer/src/client.rs
@@ -10,6 +10,8 @@
 use h2::client::SendRequest;
 use http::HeaderMap;
 use http::Request as HttpRequest;
+use http::header::ACCEPT_ENCODING;
+use http::header::CONTENT_ENCODING;
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
 use tokio::sync::Mutex as AsyncMutex;
@@ -30,6 +32,7 @@
 use hemlockwind_protocol::peer::paths::Message;
 
 use crate::body;
+use crate::compression;
 use crate::proof;
 use crate::proof::SharedKey;
 use crate::proof::Side;
@@ -49,7 +52,14 @@
 /// Time between pings.
 const PING_INTERVAL: Duration = Duration::from_millis(1_000);
 
-type Connection = SendRequest<Bytes>;
+/// `Connection` is an authenticated connection.
+#[derive(Clone)]
+struct Connection {
+    h2: SendRequest<Bytes>,
+    /// Whether the other side accepts compressed messages.
+    accepts_compressed: bool,
+}
+
 type SharedState = Arc<AsyncMutex<State>>;
 
 /// `State` holds the connection to one address and the time of its last failed attempt.
@@ -59,6 +69,40 @@
     failed_at: Option<Instant>,
 }
 
+/// `Frame` is an encoded message, which may be sent to many instances.
+#[derive(Clone, Debug)]
+pub struct Frame {
+    plain: Bytes,
+    compressed: Option<Bytes>,
+    time_limit: Duration,
+}
+
+impl Frame {
+    /// Encodes a message and, if it is large, compresses it.
+    ///
+    /// # Errors
+    ///
+    /// `Error::PeerFrame` if the message can't be encoded.
+    pub fn new(req: &Request) -> Result<Self> {
+        let plain = encode(req)?;
+        Ok(Self {
+            compressed: compression::compress(&plain),
+            plain: plain.into(),
+            time_limit: time_limit(req),
+        })
+    }
+
+    /// Returns the number of bytes that are sent to an instance that accepts compressed messages.
+    pub fn len(&self) -> usize {
+        self.compressed.as_ref().unwrap_or(&self.plain).len()
+    }
+
+    /// Whether the message has no bytes.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
 /// `H2Peer` calls other instances over one connection to each.
 pub struct H2Peer {
     name: String,
@@ -130,7 +174,7 @@
     }
 
     /// Authenticates both sides with proofs of the shared key.
-    async fn authenticate(&self, send: Connection) -> Result<Connection> {
+    async fn authenticate(&self, send: SendRequest<Bytes>) -> Result<Connection> {
         let nonce = proof::nonce();
         let hello = [
             (proof::VERSION_HEADER, VERSION.to_string()),
@@ -155,20 +199,31 @@
             .proof(Side::Client, &self.name, &nonce, &peer_nonce);
         let (send, _) =
             exchange_headers(send, "/proof", &[(proof::PROOF_HEADER, own_proof)]).await?;
-        Ok(send)
+        Ok(Connection {
+            h2: send,
+            accepts_compressed: compression::is_accepted(&answer),
+        })
     }
 
     /// Sends a frame over an open connection and reads the reply.
     async fn exchange(
         &self,
         connection: Connection,
-        frame: Bytes,
+        frame: &Frame,
     ) -> Result<Reply, (Attempt, Error)> {
         let unsent = |e: h2::Error| (Attempt::Unsent, Error::peer_unreachable(e.to_string()));
         let sent = |e: h2::Error| (Attempt::Sent, Error::peer_unreachable(e.to_string()));
-        let mut connection = connection.ready().await.map_err(unsent)?;
-        let req = request("/call", &[]);
-        let (answer, mut stream) = connection.send_request(req, false).map_err(unsent)?;
+        let mut req = request("/call", &[]);
+        let headers = req.headers_mut();
+        headers.insert(ACCEPT_ENCODING, compression::DEFLATE);
+        let compressed = frame.compressed.as_ref();
+        let compressed = compressed.filter(|_| connection.accepts_compressed);
+        if compressed.is_some() {
+            headers.insert(CONTENT_ENCODING, compression::DEFLATE);
+        }
+        let frame = compressed.unwrap_or(&frame.plain).clone();
+        let mut h2 = connection.h2.ready().await.map_err(unsent)?;
+        let (answer, mut stream) = h2.send_request(req, false).map_err(unsent)?;
         let written = body::write(&mut stream, frame).await;
         written.map_err(|e| (Attempt::Sent, e))?;
         let answer = answer.await.map_err(sent)?;
@@ -176,7 +231,8 @@
             let error = Error::peer_frame(format!("unexpected status {}", answer.status()));
             return Err((Attempt::Sent, error));
         }
-        let reply = body::read(answer.into_body()).await;
+        let is_compressed = compression::is_compressed(answer.headers());
+        let reply = body::read(answer.into_body(), is_compressed).await;
         let reply = reply.and_then(|frame| decode(&frame));
         reply.map_err(|e| (Attempt::Sent, e))
     }
@@ -194,10 +250,10 @@
 
 /// Sends a request of headers only and returns the response headers.
 async fn exchange_headers(
-    send: Connection,
+    send: SendRequest<Bytes>,
     path: &str,
     headers: &[(&str, String)],
-) -> Result<(Connection, HeaderMap)> {
+) -> Result<(SendRequest<Bytes>, HeaderMap)> {
     let unreachable = |e: h2::Error| Error::peer_unreachable(e.to_string());
     let mut send = send.ready().await.map_err(unreachable)?;
     let (answer, _) = send
@@ -244,14 +300,21 @@
     }
 }
 
-#[async_trait]
-impl Peer for H2Peer {
-    async fn call(&self, to: SocketAddr, req: Request) -> Result<Reply, (Attempt, Error)> {
-        let frame = encode(&req).map_err(|e| (Attempt::Unsent, e))?;
+impl H2Peer {
+    /// Sends an encoded message to the instance at `to` and waits for its reply.
+    ///
+    /// # Errors
+    ///
+    /// As [`Peer::call`].
+    pub async fn call_frame(
+        &self,
+        to: SocketAddr,
+        frame: &Frame,
+    ) -> Result<Reply, (Attempt, Error)> {
         let connection = self.connection(to).await;
         let connection = connection.map_err(|e| (Attempt::Unsent, e))?;
-        let exchange = self.exchange(connection, frame.into());
-        let reply = match timeout(time_limit(&req), exchange).await {
+        let exchange = self.exchange(connection, frame);
+        let reply = match timeout(frame.time_limit, exchange).await {
             Ok(reply) => reply,
             Err(_) => {
                 let error = Error::peer_unreachable(format!("{to} did not reply in time"));
@@ -264,3 +327,11 @@
         reply
     }
 }
+
+#[async_trait]
+impl Peer for H2Peer {
+    async fn call(&self, to: SocketAddr, req: Request) -> Result<Reply, (Attempt, Error)> {
+        let frame = Frame::new(&req).map_err(|e| (Attempt::Unsent, e))?;
+        self.call_frame(to, &frame).await
+    }
+}
--- a/crates/transport/peer/src/lib.rs
+++ b/crates/transport/peer/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod server;
 
 mod body;
+mod compression;
 
+pub use crate::client::Frame;
 pub use crate::client::H2Peer;
 pub use crate::proof::SharedKey;
--- a/crates/transport/peer/src/server.rs
+++ b/crates/transport/peer/src/server.rs
@@ -23,6 +23,8 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::header::ACCEPT_ENCODING;
+use http::header::CONTENT_ENCODING;
 use slog::Logger;
 use slog::warn;
 use tokio::io::AsyncRead;
@@ -43,6 +45,7 @@
 use hemlockwind_protocol::peer::encode;
 
 use crate::body;
+use crate::compression;
 use crate::proof;
 use crate::proof::SharedKey;
 use crate::proof::Side;
@@ -271,7 +274,8 @@
     let answer = Response::builder()
         .header(proof::VERSION_HEADER, VERSION)
         .header(proof::NONCE_HEADER, &nonce)
-        .header(proof::PROOF_HEADER, own_proof);
+        .header(proof::PROOF_HEADER, own_proof)
+        .header(ACCEPT_ENCODING, compression::DEFLATE);
     send_headers(respond, answer)?;
     if version != VERSION.to_string() {
         return Err(Error::peer_version(version));
@@ -317,7 +321,9 @@
     from: &str,
     handler: &dyn Handler,
 ) {
-    let frame = timeout(BODY_TIMEOUT, body::read(req.into_body())).await;
+    let is_compressed = compression::is_compressed(req.headers());
+    let accepts_compressed = compression::is_accepted(req.headers());
+    let frame = timeout(BODY_TIMEOUT, body::read(req.into_body(), is_compressed)).await;
     let frame =
         frame.unwrap_or_else(|_| Err(Error::peer_frame("the message was not complete in time")));
     let reply = match frame.and_then(|frame| decode(&frame)) {
@@ -331,8 +337,17 @@
     let Ok(frame) = frame else {
         return;
     };
+    let mut answer = Response::new(());
+    let compressed = accepts_compressed
+        .then(|| compression::compress(&frame))
+        .flatten();
+    if compressed.is_some() {
+        let headers = answer.headers_mut();
+        headers.insert(CONTENT_ENCODING, compression::DEFLATE);
+    }
+    let frame = compressed.unwrap_or_else(|| frame.into());
     // Errors are ignored: if the peer has disconnected, no one waits for this reply.
-    if let Ok(mut stream) = respond.send_response(Response::new(()), false) {
-        let _ = body::write(&mut stream, frame.into()).await;
+    if let Ok(mut stream) = respond.send_response(answer, false) {
+        let _ = body::write(&mut stream, frame).await;
     }
 }
--- a/crates/transport/peer/tests/peers.rs
+++ b/crates/transport/peer/tests/peers.rs
@@ -288,3 +288,56 @@
     }
     assert!(open <= 20, "{open} are open");
 }
+
+/// Forwards one connection to `to` and counts the bytes in both directions.
+async fn counting_proxy(to: SocketAddr) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let bytes = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&bytes);
+    tokio::spawn(async move {
+        let (mut client, _) = listener.accept().await.unwrap();
+        let mut server = TcpStream::connect(to).await.unwrap();
+        let (mut up, mut down) = ([0; 16 << 10], [0; 16 << 10]);
+        loop {
+            tokio::select! {
+                n = client.read(&mut up) => {
+                    let n = n.unwrap_or_default();
+                    count.fetch_add(n, Ordering::SeqCst);
+                    server.write_all(&up[..n]).await.unwrap();
+                }
+                n = server.read(&mut down) => {
+                    let n = n.unwrap_or_default();
+                    count.fetch_add(n, Ordering::SeqCst);
+                    client.write_all(&down[..n]).await.unwrap();
+                }
+            }
+        }
+    });
+    (addr, bytes)
+}
+
+// Guards against messages that take a link of a few Mbit/s for longer than other messages may wait:
+// manifests are text with many repetitions.
+#[tokio::test]
+async fn call_large_message_is_compressed() {
+    let (addr, _) = serve().await;
+    let (addr, bytes) = counting_proxy(addr).await;
+    let peer = H2Peer::new("a", SharedKey::new("right"));
+    let req = message(1_000_000);
+    let reply = peer.call(addr, req).await.unwrap();
+    assert!(matches!(reply, Reply::Configuration(Message::Chunks(c)) if c[0].len() == 1_000_000));
+    // The message and its reply.
+    let sent = bytes.load(Ordering::SeqCst);
+    assert!(sent < 100_000, "{sent} bytes");
+}
+
+// Guards against a compressed message that is larger than the limit on messages.
+#[tokio::test]
+async fn call_message_beyond_the_limit_is_refused() {
+    let (addr, echo) = serve().await;
+    let peer = H2Peer::new("a", SharedKey::new("right"));
+    let reply = peer.call(addr, message(5 << 20)).await;
+    assert!(!matches!(reply, Ok(Reply::Configuration(_))), "{reply:?}");
+    assert_eq!(echo.handled.load(Ordering::SeqCst), 0);
+}
