Announcements: a fact belongs to one process of a server

A server that starts again under its id got no request from an instance until the end of the Retry-After that its former process had sent, and a late notice that the former one leaves marked it as leaving for good.

--- a/crates/gateway/src/announcements.rs
+++ b/crates/gateway/src/announcements.rs
@@ -1,7 +1,6 @@
 //! What backend servers announce in their answers: that they leave, for how long they want no
 //! request from this instance, and the limit for all instances together.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -22,48 +21,60 @@
 /// Number of pauses from which those that are over are removed.
 const MAX_PAUSES: usize = 4_096;
 
-/// `Pauses` holds the servers that want no request from this instance for a time, by their ids.
+/// `Pause` is the time in which one process of a server wants no requests from this instance.
+#[derive(Clone, Copy, Debug)]
+struct Pause {
+    born_ms: u64,
+    until: Instant,
+}
+
+/// `Pauses` holds the pauses of servers, by their ids.
 #[derive(Default)]
 pub struct Pauses {
-    until: Mutex<SeededHashMap<Box<str>, Instant>>,
+    by_id: Mutex<SeededHashMap<Arc<str>, Pause>>,
 }
 
 impl Pauses {
-    /// Begins or extends a pause.
-    fn set(&self, now: Instant, id: &str, until: Instant) {
-        let mut pauses = self.until.lock();
+    /// Begins or extends the pause of a server.
+    fn set(&self, now: Instant, server: &BackendServer, until: Instant) {
+        let mut pauses = self.by_id.lock();
         if pauses.len() >= MAX_PAUSES {
-            pauses.retain(|_, end| *end > now);
+            pauses.retain(|_, pause| pause.until > now);
         }
-        let end = pauses.entry(id.into()).or_insert(until);
-        *end = until.max(*end);
+        let born_ms = server.born_ms;
+        let before = pauses.get(&server.id);
+        let before = before.filter(|pause| pause.born_ms == born_ms);
+        let until = before.map_or(until, |pause| pause.until.max(until));
+        pauses.insert(Arc::clone(&server.id), Pause { born_ms, until });
     }
 
-    /// Returns the rest of a server's pause, if it has one.
-    pub fn rest(&self, now: Instant, id: &str) -> Option<Duration> {
-        let until = *self.until.lock().get(id)?;
-        (until > now).then(|| until.since(now))
+    /// Returns the rest of a server's pause, if it has one. That of an earlier process of its id is
+    /// over.
+    pub fn rest(&self, now: Instant, server: &BackendServer) -> Option<Duration> {
+        let pause = *self.by_id.lock().get(&server.id)?;
+        let is_valid = pause.born_ms == server.born_ms && pause.until > now;
+        is_valid.then(|| pause.until.since(now))
     }
 }
 
-/// Records what the server `id` at `addr` announced with an answer.
+/// Records what a server announced with an answer to a request that was sent to this process of it.
 pub fn record(
     gateway: &Arc<Gateway>,
-    (id, addr): (&str, SocketAddr),
+    server: &BackendServer,
     status: StatusCode,
     answered: &ServerHeaders,
 ) {
     if answered.is_leaving {
-        record_leaving(gateway, id, addr);
+        record_leaving(gateway, server);
     }
-    limits::record(gateway, (id, addr), answered);
+    limits::record(gateway, (&server.id, server.addr), answered);
     if let (StatusCode::SERVICE_UNAVAILABLE, Some(time)) = (status, answered.retry_after) {
         let now = gateway.now();
-        gateway.pauses.set(now, id, now + time);
+        gateway.pauses.set(now, server, now + time);
         gateway.counters.add("servers_paused");
         if let Some(left_out) = gateway.lines.take(now, "paused") {
-            info!(gateway.log, "server wants no requests"; "server" => id, "engine" => %addr,
-                "ms" => time.as_millis() as u64, "left_out" => left_out);
+            info!(gateway.log, "server wants no requests"; "server" => &*server.id,
+                "engine" => %server.addr, "ms" => time.as_millis() as u64, "left_out" => left_out);
         }
     }
 }
@@ -84,24 +95,25 @@
 
 /// Records that a server leaves, and notifies the streams of this instance and the other
 /// instances.
-fn record_leaving(gateway: &Arc<Gateway>, id: &str, addr: SocketAddr) {
-    if !apply_leaving(gateway, id) {
+fn record_leaving(gateway: &Arc<Gateway>, server: &BackendServer) {
+    if !apply_leaving(gateway, &server.id, server.born_ms) {
         return;
     }
     let gateway = Arc::clone(gateway);
-    let id = id.to_string();
+    let server = server.clone();
     tokio::spawn(async move {
         let queue_owners = &gateway.queue_owners;
-        queue_owners.notify_announced(&gateway, addr, &id).await;
+        queue_owners.notify_announced(&gateway, &server).await;
     });
 }
 
-/// Records that a server leaves, as it announced to this or another instance. Returns whether
+/// Records that the process of a server that started at `born_ms` leaves, as it announced to this or
+/// another instance. Returns whether
 /// that was not known.
-pub fn apply_leaving(gateway: &Gateway, id: &str) -> bool {
+pub fn apply_leaving(gateway: &Gateway, id: &str, born_ms: u64) -> bool {
     let addr = {
         let mut directory = gateway.directory.write();
-        if !directory.announce_leaving(id) {
+        if !directory.announce_leaving(id, born_ms) {
             return false;
         }
         directory.get(id).map(|s| s.addr)
--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -202,7 +202,7 @@
         let data_centre = &self.gateway.settings.data_centre;
         let now = self.gateway.now();
         let pauses = &self.gateway.pauses;
-        let rest = |s: &Arc<BackendServer>| pauses.rest(now, &s.id);
+        let rest = |s: &Arc<BackendServer>| pauses.rest(now, s);
         let (paused, candidates): (Vec<_>, Vec<_>) =
             candidates.into_iter().partition(|s| rest(s).is_some());
         let servers = &self.gateway.servers;
@@ -273,13 +273,12 @@
         };
         if let Ok(answer) = &answer {
             let answered = ServerHeaders::read(answer.headers());
-            let from = (&*server.id, server.addr);
             match answer.status() {
                 // Another server answered, whose announcements are not those of this one.
                 StatusCode::MISDIRECTED_REQUEST => {
                     announcements::record_misdirected(self.gateway, server);
                 }
-                status => announcements::record(self.gateway, from, status, &answered),
+                status => announcements::record(self.gateway, server, status, &answered),
             }
         }
         let result = match answer {
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -223,8 +223,9 @@
         self.get(&server.id).is_none()
     }
 
-    /// Records that a server announced that it leaves. Returns whether that was not known.
-    pub fn announce_leaving(&mut self, id: &str) -> bool {
+    /// Records that the process of a server that started at `born_ms` announced that it leaves.
+    /// Returns whether that was not known. A later process of the id is not concerned.
+    pub fn announce_leaving(&mut self, id: &str, born_ms: u64) -> bool {
         if self.leaving.len() >= MAX_LEAVING {
             let entries = &self.entries;
             self.leaving.retain(|id, _| entries.contains_key(id));
@@ -232,10 +233,16 @@
         let Some(entry) = self.entries.get_mut(id) else {
             return false;
         };
+        if born_ms < entry.server.born_ms {
+            return false;
+        }
+        let id = Arc::clone(&entry.server.id);
+        self.leaving.insert(id, born_ms);
         let server = Arc::make_mut(&mut entry.server);
-        let is_new = server.state == ServerState::Ready;
-        server.state = ServerState::Leaving;
-        self.leaving.insert(Arc::clone(&server.id), server.born_ms);
+        let is_new = server.state == ServerState::Ready && server.born_ms == born_ms;
+        if is_new {
+            server.state = ServerState::Leaving;
+        }
         is_new
     }
 
--- a/crates/gateway/src/queue_owners/handler.rs
+++ b/crates/gateway/src/queue_owners/handler.rs
@@ -147,8 +147,8 @@
                 self.refused_local(gateway, &key, addr, Duration::from_millis(ms.into()));
                 message::Answer::Done
             }
-            message::Message::Announced(id) => {
-                announcements::apply_leaving(gateway, &id);
+            message::Message::Announced { id, born_ms } => {
+                announcements::apply_leaving(gateway, &id, born_ms);
                 message::Answer::Done
             }
             message::Message::NoStarts(service, addr, ms) => {
--- a/crates/gateway/src/queue_owners/notify.rs
+++ b/crates/gateway/src/queue_owners/notify.rs
@@ -8,6 +8,7 @@
 use tokio::time::timeout;
 
 use hemlockwind_core::layers::LayerRange;
+use hemlockwind_core::servers::BackendServer;
 use hemlockwind_protocol::peer::Reply;
 use hemlockwind_protocol::peer::Request;
 use hemlockwind_protocol::peer::paths as message;
@@ -147,9 +148,12 @@
     }
 
     /// Reports that a server announced that it leaves to the instances that are affected by that.
-    pub async fn notify_announced(&self, gateway: &Gateway, addr: SocketAddr, id: &str) {
-        let message = message::Message::Announced(id.to_string());
-        self.notify_affected(gateway, addr, message).await;
+    pub async fn notify_announced(&self, gateway: &Gateway, server: &BackendServer) {
+        let message = message::Message::Announced {
+            id: server.id.to_string(),
+            born_ms: server.born_ms,
+        };
+        self.notify_affected(gateway, server.addr, message).await;
     }
 
     /// Reports how slow an engine is to the instances that are affected by that.
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -24,6 +24,7 @@
 use hemlockwind_core::Result;
 use hemlockwind_core::attempt::Attempt;
 use hemlockwind_core::attempt::Attempts;
+use hemlockwind_core::servers::BackendServer;
 use hemlockwind_paths::admission;
 use hemlockwind_paths::admission::Caller;
 use hemlockwind_paths::admission::Cause;
@@ -427,7 +428,9 @@
         if accepted.time_left().is_zero() {
             return Err(OpenError::Failed(Attempt::Unsent, Error::DeadlinePassed));
         }
-        if let Some(time) = not_wanted(self.gateway, first) {
+        // Its answer concerns the process that is known now.
+        let server = self.gateway.directory.read().get(&first.id).cloned();
+        if let Some(time) = not_wanted(self.gateway, first, server.as_deref()) {
             let e = Error::backend_refused(format!("{} wants no requests", first.addr));
             return Err(OpenError::NotWanted(e, time));
         }
@@ -454,9 +457,11 @@
             OpenError::Failed(attempt, e)
         })?;
         let answered = ServerHeaders::read(exchange.head.headers());
-        if headers::may_answer(exchange.head.headers(), Some(&accepted.attempt)) {
+        if let Some(server) = server
+            && headers::may_answer(exchange.head.headers(), Some(&accepted.attempt))
+        {
             let status = exchange.head.status();
-            announcements::record(self.gateway, (&first.id, first.addr), status, &answered);
+            announcements::record(self.gateway, &server, status, &answered);
         }
         self.check(first.addr, path, exchange).await
     }
@@ -597,11 +602,15 @@
 }
 
 /// Returns for how long an engine wants no request of this instance, if it doesn't.
-fn not_wanted(gateway: &Gateway, first: &Stage) -> Option<Duration> {
+fn not_wanted(
+    gateway: &Gateway,
+    first: &Stage,
+    server: Option<&BackendServer>,
+) -> Option<Duration> {
     if gateway.directory.read().is_leaving(&first.id) {
         return Some(LEAVING_EXCLUSION);
     }
-    gateway.pauses.rest(gateway.now(), &first.id)
+    gateway.pauses.rest(gateway.now(), server?)
 }
 
 /// `OpenError` says why the first stage of a path did not begin a stream.
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -322,6 +322,26 @@
     assert!(directory.get("server").is_some());
 }
 
+/// Guards against marking a server as leaving for good by a notice about the process before it, which
+/// had the same id: the notice of another instance may come late.
+#[test]
+fn announce_leaving_concerns_one_process() {
+    let mut directory = routed();
+    directory.put(process("server", 4));
+    directory.put(process("server", 5));
+    assert!(!directory.announce_leaving("server", 4));
+    assert_eq!(directory.get("server").unwrap().state, ServerState::Ready);
+    assert!(directory.announce_leaving("server", 5));
+    assert!(!directory.announce_leaving("server", 5), "known");
+    directory.put(process("server", 6));
+    assert_eq!(directory.get("server").unwrap().state, ServerState::Ready);
+    // The notice may come before the entry of its process.
+    assert!(!directory.announce_leaving("server", 7));
+    assert_eq!(directory.get("server").unwrap().state, ServerState::Ready);
+    directory.put(process("server", 7));
+    assert_eq!(directory.get("server").unwrap().state, ServerState::Leaving);
+}
+
 /// `Step` is what happens to the store, or to what the directory receives of it.
 #[derive(Clone, Debug)]
 enum Step {
--- a/crates/protocol/src/peer/paths.rs
+++ b/crates/protocol/src/peer/paths.rs
@@ -196,7 +196,12 @@
     /// new work for this time, in milliseconds.
     Refused(String, SocketAddr, u32),
     /// Reports that a backend server, given by its id, announced that it leaves.
-    Announced(String),
+    Announced {
+        /// Its id.
+        id: String,
+        /// When its process had started, in milliseconds since the Unix epoch.
+        born_ms: u64,
+    },
     /// Reports that an engine wants no new request for this time, in milliseconds. It goes on as
     /// a later stage of paths.
     NoStarts(String, SocketAddr, u32),
