--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -1,10 +1,13 @@
 //! Which data centres count as silent, which instances have an assignment, and how long calls take.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_trait::async_trait;
+use proptest::collection::vec;
+use proptest::prelude::*;
 use tokio::net::TcpListener;
 
 use hemlockwind_core::time::Instant;
@@ -318,3 +321,105 @@
     peers.put(own);
     assert_eq!(peers.queue_owner("service-1").name, before.name);
 }
+
+/// `Step` is what happens to the entries of the instances, or to what one of them receives.
+#[derive(Clone, Debug)]
+enum Step {
+    /// An entry is written, and the change is received or not.
+    Put(Instance, bool),
+    /// An entry is removed, and the change is received or not.
+    Remove(usize, bool),
+    /// All entries are received.
+    List,
+    /// The store goes back by up to this many steps and raises the era; all entries are received.
+    Restore(usize),
+    /// Time passes, in milliseconds.
+    Wait(u64),
+}
+
+fn nth_name(i: usize) -> String {
+    format!("front-{}", i + 1)
+}
+
+fn any_step() -> impl Strategy<Value = Step> {
+    let put = (0..4_usize, 1..4_u64, 9..12_u16, any::<bool>());
+    let put = put.prop_map(|(i, process, port, is_received)| {
+        let entry = Instance {
+            addr: SocketAddr::from(([127, 0, 0, 1], port)),
+            process,
+            ..instance(&nth_name(i), "east")
+        };
+        Step::Put(entry, is_received)
+    });
+    prop_oneof![
+        6 => put,
+        3 => (0..4_usize, any::<bool>()).prop_map(|(i, is_received)| Step::Remove(i, is_received)),
+        2 => Just(Step::List),
+        1 => (1..5_usize).prop_map(Step::Restore),
+        2 => (1..3_000_u64).prop_map(Step::Wait),
+    ]
+}
+
+type Entries = BTreeMap<Arc<str>, Instance>;
+
+proptest! {
+    /// Guards against a view of the instances that depends on the way and the order in which entries were
+    /// received, and against owning what the others can't see.
+    #[test]
+    fn any_order_knows_the_listed_instances(steps in vec(any_step(), 1..40)) {
+        let me = instance("front-1", "east");
+        let peers = Peers::new(me.clone(), &[], SharedKey::new(b"a key of tests"));
+        let (mut store, mut history) = (Entries::new(), Vec::<Entries>::new());
+        let mut now = Instant::from_millis(1_000);
+        let mut is_behind = true;
+        let listed = |store: &Entries| store.values().cloned().collect::<Vec<_>>();
+        for step in steps {
+            history.push(store.clone());
+            match step {
+                Step::Put(entry, is_received) => {
+                    store.insert(Arc::clone(&entry.name), entry.clone());
+                    is_behind |= !is_received;
+                    if is_received {
+                        peers.put(entry);
+                    }
+                }
+                Step::Remove(i, is_received) => {
+                    store.remove(&*nth_name(i));
+                    is_behind |= !is_received;
+                    if is_received {
+                        peers.remove(&nth_name(i));
+                    }
+                }
+                Step::List => {
+                    is_behind = false;
+                    peers.replace(now, listed(&store));
+                }
+                Step::Restore(steps) => {
+                    let back_to = history.len().saturating_sub(steps);
+                    store = history[back_to..].first().cloned().unwrap_or_default();
+                    history.truncate(back_to);
+                    is_behind = false;
+                    peers.mark_store_restored();
+                    peers.replace(now, listed(&store));
+                }
+                Step::Wait(ms) => now = now + Duration::from_millis(ms),
+            }
+            peers.expire(now);
+        }
+        if is_behind {
+            peers.replace(now, listed(&store));
+        }
+        // Missing entries are kept until then.
+        peers.expire(now + Duration::from_secs(60));
+        for i in 1..4 {
+            let name = nth_name(i);
+            prop_assert_eq!(peers.get(&name), store.get(&*name).cloned());
+        }
+        let others = store.keys().filter(|name| **name != me.name).count();
+        prop_assert_eq!(peers.count(), Some(others + 1));
+        let is_visible = store.get(&me.name).is_some_and(|i| i.addr == me.addr);
+        let owners = (0..64).map(|i| peers.queue_owner(&format!("service-{i}")).name);
+        let owned = owners.filter(|owner| *owner == me.name).count();
+        prop_assert_eq!(owned > 0, is_visible || others == 0);
+    }
+}
