Soak: entries that share an address, and a removal that is executed late

They come from a generator of their own, so the sequence of the other faults stays the same for each seed.

--- a/programs/tests/process/soak.rs
+++ b/programs/tests/process/soak.rs
@@ -18,6 +18,7 @@
 use hemlockwind_emulator::store::MAX_PAGE_OBJECTS;
 use hemlockwind_emulator::store::Mode;
 use hemlockwind_emulator::store::UNREADABLE;
+use http::Method;
 use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -86,6 +87,11 @@
     KillAll,
     /// Another writer fills a page of the list of servers with entries under odd names. They stay.
     OddEntries,
+    /// Another writer leaves an entry with the address of each server. They stay.
+    SharedAddresses,
+    /// An instance is stopped as planned and restarted; the store executes the removal of its entry
+    /// later.
+    LateRemoval,
 }
 
 const INJECTED_FAULTS: [InjectedFault; 11] = [
@@ -102,6 +108,14 @@
     InjectedFault::StoreDiscardsHistory,
 ];
 
+/// Faults that are drawn in addition, so that the sequence of the others stays the same for each seed.
+const ADDITIONAL_FAULTS: [InjectedFault; 2] =
+    [InjectedFault::SharedAddresses, InjectedFault::LateRemoval];
+/// One in so many faults is followed by an additional one.
+const ADDITIONAL_DIVISOR: u32 = 3;
+/// How much later the store executes a late removal.
+const REMOVAL_DELAY: Duration = Duration::from_secs(5);
+
 /// `Kind` is a kind of request: a stream, an unsafe call, which may run only once, or a safe call,
 /// which may run again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -203,12 +217,17 @@
     records
 }
 
-/// Injects one fault, waits until it is over and adds its description to `injected`.
-async fn inject_fault(fleet: &mut Fleet, rng: &mut SmallRng, injected: &mut Vec<String>) {
+/// Injects one of `faults`, waits until it is over and adds its description to `injected`.
+async fn inject_fault(
+    fleet: &mut Fleet,
+    rng: &mut SmallRng,
+    faults: &[InjectedFault],
+    injected: &mut Vec<String>,
+) {
     let index = rng.random_range(0..fleet.instances.len());
     let engine = rng.random_range(0..fleet.site.engines.len());
     let time = Duration::from_millis(rng.random_range(200..2_500));
-    let fault = INJECTED_FAULTS[rng.random_range(0..INJECTED_FAULTS.len())];
+    let fault = faults[rng.random_range(0..faults.len())];
     let name = &fleet.instances[index].name;
     injected.push(format!("{fault:?} {name} engine {engine} {time:?}"));
     let server = &fleet.site.servers[engine % fleet.site.servers.len()];
@@ -243,10 +262,28 @@
                 fleet.site.store.write("servers", &name, json!({}));
             }
         }
+        InjectedFault::SharedAddresses => share_addresses(fleet),
+        InjectedFault::LateRemoval => {
+            fleet.site.store.delay_write(Method::DELETE, REMOVAL_DELAY);
+            stop_and_restart(fleet, index).await;
+        }
     }
     sleep(Duration::from_millis(rng.random_range(0..600))).await;
 }
 
+/// Writes an entry of another writer with the address of each server, after and before its own.
+fn share_addresses(fleet: &Fleet) {
+    let servers = fleet.site.engines.iter().chain(&fleet.site.servers);
+    for server in servers {
+        let entry = json!({ "service": "monitoring", "address": server.addr.to_string(),
+            "zone": "elsewhere", "state": "ready" });
+        for prefix in ["0-", "z-"] {
+            let name = format!("{prefix}{}", server.name());
+            fleet.site.store.write("servers", &name, entry.clone());
+        }
+    }
+}
+
 /// Sets how the store answers for the duration `time`.
 async fn set_store_mode_for(fleet: &Fleet, mode: Mode, time: Duration) {
     fleet.site.store.set_mode(mode);
@@ -328,8 +365,13 @@
     }
     let until = Instant::now() + Duration::from_secs(seconds);
     let mut injected = Vec::new();
+    let mut additional_rng = SmallRng::seed_from_u64(!seed);
     while Instant::now() < until {
-        inject_fault(&mut fleet, &mut rng, &mut injected).await;
+        inject_fault(&mut fleet, &mut rng, &INJECTED_FAULTS, &mut injected).await;
+        if additional_rng.random_ratio(1, ADDITIONAL_DIVISOR) {
+            let faults = &ADDITIONAL_FAULTS;
+            inject_fault(&mut fleet, &mut additional_rng, faults, &mut injected).await;
+        }
     }
     let client: HttpClient = Client::builder(TokioExecutor::new()).build_http();
     let number = std::sync::atomic::AtomicU32::new(0);
