Announcements: a late answer of a former process replaces nothing

An answer of a server's former process that came late replaced the pause of the process that has its id now, and a notice about it hid one about a process whose entry had not come yet.

Change: both keep what is known of the later start.

--- a/crates/gateway/src/announcements.rs
+++ b/crates/gateway/src/announcements.rs
@@ -41,11 +41,17 @@
         if pauses.len() >= MAX_PAUSES {
             pauses.retain(|_, pause| pause.until > now);
         }
-        let born_ms = server.born_ms;
-        let before = pauses.get(&server.id);
-        let before = before.filter(|pause| pause.born_ms == born_ms);
-        let until = before.map_or(until, |pause| pause.until.max(until));
-        pauses.insert(Arc::clone(&server.id), Pause { born_ms, until });
+        let begun = Pause {
+            born_ms: server.born_ms,
+            until,
+        };
+        match pauses.get_mut(&server.id) {
+            // A late answer of an earlier process.
+            Some(pause) if begun.born_ms < pause.born_ms => {}
+            Some(pause) if begun.born_ms == pause.born_ms => pause.until = until.max(pause.until),
+            Some(pause) => *pause = begun,
+            None => drop(pauses.insert(Arc::clone(&server.id), begun)),
+        }
     }
 
     /// Returns the rest of a server's pause, if it has one. That of an earlier process of its id is
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -236,8 +236,9 @@
         if born_ms < entry.server.born_ms {
             return false;
         }
-        let id = Arc::clone(&entry.server.id);
-        self.leaving.insert(id, born_ms);
+        let known = self.leaving.entry(Arc::clone(&entry.server.id));
+        let known = known.or_insert(born_ms);
+        *known = born_ms.max(*known);
         let server = Arc::make_mut(&mut entry.server);
         let is_new = server.state == ServerState::Ready && server.born_ms == born_ms;
         if is_new {
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -338,6 +338,8 @@
     // The notice may come before the entry of its process.
     assert!(!directory.announce_leaving("server", 7));
     assert_eq!(directory.get("server").unwrap().state, ServerState::Ready);
+    // One about the process before it may come between the two.
+    assert!(directory.announce_leaving("server", 6));
     directory.put(process("server", 7));
     assert_eq!(directory.get("server").unwrap().state, ServerState::Leaving);
 }
