Registration, updates: nothing after a stop, nothing for nobody

A process that stops no longer logs its own removal as a lost registration, and an update without receivers is not encoded. From reading the diff; no behaviour that callers see.

--- a/crates/gateway/src/instances.rs
+++ b/crates/gateway/src/instances.rs
@@ -49,6 +49,10 @@
         *gateway.registered.lock() = Some(version);
         let written_at = Instant::now();
         wait_until_lost(&gateway, version).await;
+        if gateway.stopping.is_cancelled() {
+            // It may be this process that has removed it.
+            return;
+        }
         pause = match written_at.elapsed() >= KEPT_TIME {
             true => MIN_RENEWAL_PAUSE,
             false => (pause * 2).min(MAX_RENEWAL_PAUSE),
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -221,6 +221,9 @@
 }
 
 fn send(gateway: &Arc<Gateway>, receivers: Vec<Instance>, changes: Changes) {
+    if receivers.is_empty() {
+        return;
+    }
     let (kind, version) = (changes.kind, changes.version);
     let frame = match Frame::new(&Request::Store(Message::Update(changes))) {
         Ok(frame) => frame,
